--- /dev/null
+++ b/libs/choice/kept.py
@@ -0,0 +1,62 @@
+"""What a runner probably keeps, as told by what went to it."""
+from collections import OrderedDict
+
+from attrs import define, field
+
+
+def parse_parts(text):
+    """The parts of a prompt: (chain key, tokens) pairs; a part is kept only behind those before it.
+
+    >>> parse_parts("a:3,b:4")
+    (('a', 3), ('a,b', 4))
+    >>> parse_parts("junk")
+    ()
+    """
+    out, chain = [], ""
+    for item in (text or "").split(","):
+        id, _, n = item.strip().partition(":")
+        if not id or not n.isdigit():
+            return ()
+        chain = f"{chain},{id}" if chain else id
+        out.append((chain, int(n)))
+    return tuple(out)
+
+
+@define(slots=True)
+class Kept:
+    """An estimate of one runner's kept parts, the longest unused given up first.
+
+    >>> k = Kept(10); k.saw((("a", 6),)); k.unread((("a", 6), ("a,b", 5)))
+    5
+    >>> k.saw((("c", 9),)); k.unread((("a", 6),))
+    6
+    """
+
+    room: int
+    used: int = 0
+    parts: OrderedDict = field(factory=OrderedDict)
+
+    def saw(self, parts):
+        """Notes that a prompt went to the runner.
+
+        >>> k = Kept(10); k.saw((("a", 6),)); k.used
+        6
+        """
+        for key, n in parts:
+            self.used += n - self.parts.pop(key, 0)
+            self.parts[key] = n
+        while self.used > self.room and len(self.parts) > 1:
+            self.used -= self.parts.popitem(last=False)[1]
+
+    def unread(self, parts):
+        """The tokens of a prompt that the runner would have to read.
+
+        >>> Kept(10).unread((("a", 6),))
+        6
+        """
+        left = sum(n for _, n in parts)
+        for key, n in parts:
+            if key not in self.parts:
+                break
+            left -= n
+        return left
--- /dev/null
+++ b/libs/link/__init__.py
@@ -0,0 +1,6 @@
+"""Sockets for the project's own records, and the clock that they go by."""
+from .clock import steady
+from .files import Watch
+from .sockets import Datagrams, Frames, bind, dial, tune
+
+__all__ = ["Datagrams", "Frames", "Watch", "bind", "dial", "steady", "tune"]
--- /dev/null
+++ b/libs/link/sockets.py
@@ -0,0 +1,145 @@
+"""Datagrams and framed pipes. A silent peer is noticed: every pipe has a user time-out."""
+import asyncio
+import socket
+import struct
+from datetime import timedelta
+
+from sparloom.wire import Broken, pack, unpack
+
+_SIZE = struct.Struct("!I")
+MOST = 1 << 25
+
+
+def tune(sock, dead=timedelta(seconds=2)):
+    """Makes a TCP socket notice a dead peer and send small pieces at once.
+
+    >>> s = socket.socket(); tune(s); s.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) != 0
+    True
+    >>> s.close()
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(dead / timedelta(milliseconds=1)))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, max(1, int(dead.total_seconds() / 2)))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
+def bind(addr, backlog=512):
+    """A listening socket at an address.
+
+    >>> from sparloom.startup import Address
+    >>> s = bind(Address("127.0.0.1", 0)); s.getsockname()[1] > 0
+    True
+    >>> s.close()
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    tune(sock)
+    sock.bind((addr.host, addr.port))
+    sock.listen(backlog)
+    sock.setblocking(False)
+    return sock
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Records by datagram; what is no record is dropped."""
+
+    def __init__(self, take):
+        self.take, self.transport, self.addrs = take, None, {}
+
+    @classmethod
+    async def open(cls, host, port, take):
+        """Opens a socket; ``take`` gets the sender's HOST:PORT and the record.
+
+        >>> Datagrams.open.__name__
+        'open'
+        """
+        loop = asyncio.get_running_loop()
+        _, proto = await loop.create_datagram_endpoint(lambda: cls(take), local_addr=(host, port))
+        return proto
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        try:
+            rec = unpack(data)
+        except Broken:
+            return
+        self.take(f"{addr[0]}:{addr[1]}", rec)
+
+    def error_received(self, exc):
+        pass
+
+    def send(self, to, rec):
+        """Sends a record to HOST:PORT; it may get lost.
+
+        >>> Datagrams.send.__name__
+        'send'
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        addr = self.addrs.get(to)
+        if addr is None:
+            host, _, port = to.rpartition(":")
+            if not host or not port.isdigit():
+                return
+            addr = self.addrs[to] = (host, int(port))
+        self.transport.sendto(pack(rec), addr)
+
+    def close(self):
+        """Closes the socket.
+
+        >>> Datagrams(None).close()
+        """
+        if self.transport:
+            self.transport.close()
+
+
+class Frames:
+    """Records over a pipe, each with its size ahead."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    async def read(self):
+        """The next record; raises EOFError, OSError or Broken at an end.
+
+        >>> Frames.read.__name__
+        'read'
+        """
+        (n,) = _SIZE.unpack(await self.reader.readexactly(_SIZE.size))
+        if n > MOST:
+            raise Broken("too long")
+        return unpack(await self.reader.readexactly(n))
+
+    async def write(self, rec):
+        """Writes a record.
+
+        >>> Frames.write.__name__
+        'write'
+        """
+        raw = pack(rec)
+        self.writer.write(_SIZE.pack(len(raw)) + raw)
+        await self.writer.drain()
+
+    def close(self):
+        """Closes the pipe at once.
+
+        >>> Frames.close.__name__
+        'close'
+        """
+        self.writer.transport.abort()
+
+
+async def dial(host, port, wait):
+    """Opens a pipe within a time; raises OSError or TimeoutError.
+
+    >>> dial.__name__
+    'dial'
+    """
+    async with asyncio.timeout(wait.total_seconds()):
+        reader, writer = await asyncio.open_connection(host, port, limit=MOST)
+    tune(writer.get_extra_info("socket"))
+    return Frames(reader, writer)
--- /dev/null
+++ b/libs/platform/list.py
@@ -0,0 +1,110 @@
+"""Reads the platform's pages and paces the calls."""
+from datetime import timedelta
+
+from attrs import define, evolve, field
+from returns.result import Failure, Success
+
+from sparloom.wire import record
+
+READY, DRAINING = 0, 1
+
+
+@record(70, id="s", service="s", address="s", zone="s", slots="I", draining="?", cold="I")
+class Runner:
+    """One life of a runner as the platform lists it."""
+
+
+@record(71, runners=[Runner])
+class RunnerList:
+    """All runners, ordered by id."""
+
+    def news_against(self, old):
+        """Whether anything but the passing of time has changed.
+
+        >>> RunnerList([]).news_against(RunnerList([]))
+        False
+        """
+        return old is None or [evolve(r, cold=bool(r.cold)) for r in self.runners] != [evolve(r, cold=bool(r.cold)) for r in old.runners]
+
+
+def _runner(d):
+    return Runner(
+        d["runnerId"], d["service"], d["address"], d.get("zone", ""), int(d.get("slots", 0)),
+        d.get("state") != "ready", max(0, int(d.get("coldRemainingMs", 0))),
+    )
+
+
+def read_page(d):
+    """The runners of a page and the token of the next one.
+
+    >>> read_page({"instances": [], "nextPageToken": None}).unwrap()
+    ([], None)
+    >>> read_page({}).failure()
+    "the platform's page can't be read: 'instances'"
+    """
+    try:
+        return Success(([_runner(i) for i in d["instances"]], d.get("nextPageToken")))
+    except (KeyError, TypeError, ValueError) as e:
+        return Failure(f"the platform's page can't be read: {e}")
+
+
+@define(slots=True)
+class Pages:
+    """Puts a list together from its pages.
+
+    >>> p = Pages(); p.add([], "t"), p.add([], None)
+    (None, RunnerList(runners=[]))
+    """
+
+    got: list = field(factory=list)
+    token: str | None = None
+
+    def add(self, runners, token):
+        """Adds a page; gives the whole list after the last one.
+
+        >>> Pages().add([], None)
+        RunnerList(runners=[])
+        """
+        self.got += runners
+        self.token = token
+        if token is not None:
+            return None
+        whole = {r.id: r for r in self.got}
+        self.got = []
+        return RunnerList([whole[k] for k in sorted(whole)])
+
+
+@define(slots=True)
+class Pace:
+    """When the next call may be made: within the rate, and often enough for draining.
+
+    >>> Pace.of(40.0, timedelta(seconds=3)).period
+    datetime.timedelta(microseconds=750000)
+    """
+
+    period: timedelta
+    least: timedelta
+    next: timedelta = timedelta(0)
+    begun: timedelta = timedelta(0)
+
+    @classmethod
+    def of(cls, rate, drain):
+        """A pace from the platform's rate and the time that draining may take.
+
+        >>> Pace.of(1.0, timedelta(seconds=1)).period
+        datetime.timedelta(seconds=2)
+        """
+        least = timedelta(seconds=2 / rate)
+        return cls(max(drain / 4, least), least)
+
+    def done(self, now, more, hard=False):
+        """A call ended: ``more`` pages follow, or it was turned away (``hard``).
+
+        >>> p = Pace.of(40.0, timedelta(seconds=3)); p.done(timedelta(0), True); p.next
+        datetime.timedelta(microseconds=50000)
+        """
+        if more:
+            self.next = now + self.least
+            return
+        self.next = max(self.begun + self.period, now + self.least) + (self.period if hard else timedelta(0))
+        self.begun = self.next
--- /dev/null
+++ b/libs/policy/__init__.py
@@ -0,0 +1,5 @@
+"""The operator's policy (configuration): checked, changed, looked up."""
+from .check import apply_patch, check, parse
+from .table import Caps, Policy, Route, Service, build
+
+__all__ = ["Caps", "Policy", "Route", "Service", "apply_patch", "build", "check", "parse"]
--- /dev/null
+++ b/libs/recover/budget.py
@@ -0,0 +1,78 @@
+"""This node's sure share of the fleet's budget for further arrivals."""
+from collections import deque
+from datetime import timedelta
+
+from attrs import define, field
+
+
+@define(slots=True)
+class Budget:
+    """Further arrivals of one service within a sliding window.
+
+    A node spends a part of ``ratio`` times the asks that it took itself, which
+    adds up over all nodes whoever they are, and an equal part of the slack.
+    The slack part builds up from nothing over one window after a start, so a
+    node that comes back can't spend what its former life spent; and it is
+    shared among the most nodes seen within two windows, so one that joins
+    doesn't stretch the sum.
+
+    >>> b = Budget(timedelta(seconds=10), 0.2, 0, timedelta(0)); b.allowed(timedelta(0), 1)
+    False
+    >>> b.asked(timedelta(0), 20); b.allowed(timedelta(0), 1)
+    True
+    """
+
+    window: timedelta
+    ratio: float
+    slack: float
+    born: timedelta
+    margin: float = 0.7
+    asks: deque = field(factory=deque)
+    total: int = 0
+    spent: deque = field(factory=deque)
+    crowd: deque = field(factory=deque)
+
+    def _trim(self, now):
+        while self.asks and now - self.asks[0][0] > self.window:
+            self.total -= self.asks.popleft()[1]
+        while self.spent and now - self.spent[0] > self.window:
+            self.spent.popleft()
+        while self.crowd and now - self.crowd[0][0] > 2 * self.window:
+            self.crowd.popleft()
+
+    def asked(self, now, n=1):
+        """Counts asks taken from requesters.
+
+        >>> b = Budget(timedelta(seconds=1), 0.2, 0, timedelta(0)); b.asked(timedelta(0)); b.total
+        1
+        """
+        tick = self.window / 40
+        if self.asks and now - self.asks[-1][0] < tick:
+            self.asks[-1][1] += n
+        else:
+            self.asks.append([now, n])
+        self.total += n
+
+    def _share(self, now, nodes):
+        if not self.crowd or self.crowd[-1][1] != nodes or now - self.crowd[-1][0] > self.window / 10:
+            self.crowd.append((now, nodes))
+        most = max(n for _, n in self.crowd)
+        grown = min(1.0, (now - self.born) / self.window)
+        return self.slack / (most + 1) * grown
+
+    def allowed(self, now, nodes):
+        """Whether one more arrival fits, with that many nodes about.
+
+        >>> Budget(timedelta(seconds=10), 0.0, 40, timedelta(0)).allowed(timedelta(seconds=10), 1)
+        True
+        """
+        self._trim(now)
+        return len(self.spent) + 1 <= self.margin * (self.ratio * self.total + self._share(now, nodes))
+
+    def spend(self, now):
+        """Counts a further arrival.
+
+        >>> b = Budget(timedelta(seconds=1), 0.2, 0, timedelta(0)); b.spend(timedelta(0)); len(b.spent)
+        1
+        """
+        self.spent.append(now)
--- /dev/null
+++ b/libs/recover/plan.py
@@ -0,0 +1,53 @@
+"""What to do after a dispatch has ended badly: a plan, made as data."""
+from datetime import timedelta
+
+from attrs import define
+
+from .verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
+
+
+@define(frozen=True, slots=True)
+class Plan:
+    """What is known when a dispatch has ended."""
+
+    repeatable: bool
+    max_dispatches: int
+    dispatches: int
+    verdict: Verdict
+    began: bool = False
+    left: timedelta = timedelta(0)
+    within_budget: bool = False
+    others: bool = False
+
+
+@define(frozen=True, slots=True)
+class Retry:
+    """Dispatch again."""
+
+
+@define(frozen=True, slots=True)
+class GiveUp:
+    """Answer now: 503 and a time to come back if it never ran, 502 or 504 otherwise, a cut once begun."""
+
+    status: int
+    cut: bool = False
+
+
+def after(p):
+    """The step after a dispatch that brought no whole reply.
+
+    >>> after(Plan(False, 2, 1, MAY_HAVE_RUN, left=timedelta(1), within_budget=True, others=True))
+    GiveUp(status=502, cut=False)
+    >>> after(Plan(False, 2, 1, NOT_RUN, left=timedelta(1), within_budget=True, others=True))
+    Retry()
+    >>> after(Plan(True, 2, 1, MAY_HAVE_RUN, began=True, left=timedelta(1), within_budget=True, others=True))
+    Retry()
+    """
+    may = p.repeatable or p.verdict is NOT_RUN
+    if may and p.left > timedelta(0) and p.dispatches < p.max_dispatches and p.within_budget and p.others:
+        return Retry()
+    if p.began:
+        return GiveUp(0, cut=True)
+    if p.verdict is NOT_RUN:
+        return GiveUp(503)
+    return GiveUp(502 if p.left > timedelta(0) else 504)
--- /dev/null
+++ b/libs/timeouts/counts.py
@@ -0,0 +1,203 @@
+"""How many calls are in flight at a resource: this node's own, and what peers tell.
+
+Late or missing words. A peer's counts stand until the peer tells newer ones,
+its life ends (it is believed dead, has left, or started again), or nothing was
+heard from it for ``stale``. Until then the last word counts in full: a peer
+that can't be reached is taken to still hold its slots, so a late count errs
+towards shorter timeouts. After ``stale`` it counts nothing, so that a lost
+peer can't hold a runner's slots for ever.
+"""
+from datetime import timedelta
+
+from attrs import define, field
+
+from sparloom.wire import record
+
+from .buckets import pick
+
+
+@record(80, resource="Q", calls="H", tokens="I", silent="?")
+class Held:
+    """A holder's calls in flight at one resource; ``silent``: it hears nothing from it."""
+
+
+@record(81, key="s", life="Q", seq="I", held=[Held], taken="I", reserve="H")
+class Holding:
+    """All that a holder has in flight."""
+
+
+@define(frozen=True, slots=True)
+class Call:
+    """What the after-call hook is told.
+
+    >>> Call("r", 3, timedelta(seconds=1), False, False).count
+    3
+    """
+
+    resource: str
+    count: int
+    duration: timedelta
+    throttled: bool
+    timed_out: bool
+
+
+@define(slots=True)
+class Slot:
+    """A call's slot in every bucket of a resource; freed once."""
+
+    counts: object
+    resource: object
+    grant: object
+    began: timedelta
+    tokens: int = 0
+    timed_out: bool = False
+    open: bool = True
+
+    def free(self, now):
+        """Gives the slot back and tells the hook; a second time does nothing.
+
+        >>> Slot.free.__name__
+        'free'
+        """
+        if self.open:
+            self.open = False
+            self.counts.release(self, now)
+
+    def read(self, tokens):
+        """The prompt has been read: its tokens no longer wait.
+
+        >>> Slot.read.__name__
+        'read'
+        """
+        if self.open:
+            self.counts.lighten(self, min(tokens, self.tokens))
+
+
+@define(slots=True)
+class _Peer:
+    life: int
+    seq: int
+    heard: timedelta
+    held: dict
+
+
+@define(slots=True)
+class Counts:
+    """The shared in-flight counts, as one node knows them.
+
+    >>> c = Counts(timedelta(seconds=3))
+    >>> from .buckets import Bucket
+    >>> s = c.take("r", [Bucket(timedelta(seconds=1), 1)], timedelta(0))
+    >>> c.count("r", timedelta(0)), c.take("r", [Bucket(timedelta(seconds=1), 1)], timedelta(0))
+    (1, None)
+    >>> s.free(timedelta(0)); c.count("r", timedelta(0))
+    0
+    """
+
+    stale: timedelta
+    hook: object = None
+    own: dict = field(factory=dict)
+    weight: dict = field(factory=dict)
+    peers: dict = field(factory=dict)
+    callers: dict = field(factory=dict)
+
+    def _told(self, resource, now, part):
+        return sum(p.held[resource][part] for p in self.peers.values() if resource in p.held and now - p.heard <= self.stale)
+
+    def count(self, resource, now):
+        """Calls in flight at a resource across all nodes.
+
+        >>> Counts(timedelta(1)).count("r", timedelta(0))
+        0
+        """
+        return self.own.get(resource, 0) + self._told(resource, now, 0)
+
+    def tokens(self, resource, now):
+        """Prompt tokens on their way to a resource and not yet read, across all nodes.
+
+        >>> Counts(timedelta(1)).tokens("r", timedelta(0))
+        0
+        """
+        return self.weight.get(resource, 0) + self._told(resource, now, 1)
+
+    def silent(self, resource, now):
+        """How many peers hear nothing from a resource.
+
+        >>> Counts(timedelta(1)).silent("r", timedelta(0))
+        0
+        """
+        return self._told(resource, now, 2)
+
+    def take(self, resource, buckets, now, tokens=0):
+        """Takes a slot in every bucket, or tells the hook of a refusal and gives None.
+
+        >>> Counts.take.__name__
+        'take'
+        """
+        n = self.count(resource, now)
+        grant = pick(buckets, n)
+        if grant is None:
+            self._tell(Call(resource, n, timedelta(0), True, False))
+            return None
+        self.own[resource] = self.own.get(resource, 0) + 1
+        self.weight[resource] = self.weight.get(resource, 0) + tokens
+        return Slot(self, resource, grant, now, tokens)
+
+    def lighten(self, slot, tokens):
+        """Takes read tokens off a resource.
+
+        >>> Counts.lighten.__name__
+        'lighten'
+        """
+        slot.tokens -= tokens
+        self.weight[slot.resource] = max(0, self.weight.get(slot.resource, 0) - tokens)
+
+    def release(self, slot, now):
+        """Ends a slot; called by the slot itself.
+
+        >>> Counts.release.__name__
+        'release'
+        """
+        left = self.own.get(slot.resource, 0) - 1
+        self.lighten(slot, slot.tokens)
+        if left > 0:
+            self.own[slot.resource] = left
+        else:
+            self.own.pop(slot.resource, None)
+            self.weight.pop(slot.resource, None)
+        self._tell(Call(slot.resource, slot.grant.count, now - slot.began, False, slot.timed_out))
+
+    def _tell(self, call):
+        if self.hook:
+            self.hook(call)
+
+    def hear(self, rec, now, names):
+        """Takes a peer's word; ``names`` turns a wire number into a resource.
+
+        >>> c = Counts(timedelta(seconds=3)); c.hear(Holding("p", 1, 1, [Held(7, 2, 0, False)], 0, 0), timedelta(0), {7: "r"})
+        >>> c.count("r", timedelta(0))
+        2
+        """
+        old = self.peers.get(rec.key)
+        if old and old.life == rec.life and rec.seq <= old.seq:
+            return
+        self.callers[rec.key, rec.life] = now
+        held = {names[h.resource]: (h.calls, h.tokens, int(h.silent)) for h in rec.held if h.resource in names}
+        self.peers[rec.key] = _Peer(rec.life, rec.seq, now, held)
+
+    def drop(self, key, life=None):
+        """A holder is known gone: its slots are free.
+
+        >>> Counts(timedelta(1)).drop("p")
+        """
+        if key in self.peers and (life is None or self.peers[key].life != life):
+            del self.peers[key]
+
+    def processes(self, now, span=timedelta(seconds=60)):
+        """How many processes have called within a span, this one included.
+
+        >>> Counts(timedelta(1)).processes(timedelta(0))
+        1
+        """
+        self.callers = {k: t for k, t in self.callers.items() if now - t <= span}
+        return 1 + len(self.callers)
--- /dev/null
+++ b/sparloom/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: keeps the policy, knows the nodes and the runners, feeds the routers."""
--- /dev/null
+++ b/sparloom/controller/__main__.py
@@ -0,0 +1,4 @@
+"""The controller's command line."""
+from sparloom.command import main
+
+main("controller")
--- /dev/null
+++ b/sparloom/controller/disk.py
@@ -0,0 +1,55 @@
+"""The task that owns the disk: saves in order, many at a time, never in the loop's way."""
+import queue
+import sqlite3
+import threading
+
+from absl import logging
+
+from sparloom.ledger import Store
+
+
+class Disk:
+    """A thread with the store; ``done`` and ``failed`` are called in the loop."""
+
+    def __init__(self, folder, loop, done, failed):
+        self.folder, self.loop, self.done, self.failed = folder, loop, done, failed
+        self.line = queue.SimpleQueue()
+        self.store = Store(folder)
+        self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
+
+    def load(self):
+        """What the disk holds, or None."""
+        return self.store.load()
+
+    def start(self):
+        """Starts the thread."""
+        self.thread.start()
+
+    def put(self, save):
+        """Puts a save in line."""
+        self.line.put(save)
+
+    def stop(self):
+        """Ends the thread after what is in line."""
+        self.line.put(None)
+
+    def _run(self):
+        while True:
+            batch = [self.line.get()]
+            while not self.line.empty():
+                batch.append(self.line.get())
+            saves = [s for s in batch if s is not None]
+            if saves:
+                self._save(saves)
+            if len(saves) < len(batch):
+                return
+
+    def _save(self, saves):
+        data = next((s.data for s in reversed(saves) if s.data is not None), None)
+        try:
+            self.store.save(saves[-1].reg, data)
+        except (sqlite3.Error, OSError) as e:
+            logging.warning("disk: a save failed (%s).", e)
+            self.loop.call_soon_threadsafe(self.failed)
+            return
+        self.loop.call_soon_threadsafe(self.done, saves)
--- /dev/null
+++ b/sparloom/controller/poller.py
@@ -0,0 +1,81 @@
+"""The duty of asking the platform, done by the primary alone."""
+import asyncio
+import zlib
+
+import aiohttp
+from absl import logging
+from mode import Service
+
+from sparloom.feed import RUNNERS
+from sparloom.link import steady
+from sparloom.platform import Pace, Pages, RunnerList, read_page
+from sparloom.wire import pack, unpack
+
+
+class Poller(Service):
+    """Polls within the rate while this controller holds the duty."""
+
+    def __init__(self, up, core, shop):
+        super().__init__()
+        self.up, self.core, self.shop = up, core, shop
+        self.last, self.epoch, self.number = None, 0, 0
+        self.pages, self.session, self.grumbled = Pages(), None, False
+
+    async def on_stop(self):
+        if self.session:
+            await self.session.close()
+
+    @Service.task
+    async def _run(self):
+        cloud = self.up.cloud
+        if cloud is None:
+            return
+        pace = Pace.of(cloud.rate, self.up.bounds.drain)
+        wait = aiohttp.ClientTimeout(total=self.up.bounds.contact.total_seconds() / 3)
+        while not self.should_stop:
+            led = self.core.ledger
+            if not led.leading():
+                self.last = None
+                await asyncio.sleep(0.05)
+                continue
+            if led.lead.view.epoch != self.epoch:
+                self.epoch, self.number, self.last, self.pages = led.lead.view.epoch, 0, None, Pages()
+            await asyncio.sleep(max(0.0, (pace.next - steady()).total_seconds()))
+            if not led.leading():
+                continue
+            pace.begun = max(pace.begun, steady()) if self.pages.token is None else pace.begun
+            pace.done(steady(), *await self._call(cloud, wait))
+
+    async def _call(self, cloud, wait):
+        if self.session is None:
+            self.session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=wait)
+        params = {"pageToken": self.pages.token} if self.pages.token else {}
+        try:
+            async with self.session.get(f"http://{cloud.address}/instances", params=params) as r:
+                if r.status != 200:
+                    return False, r.status == 429
+                page = read_page(await r.json(content_type=None))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as e:
+            if not self.grumbled:
+                logging.warning("platform: no list (%s).", type(e).__name__)
+            self.grumbled, self.pages = True, Pages()
+            return False, False
+        self.grumbled = False
+        return self._page(page.value_or(None)), False
+
+    def _page(self, page):
+        if page is None:
+            logging.warning("platform: its page can't be read.")
+            self.pages = Pages()
+            return False
+        whole = self.pages.add(*page)
+        if whole is not None and whole.news_against(self.last) and self.core.ledger.leading():
+            self.last, self.number = whole, self.number + 1
+            self.shop.put(RUNNERS, (self.epoch, self.number), zlib.compress(pack(whole), 1))
+        return whole is None
+
+
+def read_list(blob):
+    """The list in a feed's blob."""
+    rec = unpack(zlib.decompress(blob))
+    return rec if isinstance(rec, RunnerList) else RunnerList([])
--- /dev/null
+++ b/sparloom/controller/program.py
@@ -0,0 +1,65 @@
+"""Starts and stops the controller's services."""
+import asyncio
+import signal
+
+from absl import logging
+from mode import Service
+
+from sparloom.link import Watch
+from sparloom.startup import read
+
+from .control import Control
+from .core import Core
+from .poller import Poller
+from .shop import Shop
+
+
+class Controller(Service):
+    """All parts of a controller."""
+
+    def __init__(self, up, path):
+        super().__init__()
+        self.up, self.path = up, path
+        self.watch = Watch(path)
+        self.shop = self.add_dependency(Shop(up))
+        self.core = Core(up, self.shop.serve, lambda d: self.control.news(d))
+        self.control = Control(up, self.core, self.shop)
+        self.poller = Poller(up, self.core, self.shop)
+        self.shop.core = self.core
+        self.done = asyncio.Event()
+
+    async def on_start(self):
+        for s in (self.core, self.control, self.poller):
+            await self.add_runtime_dependency(s)
+
+    def reread(self):
+        """Reads the startup file again; a bad one is logged and changes nothing."""
+        new = read(self.path)
+        if new.value_or(None) is None:
+            logging.warning("startup: %s", new.failure())
+            return
+        self.up = self.core.up = new.unwrap()
+        self.core.swim.seeds = self.core.seeds
+        logging.info("startup: the file was read again.")
+
+    @Service.task
+    async def _watch(self):
+        while not self.should_stop:
+            await asyncio.sleep(1.0)
+            if self.watch.changed():
+                self.reread()
+
+
+async def serve(up, path):
+    """Runs a controller until SIGTERM or SIGINT."""
+    loop, end = asyncio.get_running_loop(), asyncio.Event()
+    ctl = Controller(up, path)
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, end.set)
+    loop.add_signal_handler(signal.SIGHUP, ctl.reread)
+    await ctl.start()
+    await end.wait()
+    logging.info("controller: stops.")
+    await ctl.core.hand_over()
+    async with asyncio.timeout(2):
+        await ctl.stop()
--- /dev/null
+++ b/sparloom/router/__main__.py
@@ -0,0 +1,4 @@
+"""The router's command line."""
+from sparloom.command import main
+
+main("router")
--- /dev/null
+++ b/sparloom/router/ask.py
@@ -0,0 +1,97 @@
+"""An ask as a router takes it, and the heads that go on."""
+from datetime import timedelta
+
+from attrs import define
+from multidict import CIMultiDict
+
+from sparloom.choice import parse_parts
+
+HOP = frozenset((
+    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade", "content-length", "expect",
+))
+ID, LEFT, SEAL = "X-Sparloom-Attempt-Id", "X-Sparloom-Deadline-Remaining", "X-Sparloom-Runner-Seal"
+EXPECT, NOT_RUN, PARTS = "X-Sparloom-Expected-Instance", "X-Sparloom-Not-Run", "X-Sparloom-Prompt-Prefix"
+URGENCY, LAST = "X-Sparloom-Request-Urgency", "Last-Event-Id"
+MS = timedelta(milliseconds=1)
+
+
+@define(slots=True)
+class Ask:
+    """One ask, read whole."""
+
+    id: str
+    method: str
+    path: str
+    heads: CIMultiDict
+    body: bytes
+    route: object
+    policy: object
+    came: timedelta
+    horizon: timedelta
+    parts: tuple
+
+    @property
+    def key(self):
+        """The prefix by which runners are chosen: the longest shared part."""
+        shared = self.parts[:-1] or self.parts
+        return max(shared, key=lambda p: p[1])[0] if shared else self.id
+
+
+def end_to_end(raw):
+    """Drops the heads that concern one pipe only.
+
+    >>> list(end_to_end([(b"Connection", b"x-a"), (b"X-A", b"1"), (b"X-B", b"2")]).items())
+    [('X-B', '2')]
+    """
+    named = {t.strip().lower() for k, v in raw if k.lower() == b"connection" for t in v.decode("latin-1").split(",")}
+    pairs = ((k.decode("latin-1"), v.decode("utf-8", "surrogateescape")) for k, v in raw)
+    return CIMultiDict((k, v) for k, v in pairs if k.lower() not in HOP and k.lower() not in named)
+
+
+def horizon_of(heads, route, now):
+    """When the requester or the route stops waiting."""
+    text = heads.get(LEFT, "")
+    try:
+        left = max(0.0, float(text)) * MS if text else route.timeout
+    except (ValueError, OverflowError):
+        left = route.timeout
+    return now + min(left, route.timeout)
+
+
+def make(req, body, route, policy, now):
+    """An ask from what the server read."""
+    heads = end_to_end(req.raw_headers)
+    return Ask(
+        heads.get(ID, ""), req.method, req.raw_path, heads, body, route, policy,
+        now, horizon_of(heads, route, now), parse_parts(heads.get(PARTS)),
+    )
+
+
+def onward(ask, post, now, last):
+    """The heads for one dispatch: each filter edits them in place.
+
+    The urgency is the route's priority, and the runner is named so that an
+    address that has passed to another one turns the ask away.
+    """
+    h = ask.heads.copy()
+    for edit in (_left, _name, _urge, _resume):
+        edit(h, ask, post, now, last)
+    return h
+
+
+def _left(h, ask, post, now, last):
+    h[LEFT] = str(max(1, int((ask.horizon - now) / MS)))
+
+
+def _name(h, ask, post, now, last):
+    h[EXPECT] = post.id
+
+
+def _urge(h, ask, post, now, last):
+    h[URGENCY] = str(min(9, ask.route.priority))
+
+
+def _resume(h, ask, post, now, last):
+    if last is not None:
+        h[LAST] = last
--- /dev/null
+++ b/sparloom/router/carry.py
@@ -0,0 +1,272 @@
+"""Carries one ask: choose a runner, take a slot, dispatch, relay, recover."""
+import asyncio
+from datetime import timedelta
+
+import aiohttp
+from absl import logging
+from aiohttp import web
+from yarl import URL
+
+from sparloom.choice import Standing, choose, home
+from sparloom.link import steady
+from sparloom.recover import MAY_HAVE_RUN, NOT_RUN, RAN, GiveUp, Plan, Retry, after, judge_head
+from sparloom.recover.verdict import Head
+from sparloom.stream import Splitter, Thread
+
+from . import ask as names
+from .tiers import buckets_for
+
+ZERO = timedelta(0)
+
+
+class Carry:
+    """The way of one ask through this router."""
+
+    def __init__(self, know, req, ask, closing):
+        self.know, self.req, self.ask, self.closing = know, req, ask, closing
+        self.out = None
+        self.thread = Thread()
+        self.dispatches, self.tried = 0, set()
+        self.worst = NOT_RUN
+        self.left = lambda: ask.horizon - steady()
+
+    # -- choosing -----------------------------------------------------------
+    def _service(self):
+        split = self.ask.route.split
+        if len(split) == 1:
+            return split[0][0]
+        at = self.know.rng.random() * sum(w for _, w in split)
+        for name, w in split:
+            at -= w
+            if at < 0 and w > 0:
+                return name
+        return next(n for n, w in reversed(split) if w > 0)
+
+    def _stands(self, posts, now):
+        c, parts = self.know.counts, self.ask.parts
+        nest = home(self.ask.key, [p.id for p in posts])
+        total = sum(n for _, n in parts)
+        own = parts[-1][1] if parts else 0
+        return [Standing(
+            p.id, min(p.kept.unread(parts), own if p.id == nest else total), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
+            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone,
+        ) for p in posts]
+
+    def _pick(self, service):
+        """The best runner with room, and a slot there."""
+        now = steady()
+        posts = {p.id: p for p in self.know.fleet.of(service)}
+        pipes = self._pipe_share(service)
+        for s in choose(self._stands(posts.values(), now), self.ask.key):
+            p = posts[s.id]
+            if p.id in self.tried or p.open >= pipes:
+                continue
+            slot = self.know.counts.take(p.id, buckets_for(self.ask.route, p.slots), now, s.unread)
+            if slot:
+                p.kept.saw(self.ask.parts)
+                return p, slot
+        return None, None
+
+    def _pipe_share(self, service):
+        s = self.ask.policy.services.get(service)
+        return max(1, int((s.pipe_limit if s else 64) * 0.9 / self.know.nodes()))
+
+    def _plan(self, service, verdict):
+        r = self.ask.route
+        return Plan(
+            r.repeatable, r.max_dispatches, self.dispatches, verdict, self.out is not None, self.left(),
+            self.dispatches == 0 or self.know.budget(service).allowed(steady(), self.know.nodes()),
+            any(p.id not in self.tried for p in self.know.fleet.of(service)),
+        )
+
+    # -- the whole way ------------------------------------------------------
+    async def run(self):
+        """Brings the reply, whatever it is."""
+        service = self._service()
+        self.know.budget(service).asked(steady())
+        verdict = NOT_RUN
+        while True:
+            post, slot = self._pick(service)
+            if post is None:
+                return await self._give_up(after(self._plan(service, verdict)) if self.dispatches else GiveUp(503))
+            self.tried.add(post.id)
+            post.open += 1
+            try:
+                verdict = await self._dispatch(post, slot, service)
+            finally:
+                post.open -= 1
+                slot.free(steady())
+            if verdict is None:
+                return self.out
+            if verdict is not NOT_RUN:
+                self.worst = verdict
+            step = after(self._plan(service, self.worst if not self.ask.route.repeatable else verdict))
+            if isinstance(step, GiveUp):
+                return await self._give_up(step)
+
+    async def _give_up(self, step):
+        if self.out is not None or step.cut:
+            return self._cut()
+        status = 502 if step.status == 503 and self.worst is not NOT_RUN else step.status
+        heads = {"Retry-After": f"{self._come_back():.2f}"} if status == 503 else {}
+        return web.Response(status=status, headers=heads, text="")
+
+    def _come_back(self):
+        return max(0.02, self.ask.route.target.total_seconds() / 16)
+
+    def _cut(self):
+        if self.req.transport is not None:
+            self.req.transport.close()
+        return self.out or web.Response(status=502)
+
+    # -- one dispatch -------------------------------------------------------
+    async def _dispatch(self, post, slot, service):
+        """None once the reply is through; else a verdict."""
+        if self.dispatches:
+            self.know.budget(service).spend(steady())
+        self.dispatches += 1
+        watch = Watch(self, post, slot, service)
+        sent = Sent()
+        try:
+            async with asyncio.timeout(max(0.0, self.left().total_seconds())) as watch.limit:
+                watch.arm(slot.grant.timeout)
+                async with self._call(post, sent) as resp:
+                    return await self._reply(resp, post, slot, watch)
+        except aiohttp.ClientConnectorError:
+            self.dispatches -= 1
+            post.strike(steady(), self.know.up.bounds.contact / 3)
+            return NOT_RUN
+        except (aiohttp.ClientError, OSError, ValueError) as e:
+            if self.req.transport is None or self.req.transport.is_closing():
+                raise asyncio.CancelledError from e
+            post.strike(steady(), self.know.up.bounds.contact / 6)
+            logging.info("carry: %s broke off (%s).", post.id, type(e).__name__)
+            return MAY_HAVE_RUN
+        except TimeoutError:
+            return MAY_HAVE_RUN
+        finally:
+            watch.stop()
+
+    def _call(self, post, sent):
+        a = self.ask
+        return post.pipes().request(
+            a.method, URL(f"http://{post.address}{a.path}", encoded=True), data=a.body or None,
+            headers=names.onward(a, post, steady(), self.thread.last), allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=max(0.05, a.route.target.total_seconds() / 3)),
+        )
+
+    async def _reply(self, resp, post, slot, watch):
+        h = resp.headers
+        length = h.get("Content-Length")
+        framed = length is not None or "chunked" in h.get("Transfer-Encoding", "").lower() or resp.status in (204, 304)
+        verdict, good = judge_head(Head(resp.status, names.NOT_RUN in h, names.SEAL in h, h.get(names.ID) == self.ask.id, framed))
+        if "Keep-Alive" in h:
+            post.heed(h["Keep-Alive"])
+        if verdict is NOT_RUN:
+            await resp.read()
+            if resp.status != 421:
+                post.strike(steady(), self.know.up.bounds.contact / 30)
+            else:
+                post.strike(steady(), self.know.up.bounds.contact)
+            return NOT_RUN
+        if not good:
+            resp.close()
+            return MAY_HAVE_RUN
+        post.clear()
+        if self.out is not None and resp.status != 200:
+            resp.close()
+            return MAY_HAVE_RUN
+        if resp.status >= 500 and self.ask.route.repeatable and self.out is None and isinstance(after(self._plan(post.service, MAY_HAVE_RUN)), Retry):
+            resp.close()
+            return MAY_HAVE_RUN
+        return await self._relay(resp, slot, watch, length)
+
+    async def _relay(self, resp, slot, watch, length):
+        stream = self.ask.route.kind == "streaming" and 200 <= resp.status < 300
+        joined = self.ask.route.repeatable and stream
+        split = Splitter()
+        if not stream:
+            body = await resp.read()
+            self._head(resp, str(len(body)))
+            await self.out.prepare(self.req)
+            await self.out.write(body)
+        else:
+            async for raw in resp.content.iter_any():
+                watch.heard()
+                if self.out is None:
+                    slot.read(slot.tokens)
+                    self._head(resp, None if joined else length)
+                    await self.out.prepare(self.req)
+                keep = b"".join(ev for ev in split.feed(raw) if self.thread.take(ev)) if joined else raw
+                if self.thread.broken:
+                    resp.close()
+                    return RAN
+                if keep:
+                    await self.out.write(keep)
+            if self.out is None:
+                self._head(resp, None if joined else length)
+                await self.out.prepare(self.req)
+            if split.rest:
+                await self.out.write(split.rest)
+        await self.out.write_eof()
+        return None
+
+    def _head(self, resp, length):
+        self.out = out = web.StreamResponse(status=resp.status, reason=resp.reason)
+        for k, v in names.end_to_end(resp.raw_headers).items():
+            out.headers.add(k, v)
+        if length is not None:
+            out.headers["Content-Length"] = length
+        else:
+            out.enable_chunked_encoding()
+        if self.closing():
+            out.force_close()
+
+
+class Sent:
+    """Marks how far a dispatch got."""
+
+
+class Watch:
+    """The call's timeout: runs out when the runner stays silent.
+
+    Its end feeds recovery. A repeatable ask moves on if it may; any other one
+    stays, since its runner may be at work, and only the runner is doubted.
+    """
+
+    def __init__(self, carry, post, slot, service):
+        self.carry, self.post, self.slot, self.service = carry, post, slot, service
+        self.limit = self.timer = None
+        self.span = ZERO
+        self.quiet = False
+
+    def arm(self, span):
+        """Starts to wait for a sign."""
+        self.span = span
+        self.timer = asyncio.get_running_loop().call_later(span.total_seconds(), self._out)
+
+    def heard(self):
+        """A sign came: wait for the next."""
+        self.stop()
+        if self.quiet:
+            self.quiet, self.post.silent = False, self.post.silent - 1
+            self.post.clear()
+        self.arm(self.span)
+
+    def stop(self):
+        """The dispatch has ended."""
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if self.quiet:
+            self.quiet, self.post.silent = False, self.post.silent - 1
+
+    def _out(self):
+        self.slot.timed_out = True
+        self.timer = None
+        if not self.quiet:
+            self.quiet, self.post.silent = True, self.post.silent + 1
+        self.post.strike(steady(), self.carry.know.up.bounds.contact / 6)
+        plan = self.carry._plan(self.service, MAY_HAVE_RUN)
+        if self.carry.ask.route.repeatable and isinstance(after(plan), Retry):
+            self.limit.reschedule(asyncio.get_running_loop().time())
--- /dev/null
+++ b/sparloom/router/program.py
@@ -0,0 +1,59 @@
+"""Starts and stops the router's services."""
+import asyncio
+import signal
+
+from absl import logging
+from mode import Service
+
+from sparloom.link import Watch
+from sparloom.startup import read
+
+from .front import Front
+from .know import Know
+
+
+class Router(Service):
+    """All parts of a router."""
+
+    def __init__(self, up, path):
+        super().__init__()
+        self.up, self.path = up, path
+        self.watch = Watch(path)
+        self.know = Know(up)
+        self.front = Front(up, self.know)
+
+    async def on_start(self):
+        await self.add_runtime_dependency(self.know)
+        await self.add_runtime_dependency(self.front)
+
+    def reread(self):
+        """Reads the startup file again; a bad one is logged and changes nothing."""
+        new = read(self.path)
+        if new.value_or(None) is None:
+            logging.warning("startup: %s", new.failure())
+            return
+        self.up = self.know.up = self.front.up = new.unwrap()
+        self.know.swim.seeds = self.know.seeds
+        logging.info("startup: the file was read again.")
+
+    @Service.task
+    async def _watch(self):
+        while not self.should_stop:
+            await asyncio.sleep(1.0)
+            if self.watch.changed():
+                self.reread()
+
+
+async def serve(up, path):
+    """Runs a router until SIGTERM or SIGINT."""
+    loop, end = asyncio.get_running_loop(), asyncio.Event()
+    rt = Router(up, path)
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, end.set)
+    loop.add_signal_handler(signal.SIGHUP, rt.reread)
+    await rt.start()
+    await end.wait()
+    await rt.front.drain()
+    logging.info("router: stops.")
+    async with asyncio.timeout(2):
+        await rt.stop()
--- /dev/null
+++ b/sparloom/router/tiers.py
@@ -0,0 +1,24 @@
+"""The buckets of a runner for one route, computed at each call."""
+from functools import lru_cache
+
+from sparloom.timeouts import Bucket
+
+FALLBACK_SLOTS = 32
+
+
+@lru_cache(maxsize=256)
+def buckets_for(route, slots):
+    """Buckets from the route's aim and the runner's slots.
+
+    A calm runner gets the whole aim to show a sign of life; a full one less;
+    and past twice its slots nothing more is sent.
+
+    >>> from datetime import timedelta
+    >>> from sparloom.policy import Route
+    >>> r = Route("r", "h", "/", "safe", (), timedelta(seconds=9), timedelta(seconds=1), timedelta(seconds=1))
+    >>> [b.limit for b in buckets_for(r, 64)]
+    [32, 64, 128]
+    """
+    n = slots or FALLBACK_SLOTS
+    aim = min(route.target, route.timeout)
+    return (Bucket(aim, max(1, n // 2)), Bucket(aim * 0.75, n), Bucket(aim * 0.5, 2 * n))
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,31 @@
+"""The examples in the comments of public functions hold, and files stay short."""
+import doctest
+import importlib
+import os
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+def _sources(*tops):
+    return sorted(
+        os.path.join(d, f)
+        for top in tops for d, _, fs in os.walk(os.path.join(ROOT, top)) for f in fs if f.endswith(".py")
+    )
+
+
+class Examples(unittest.TestCase):
+    def test_examples(self):
+        for path in _sources("libs", "sparloom"):
+            rel = os.path.relpath(path, ROOT)[:-3].replace(os.sep, ".")
+            if rel.endswith("__main__"):
+                continue
+            name = rel.replace("libs.", "sparloom.", 1) if rel.startswith("libs.") else rel
+            mod = importlib.import_module(name.removesuffix(".__init__"))
+            with self.subTest(name):
+                self.assertEqual(doctest.testmod(mod).failed, 0)
+
+    def test_no_file_over_400_lines(self):
+        for path in _sources("libs", "sparloom", "tests"):
+            with self.subTest(path), open(path, encoding="utf-8") as f:
+                self.assertLessEqual(sum(1 for _ in f), 400)
