Ledger: a yielding witness is no sick disk; late members are beaten faster

Ruled out: epoch clashes, lost promises. A promise on disk proves the disk. Beats speed up for a late member, since three lost datagrams in a row changed the view for nothing.

--- a/libs/ledger/lead.py
+++ b/libs/ledger/lead.py
@@ -65,7 +65,8 @@
 
     def _beat(self, at_once):
         ld = self.lead
-        if not at_once and self.now - ld.beat_at < self.spans.beat:
+        late = any(self._late(i, self.spans.beat * 1.5) for i in ld.view.ids if i != self.me.id)
+        if not at_once and self.now - ld.beat_at < (self.spans.beat / 3 if late else self.spans.beat):
             return []
         ld.seq += 1
         ld.beat_at = self.now
@@ -228,7 +229,7 @@
         near = [i for i in v.backups if not self._late(i, self.spans.patience)]
         self.quiet_till = now + self.spans.patience * 2
         self.beat_epoch = 0
-        out = self._to(near[0], Yield(self.me.id, v.epoch)) if near else []
+        out = 3 * self._to(near[0], Yield(self.me.id, v.epoch)) if near else []
         return out + self._step_down()
 
 
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -273,8 +273,8 @@
             able = [i for i in g.holders if i in c.seens]
             self._give_up()
             return self._to(able[0], Yield(self.me.id, c.epoch)) if able else []
-        up = {i for i in c.seens if i not in self.sick} | ({m.id for m, _ in self.joiners.values()} if c.roster else set())
-        back = choose_backups(self.me.id, ros, up & {m.id for m in ros}, g.holders, self.copies)
+        up = set(c.seens) | ({m.id for m, _ in self.joiners.values()} if c.roster else set())
+        back = choose_backups(self.me.id, ros, up & {m.id for m in ros}, set(g.holders) - set(self.sick), self.copies, set(self.sick))
         if back is None:
             return []
         c.ground, c.phase, c.sent = g, "offer", NEVER
@@ -350,8 +350,6 @@
     def _(self, rec: Yield):
         if self.lead or self.cand or self.newcomer or self.now - self.sick.get(self.me.id, NEVER) < self.spans.dead:
             return []
-        if rec.frm != self.me.id:
-            self.sick[rec.frm] = self.now
         return self._candidate(forced=True)
 
     @_take.register
--- a/libs/ledger/views.py
+++ b/libs/ledger/views.py
@@ -61,10 +61,11 @@
     return best and Ground(best, max(acts, key=lambda v: v.epoch, default=None))
 
 
-def choose_backups(primary, roster, up, prefer, copies):
+def choose_backups(primary, roster, up, prefer, copies, sick=frozenset()):
     """Picks backups among those that are up: old holders first, other zones first.
 
-    Gives None when there are too few.
+    A sick one comes last, but it is taken when no other is there: its promise
+    is on disk, so its disk works again. Gives None when there are too few.
 
     >>> choose_backups(1, [], {1}, (), 0)
     []
@@ -74,7 +75,7 @@
     pool = [m.id for m in roster if m.id != primary and m.id in up]
     got, seen = [], {zone.get(primary)}
     while len(got) < want and pool:
-        b = min(pool, key=lambda i: (zone[i] in seen, i not in prefer, i))
+        b = min(pool, key=lambda i: (i in sick, zone[i] in seen, i not in prefer, i))
         pool.remove(b)
         got.append(b)
         seen.add(zone[b])
