--- a/libs/choice/kept.py
+++ b/libs/choice/kept.py
@@ -1,14 +1,15 @@
 """What a runner probably keeps, as told by what went to it."""
 from collections import OrderedDict
+from hashlib import blake2b
 
 from attrs import define, field
 
 
 def parse_parts(text):
-    """The parts of a prompt: (chain key, tokens) pairs; a part is kept only behind those before it.
+    """The parts of a prompt: (chain number, tokens) pairs; a part is kept only behind those before it.
 
-    >>> parse_parts("a:3,b:4")
-    (('a', 3), ('a,b', 4))
+    >>> [n for _, n in parse_parts("a:3,b:4")], parse_parts("a:3")[0] == parse_parts("a:3,b:4")[0]
+    ([3, 4], True)
     >>> parse_parts("junk")
     ()
     """
@@ -18,7 +19,7 @@
         if not id or not n.isdigit():
             return ()
         chain = f"{chain},{id}" if chain else id
-        out.append((chain, int(n)))
+        out.append((int.from_bytes(blake2b(chain.encode(), digest_size=8).digest()), int(n)))
     return tuple(out)
 
 
--- a/libs/choice/rank.py
+++ b/libs/choice/rank.py
@@ -16,6 +16,8 @@
     cold: bool = False
     doubt: int = 0
     near: bool = False
+    shared: int = 0
+    home: bool = False
 
 
 def _weight(key, id):
@@ -31,9 +33,13 @@
     return max(ids, key=lambda i: _weight(key, i), default=None)
 
 
-def choose(stands, key, call_tokens=96, even=1.25):
+def choose(stands, key, call_tokens=96, even=1.25, again=0.6):
     """The runners in the order in which to try them.
 
+    Reading again what another runner keeps costs extra (``again``), so an ask
+    waits a while at the runner that keeps its prefix before it is read anew
+    elsewhere. A prefix that nobody is known to keep leans to its home.
+
     Work counts in tokens: those to read for this ask, those already waiting
     there, and a little for each call that runs beside it. Doubted and cold
     runners come last, and so do full ones. Within the bound of load the home
@@ -43,11 +49,14 @@
     ['b', 'a']
     """
     mean = sum(s.calls for s in stands) / max(1, len(stands))
+    least = min((s.unread for s in stands), default=0)
+    cold = stands and least == max(s.unread for s in stands)
 
     def cost(s):
         full = s.slots and s.calls >= s.slots
         over = s.calls > even * mean + 4
-        work = s.unread + s.waiting + call_tokens * s.calls
+        work = s.unread + s.waiting + call_tokens * s.calls + again * (s.unread - least)
+        work -= s.shared // 2 if cold and s.home else 0
         return (s.doubt, full, s.cold, work + (call_tokens * s.calls if over else 0) - (call_tokens // 2 if s.near else 0), -_weight(key, s.id))
 
     return sorted(stands, key=cost)
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -21,9 +21,14 @@
     """A holder's calls in flight at one resource; ``silent``: it hears nothing from it."""
 
 
-@record(81, key="s", life="Q", seq="I", held=[Held], taken="I", reserve="H")
+@record(82, resource="Q", part="Q", tokens="I")
+class Read:
+    """A long part of a prompt that went to a resource."""
+
+
+@record(81, key="s", life="Q", seq="I", held=[Held], reads=[Read])
 class Holding:
-    """All that a holder has in flight."""
+    """All that a holder has in flight, and what it sent to be read since its last word."""
 
 
 @define(frozen=True, slots=True)
@@ -174,7 +179,7 @@
     def hear(self, rec, now, names):
         """Takes a peer's word; ``names`` turns a wire number into a resource.
 
-        >>> c = Counts(timedelta(seconds=3)); c.hear(Holding("p", 1, 1, [Held(7, 2, 0, False)], 0, 0), timedelta(0), {7: "r"})
+        >>> c = Counts(timedelta(seconds=3)); c.hear(Holding("p", 1, 1, [Held(7, 2, 0, False)], []), timedelta(0), {7: "r"})
         >>> c.count("r", timedelta(0))
         2
         """
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -45,11 +45,10 @@
     def _stands(self, posts, now):
         c, parts = self.know.counts, self.ask.parts
         nest = home(self.ask.key, [p.id for p in posts])
-        total = sum(n for _, n in parts)
-        own = parts[-1][1] if parts else 0
+        shared = sum(n for _, n in parts[:-1])
         return [Standing(
-            p.id, min(p.kept.unread(parts), own if p.id == nest else total), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
-            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone,
+            p.id, p.kept.unread(parts), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
+            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone, shared, p.id == nest,
         ) for p in posts]
 
     def _pick(self, service):
@@ -64,6 +63,7 @@
             slot = self.know.counts.take(p.id, buckets_for(self.ask.route, p.slots), now, s.unread)
             if slot:
                 p.kept.saw(self.ask.parts)
+                self.know.sent(p, self.ask.parts[:-1])
                 return p, slot
         return None, None
 
@@ -194,7 +194,7 @@
             async for raw in resp.content.iter_any():
                 watch.heard()
                 if self.out is None:
-                    slot.read(slot.tokens)
+                    self.know.was_read(slot)
                     self._head(resp, None if joined else length)
                     await self.out.prepare(self.req)
                 keep = b"".join(ev for ev in split.feed(raw) if self.thread.take(ev)) if joined else raw
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -15,12 +15,13 @@
 from sparloom.platform import RunnerList
 from sparloom.policy import apply_patch, build
 from sparloom.recover import Budget
-from sparloom.timeouts import Counts, Held, Holding
+from sparloom.timeouts import Counts, Held, Holding, Read
 from sparloom.wire import Broken, unpack
 
 from .fleet import Fleet
 
 TICK = timedelta(milliseconds=50)
+LONG = 1024
 
 
 class Know(Service):
@@ -39,6 +40,7 @@
         self.budgets, self.born = {}, steady()
         self.life, self.seq, self.said = int.from_bytes(os.urandom(7)), 0, None
         self.listed = None
+        self.reads, self.soon = [], False
         self.last_try = []
         self.known = asyncio.Event()
 
@@ -81,7 +83,7 @@
     # -- members and counts -------------------------------------------------
     def _arrive(self, src, rec):
         if isinstance(rec, Holding):
-            self.counts.hear(rec, steady(), self.fleet.numbers)
+            self._hear(rec)
         elif isinstance(rec, (Ping, Ack, Relay)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
@@ -89,6 +91,13 @@
                 if e.peer.role == ROUTER and e.peer.key in self.counts.peers:
                     self.counts.drop(e.peer.key, None if e.peer.state == DEAD else e.peer.life)
 
+    def _hear(self, rec):
+        names = self.fleet.numbers
+        self.counts.hear(rec, steady(), names)
+        for r in rec.reads:
+            if r.resource in names:
+                self.fleet.posts[names[r.resource]].kept.saw(((r.part, r.tokens),))
+
     @Service.task
     async def _beat(self):
         turn = 0
@@ -96,10 +105,21 @@
             turn += 1
             for s in self.swim.tick(steady()):
                 self.net.send(s.to, s.rec)
-            if turn % 4 == 0:
+            if turn % 4 == 0 or self.soon:
                 self._gossip(turn)
             await asyncio.sleep(TICK.total_seconds())
 
+    def sent(self, post, parts):
+        """A prompt went out: the other routers hear at once of its long parts."""
+        self.reads += [Read(post.number, k, n) for k, n in parts if n >= LONG]
+        if self.reads:
+            self._gossip(0)
+
+    def was_read(self, slot):
+        """A prompt has been read; a long one is told at the next beat."""
+        self.soon = self.soon or slot.tokens >= LONG
+        slot.read(slot.tokens)
+
     def _gossip(self, turn):
         now = steady()
         posts = self.fleet.posts
@@ -107,10 +127,10 @@
             Held(posts[id].number, min(n, 0xFFFF), min(self.counts.weight.get(id, 0), 0xFFFFFFFF), posts[id].silent > 0 and posts[id].doubted(now))
             for id, n in self.counts.own.items() if id in posts
         ]
-        if held == self.said and turn % 20:
+        if held == self.said and turn % 20 and not self.reads:
             return
-        self.said, self.seq = held, self.seq + 1
-        rec = Holding(self.key, self.life, self.seq, held, 0, 0)
+        self.said, self.seq, self.soon = held, self.seq + 1, False
+        rec, self.reads = Holding(self.key, self.life, self.seq, held, self.reads), []
         for p in self.swim.alive():
             if p.role == ROUTER:
                 self.net.send(p.key, rec)
