--- a/libs/choice/rank.py
+++ b/libs/choice/rank.py
@@ -56,7 +56,7 @@
         full = s.slots and s.calls >= s.slots
         over = s.calls > even * mean + 4
         work = s.unread + s.waiting + call_tokens * s.calls + again * (s.unread - least)
-        work -= s.shared // 2 if cold and s.home else 0
+        work -= s.shared if cold and s.home else 0
         return (s.doubt, full, s.cold, work + (call_tokens * s.calls if over else 0) - (call_tokens // 2 if s.near else 0), -_weight(key, s.id))
 
     return sorted(stands, key=cost)
