Send every request target byte for byte; tests for the router over loopback

Cause: a target that ends in '?' lost it, and one with '#' its tail: the URL library tidies both (a runner would have seen a changed query). Such targets ride past the library. 31 loopback tests pin it and each other default of the library.

--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -5,7 +5,6 @@
 import aiohttp
 from absl import logging
 from aiohttp import web
-from yarl import URL
 
 from sparloom.choice import Standing, choose, home
 from sparloom.link import steady
@@ -14,6 +13,7 @@
 from sparloom.stream import Splitter, Thread
 
 from . import ask as names
+from .target import url_for
 from .tiers import buckets_for
 
 ZERO = timedelta(0)
@@ -150,7 +150,7 @@
     def _call(self, post, sent):
         a = self.ask
         return post.pipes().request(
-            a.method, URL(f"http://{post.address}{a.path}", encoded=True), data=a.body or None,
+            a.method, url_for(post.address, a.path), data=a.body or None,
             headers=names.onward(a, post, steady(), self.thread.last), allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=max(0.05, a.route.target.total_seconds() / 3)),
         )
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -9,6 +9,8 @@
 from sparloom.choice import Kept
 from sparloom.link import tune
 
+from .target import Request
+
 NONE = timedelta(0)
 
 
@@ -71,7 +73,7 @@
         if self.session is None or self.session.closed:
             con = aiohttp.TCPConnector(limit=0, ttl_dns_cache=None, keepalive_timeout=self.rest, socket_factory=_socket, enable_cleanup_closed=False)
             self.session = aiohttp.ClientSession(
-                connector=con, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
+                connector=con, request_class=Request, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
                 timeout=aiohttp.ClientTimeout(total=None), skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             )
             self.session._retry_connection = False
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -11,6 +11,8 @@
 from .ask import make
 from .carry import Carry
 
+OPTIONS = {"handler_cancellation": True, "keepalive_timeout": 75.0, "max_field_size": 65536, "max_line_size": 65536}
+
 
 class Front(Service):
     """Takes asks and sends replies."""
@@ -23,13 +25,14 @@
         self.runners = []
 
     async def on_start(self):
-        await self._serve(self._ready, self.up.listen.readiness, {})
-        await self._serve(self._handle, self.up.listen.front, {"handler_cancellation": True, "keepalive_timeout": 75.0, "max_field_size": 65536, "max_line_size": 65536})
+        await self.serve(self._ready, bind(self.up.listen.readiness), {})
+        await self.serve(self._handle, bind(self.up.listen.front), OPTIONS)
 
-    async def _serve(self, handler, addr, opts):
+    async def serve(self, handler, sock, opts):
+        """Serves on a listening socket."""
         run = web.ServerRunner(web.Server(handler, access_log=None, **opts), shutdown_timeout=0.1)
         await run.setup()
-        await web.SockSite(run, bind(addr)).start()
+        await web.SockSite(run, sock).start()
         self.runners.append(run)
 
     async def on_stop(self):
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,118 @@
+"""A router's front on loopback, with a policy and runners given by hand."""
+import asyncio
+import random
+from datetime import timedelta
+
+from sparloom.link import bind, steady
+from sparloom.members import ROUTER, Peer, Swim, Times
+from sparloom.platform import Runner as Listed
+from sparloom.platform import RunnerList
+from sparloom.policy import build
+from sparloom.router.fleet import Fleet
+from sparloom.router.front import OPTIONS, Front
+from sparloom.router.know import Know
+from sparloom.startup import Address, from_dict
+from standins.runner import Runner
+
+STARTUP = {
+    "nodeName": "front-1", "role": "router", "ipAddress": "127.0.0.1", "zone": "z1", "internalPortRange": [7300, 7315],
+    "seedNodes": [], "listenAddresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "bounds": {"retryBudgetRatio": 1.0, "retryBudgetSlack": 1000},
+}
+
+
+def route(name, prefix, **kw):
+    d = {"name": name, "hostname": "h.example", "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 3000, "targetMs": 400, "priority": 0, "service": "s", "maxAttempts": 2, "resumeStreams": False, "gapTargetMs": 200}
+    return {**d, **kw}
+
+
+POLICY = {
+    "revision": 1,
+    "routes": [
+        route("once", "/once/"), route("resume", "/resume/", resumeStreams=True), route("safe", "/safe/", routeKind="safe"),
+        route("unsafe", "/unsafe/", routeKind="unsafe"), route("single", "/single/", maxAttempts=1),
+        route("quick", "/quick/", resumeStreams=True, targetMs=50),
+        route("brief", "/brief/", timeoutMs=150),
+    ],
+    "services": [{"name": "s", "connectionLimit": 64, "engine": {"slots": 8, "cacheTokens": 10000}}],
+    "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 10000},
+}
+
+
+class Deaf:
+    """Stands for the datagram socket."""
+
+    def send(self, to, rec):
+        pass
+
+
+class Rig:
+    """The front, some stand-in runners, and a raw requester."""
+
+    def __init__(self, runners=1, policy=POLICY, startup=STARTUP):
+        self.n, self.policy, self.up = runners, policy, from_dict(startup).unwrap()
+
+    async def __aenter__(self):
+        self.runners = [await Runner(id=f"i-{i}").start() for i in range(self.n)]
+        self.know = k = Know(self.up)
+        k.born = steady() - timedelta(minutes=1)
+        k.rng = random.Random(1)
+        k.swim = Swim(Peer("me:1", ROUTER, "z1", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), k.rng)
+        k.net = Deaf()
+        k.policy, k.sure = build(self.policy), True
+        k.listed = RunnerList([Listed(r.id, "s", f"127.0.0.1:{r.port}", "z1", 8, False, 0) for r in self.runners])
+        k.fleet = Fleet().renew(k.listed.runners, lambda s: 10000)
+        k.known.set()
+        self.front = Front(self.up, k)
+        await self.front.serve(self.front._handle, bind(Address("127.0.0.1", 0)), OPTIONS)
+        self.port = self.front.runners[-1].addresses[0][1]
+        return self
+
+    async def __aexit__(self, *exc):
+        for r in self.runners:
+            await r.stop()
+        await self.front.on_stop()
+        for p in self.know.fleet.posts.values():
+            if p.session:
+                await p.session.close()
+
+    async def send(self, path, body=b"hello", heads=(), method="POST", id="a1", left=2000, raw=None):
+        """One request on a pipe of its own; the raw answer till the close."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example", f"X-Sparloom-Attempt-Id: {id}", f"X-Sparloom-Deadline-Remaining: {left}", f"Content-Length: {len(body)}", "Connection: close", *heads]
+        writer.write(raw if raw is not None else ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        got = await reader.read(-1)
+        writer.close()
+        return Answer(got)
+
+
+class Answer:
+    """A raw answer, taken apart by hand."""
+
+    def __init__(self, raw):
+        head, _, self.rest = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.raw = raw
+        self.status = int(lines[0].split()[1]) if raw else 0
+        self.heads = {k.lower(): v for k, _, v in (ln.partition(": ") for ln in lines[1:])}
+
+    @property
+    def whole(self):
+        """Whether the answer looks complete."""
+        if "content-length" in self.heads:
+            return len(self.rest) == int(self.heads["content-length"])
+        return self.rest.endswith(b"0\r\n\r\n")
+
+    @property
+    def body(self):
+        """The body, chunks undone."""
+        if "content-length" in self.heads:
+            return self.rest
+        out, rest = b"", self.rest
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            n = int(size, 16)
+            if not n:
+                break
+            out, rest = out + rest[:n], rest[n + 2:]
+        return out
--- /dev/null
+++ b/tests/test_recover.py
@@ -0,0 +1,92 @@
+"""Verdicts, plans and the budget."""
+import random
+import unittest
+from datetime import timedelta
+from itertools import product
+
+from sparloom.recover import MAY_HAVE_RUN, NOT_RUN, RAN, Budget, GiveUp, Plan, Retry, after, judge_head
+from sparloom.recover.verdict import Head
+
+S = timedelta(seconds=1)
+
+
+class Verdicts(unittest.TestCase):
+    def test_only_not_run_and_421_prove_it(self):
+        for status in (400, 408, 429, 500, 502, 503, 504):
+            self.assertIs(judge_head(Head(status, True, False, True, True))[0], NOT_RUN)
+            self.assertIsNot(judge_head(Head(status, False, False, True, True))[0], NOT_RUN)
+        self.assertIs(judge_head(Head(421, False, False, False, True))[0], NOT_RUN)
+
+    def test_a_success_without_seal_or_with_anothers_id_is_not_passed_on(self):
+        for sealed, fits, framed in product((True, False), repeat=3):
+            verdict, good = judge_head(Head(200, False, sealed, fits, framed))
+            self.assertEqual(good, sealed and fits and framed)
+            self.assertIsNot(verdict, NOT_RUN)
+
+    def test_a_success_is_never_taken_for_not_run(self):
+        self.assertIsNot(judge_head(Head(200, True, True, True, True))[0], NOT_RUN)
+
+    def test_a_promise_that_the_runner_did_not_make_is_not_passed_on(self):
+        for status in (408, 429, 503):
+            self.assertEqual(judge_head(Head(status, False, False, True, True)), (MAY_HAVE_RUN, False))
+
+
+class Plans(unittest.TestCase):
+    def every(self):
+        for rep, mx, n, v, began, left, fits, others in product(
+                (True, False), (1, 2, 3), (0, 1, 2, 3), (NOT_RUN, MAY_HAVE_RUN, RAN), (True, False), (0 * S, S), (True, False), (True, False)):
+            yield Plan(rep, mx, n, v, began, left, fits, others)
+
+    def test_an_unsafe_ask_that_may_have_run_is_never_sent_again_nor_promised(self):
+        for p in self.every():
+            if not p.repeatable and p.verdict is not NOT_RUN:
+                step = after(p)
+                self.assertNotIsInstance(step, Retry)
+                self.assertNotIn(step.status, (408, 421, 429, 503))
+
+    def test_caps_hold(self):
+        for p in self.every():
+            if isinstance(after(p), Retry):
+                self.assertTrue(p.dispatches < p.max_dispatches and p.within_budget and p.left > 0 * S)
+
+    def test_what_has_begun_is_cut_not_ended(self):
+        for p in self.every():
+            step = after(p)
+            if p.began and isinstance(step, GiveUp):
+                self.assertTrue(step.cut)
+
+
+class Fleet(unittest.TestCase):
+    """Sums over routers that come and go, checked in every sliding window."""
+
+    def worst(self, seed):
+        rng = random.Random(seed)
+        ratio, slack, win = 0.2, 52, 10 * S
+        born = {i: 0 * S for i in range(6)}
+        routers = {i: Budget(win, ratio, slack, 0 * S) for i in born}
+        asks, spends, now = [], [], 0 * S
+        while now < 60 * S:
+            now += timedelta(milliseconds=rng.randrange(5, 30))
+            i = rng.choice(list(routers))
+            if rng.random() < 0.004:
+                routers[i] = Budget(win, ratio, slack, now)
+            routers[i].asked(now)
+            asks.append(now)
+            for _ in range(rng.randrange(0, 3)):
+                if routers[i].allowed(now, len(routers)):
+                    routers[i].spend(now)
+                    spends.append(now)
+        over = []
+        for t in spends:
+            used = sum(t - win < s <= t for s in spends)
+            took = max(sum(t - win - d < a <= t - d for a in asks) for d in (0 * S, win / 2, win))
+            over.append(used - ratio * took - slack)
+        return max(over)
+
+    def test_the_fleet_stays_within(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                self.assertLessEqual(self.worst(seed), 0)
+
+    def test_a_new_life_starts_without_slack(self):
+        self.assertFalse(Budget(10 * S, 0.2, 52, 5 * S).allowed(5 * S, 1))
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,224 @@
+"""A router's front against stand-in runners, over loopback."""
+import asyncio
+import unittest
+
+from .rig import Rig
+
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 6))
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.rig = Rig(2)
+        await self.rig.__aenter__()
+        self.addAsyncCleanup(self.rig.__aexit__)
+
+    @property
+    def got(self):
+        return [g for r in self.rig.runners for g in r.got]
+
+    def script(self, *words):
+        """Whatever runner is picked meets these in turn."""
+        line = list(words)
+        for r in self.rig.runners:
+            r.script = line
+
+
+class Passing(Case):
+    async def test_a_stream_comes_through_unchanged(self):
+        a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, a.body, a.whole), (200, EVENTS, True))
+        self.assertTrue(a.heads["x-sparloom-runner-seal"].startswith("seal.i-"))
+        self.assertEqual(a.heads["x-sparloom-attempt-id"], "a1")
+
+    async def test_raw_paths_arrive_as_sent(self):
+        for path in ("/once/a%20b/%7Ec?q=%2F&r=a+b", "/once/../x//y;z=1", "/once/%e4?x", "/once/a?", "/once/q?a=b?c&d='\"[]|", "/once/%2e%2E/", "/once/a#b", "/once/?"):
+            await self.rig.send(path)
+            self.assertIn(f"POST {path} HTTP/1.1", [g.line for g in self.got])
+        self.assertEqual(len(self.got), 8)
+
+    async def test_method_and_body_arrive_unchanged(self):
+        body = bytes(range(256)) * 20
+        for m in ("POST", "PUT", "PATCH", "DELETE", "OPTIONS"):
+            await self.rig.send("/once/m", body=body, method=m)
+        self.assertEqual(sorted(g.line.split()[0] for g in self.got), ["DELETE", "OPTIONS", "PATCH", "POST", "PUT"])
+        self.assertTrue(all(g.body == body for g in self.got))
+
+    async def test_chunked_bodies_arrive_whole(self):
+        raw = b"POST /once/c HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: c1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+        a = await self.rig.send("", raw=raw)
+        self.assertEqual((a.status, self.got[0].body), (200, b"hello world"))
+
+    async def test_end_to_end_heads_go_along_and_others_do_not(self):
+        await self.rig.send("/once/h", heads=["X-Mine: 1", "X-Mine: 2", "Te: trailers", "X-Hop: no", "Connection: x-hop", "Accept-Encoding: identity", "User-Agent: me"])
+        g = self.got[0]
+        self.assertEqual([v for k, v in g.heads if k == "X-Mine"], ["1", "2"])
+        self.assertEqual((g.head("User-Agent"), g.head("Accept-Encoding"), g.head("Host")), ("me", "identity", "h.example"))
+        self.assertIsNone(g.head("Te"))
+        self.assertIsNone(g.head("X-Hop"))
+
+    async def test_nothing_is_added_but_what_the_protocol_names(self):
+        await self.rig.send("/once/h")
+        names = {k.lower() for k, _ in self.got[0].heads}
+        self.assertEqual(names, {"host", "x-sparloom-attempt-id", "x-sparloom-deadline-remaining", "x-sparloom-expected-instance", "x-sparloom-request-urgency", "content-length"})
+
+    async def test_the_runner_is_named_and_the_time_left_shrinks(self):
+        await self.rig.send("/once/h", left=1500)
+        g = self.got[0]
+        self.assertIn(g.head("X-Sparloom-Expected-Instance"), ("i-0", "i-1"))
+        self.assertLessEqual(int(g.head("X-Sparloom-Deadline-Remaining")), 1500)
+
+    async def test_encoded_replies_are_not_undone(self):
+        self.script("gzip")
+        a = await self.rig.send("/once/z")
+        self.assertEqual((a.heads.get("content-encoding"), a.body[:2]), ("gzip", b"\x1f\x8b"))
+
+    async def test_redirects_are_passed_on_not_followed(self):
+        self.script("redirect")
+        a = await self.rig.send("/once/z")
+        self.assertEqual((a.status, a.heads["location"], len(self.got)), (302, "/elsewhere", 1))
+
+    async def test_a_runners_own_error_is_passed_on(self):
+        self.script("error")
+        self.assertEqual((await self.rig.send("/once/z")).status, 500)
+
+    async def test_pipes_are_used_again(self):
+        for i in range(6):
+            await self.rig.send("/once/z", id=f"k{i}")
+        self.assertLessEqual(sum(r.pipes for r in self.rig.runners), 2)
+
+
+class TurningAway(Case):
+    async def test_no_route_is_404(self):
+        self.assertEqual((await self.rig.send("/nowhere/")).status, 404)
+
+    async def test_too_large_is_413_and_431(self):
+        self.assertEqual((await self.rig.send("/once/x", body=b"x" * 20000)).status, 413)
+        self.assertEqual((await self.rig.send("/once/x", heads=["X-Big: " + "y" * 5000])).status, 431)
+
+    async def test_ill_formed_http_gets_400_and_a_close(self):
+        a = await self.rig.send("", raw=b"NONSENSE\r\n\r\n")
+        self.assertEqual(a.status, 400)
+
+    async def test_no_runner_is_503_at_once_with_a_time_to_come_back(self):
+        self.rig.know.fleet = type(self.rig.know.fleet)()
+        a = await self.rig.send("/once/x")
+        self.assertEqual(a.status, 503)
+        self.assertGreater(float(a.heads["retry-after"]), 0)
+
+    async def test_past_the_last_bucket_nothing_is_sent(self):
+        k = self.rig.know
+        for p in k.fleet.posts.values():
+            k.counts.own[p.id] = 10 ** 4
+        a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, self.got), (503, []))
+        self.assertIn("retry-after", a.heads)
+
+
+class Recovering(Case):
+    async def test_shed_is_sent_elsewhere(self):
+        self.script("shed")
+        a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, a.whole, len(self.got)), (200, True, 2))
+
+    async def test_shed_with_one_dispatch_is_503(self):
+        self.script("shed")
+        a = await self.rig.send("/single/x")
+        self.assertEqual((a.status, len(self.got)), (503, 1))
+
+    async def test_another_life_at_the_address_did_not_run_it(self):
+        self.script("moved", "moved")
+        a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, len(self.got)), (503, 2))
+
+    async def test_what_may_have_run_is_not_sent_again_nor_promised(self):
+        for word in ("reset", "busy", "noseal", "otherid", "junk"):
+            for path in ("/once/x", "/unsafe/x"):
+                with self.subTest(word=word, path=path):
+                    n = len(self.got)
+                    self.script(word)
+                    a = await self.rig.send(path)
+                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
+                    for p in self.rig.know.fleet.posts.values():
+                        p.clear()
+
+    async def test_a_get_is_not_sent_again_by_the_library(self):
+        await self.rig.send("/unsafe/x", method="GET", body=b"")
+        n = len(self.got)
+        self.script("reset")
+        a = await self.rig.send("/unsafe/x", method="GET", body=b"")
+        self.assertEqual((a.status, len(self.got) - n), (502, 1))
+
+    async def test_safe_asks_are_sent_again(self):
+        self.script("reset")
+        self.assertEqual((await self.rig.send("/safe/x")).status, 200)
+
+    async def test_a_resumable_stream_goes_on_inside_one_reply(self):
+        self.script("cut")
+        a = await self.rig.send("/resume/x")
+        self.assertEqual((a.status, a.body, a.whole), (200, EVENTS, True))
+        self.assertEqual([g.head("Last-Event-Id") for g in self.got if g.head("Last-Event-Id")], ["2"])
+        first = next(r for r in self.rig.runners if not r.got[0].head("Last-Event-Id"))
+        self.assertIn(first.id, a.heads["x-sparloom-runner-seal"])
+
+    async def test_any_other_stream_is_cut_visibly(self):
+        for word in ("cut", "short"):
+            self.script(word)
+            a = await self.rig.send("/once/x")
+            self.assertFalse(a.whole)
+
+    async def test_surplus_answers_reach_nobody(self):
+        for i in range(6):
+            self.script("extra")
+            a = await self.rig.send("/once/x", id=f"e{i}")
+            self.assertIn(a.status, (200, 502))
+            if a.status == 200:
+                self.assertEqual((a.heads["x-sparloom-attempt-id"], a.body, a.whole), (f"e{i}", EVENTS, True))
+
+    async def test_the_budget_bounds_further_arrivals(self):
+        b = self.rig.know.budget("s")
+        b.ratio = b.slack = 0
+        self.script("shed")
+        a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, len(self.got)), (503, 1))
+
+
+class Waiting(Case):
+    async def test_silence_moves_a_repeatable_ask_on(self):
+        self.script("hang")
+        a = await self.rig.send("/quick/x")
+        self.assertEqual((a.status, a.whole, len(self.got)), (200, True, 2))
+
+    async def test_silence_does_not_break_off_any_other(self):
+        self.script("hang")
+        task = asyncio.ensure_future(self.rig.send("/brief/x"))
+        a = await task
+        self.assertEqual((a.status, len(self.got)), (504, 1))
+
+    async def test_slots_are_freed_on_every_end(self):
+        for word in ("ok", "cut", "reset", "shed", "junk", "noseal"):
+            self.script(word)
+            await self.rig.send("/once/x")
+        self.script("hang")
+        await self.rig.send("/brief/x")
+        self.assertEqual(self.rig.know.counts.own, {})
+
+    async def test_a_requester_that_goes_frees_its_slot_and_its_runner(self):
+        self.script("hang")
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.rig.port)
+        writer.write(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: g\r\nContent-Length: 0\r\n\r\n")
+        while not self.got:
+            await asyncio.sleep(0)
+        self.assertEqual(sum(self.rig.know.counts.own.values()), 1)
+        writer.close()
+        while self.rig.know.counts.own or not sum(r.dropped for r in self.rig.runners):
+            await asyncio.sleep(0)
+        self.assertEqual(self.rig.know.counts.own, {})
+
+    async def test_every_dispatch_goes_through_the_buckets(self):
+        seen = []
+        self.rig.know.counts.hook = seen.append
+        self.script("shed", "ok")
+        await self.rig.send("/once/x")
+        self.assertEqual([c.throttled for c in seen], [False, False])
+        self.assertEqual(len(seen), len(self.got))
