--- a/sparloom/command.py
+++ b/sparloom/command.py
@@ -24,6 +24,14 @@
     print(text, file=sys.stderr)
 
 
+def _lack(name, up):
+    if name == "router":
+        need = {"listenAddresses.front": up.listen.front, "listenAddresses.readiness": up.listen.readiness}
+    else:
+        need = {"listenAddresses.control": up.listen.control, "dataDirectory": up.data}
+    return next((f"{k} is missing." for k, v in need.items() if not v), None)
+
+
 def run(name, config=None):
     """Reads the startup file and serves; gives the exit status."""
     path = config or where()
@@ -31,6 +39,10 @@
     if up.value_or(None) is None:
         _say(f"{name}: {up.failure()}")
         return 2
+    lack = _lack(name, up.unwrap())
+    if lack:
+        _say(f"{name}: {path}: {lack}")
+        return 2
     _log()
     if name == "router":
         from sparloom.router.program import serve
--- /dev/null
+++ b/sparloom/compare/__init__.py
@@ -0,0 +1,1 @@
+"""Compares what two running nodes believe."""
--- a/sparloom/controller/control.py
+++ b/sparloom/controller/control.py
@@ -9,10 +9,11 @@
 from mode import Service
 from returns.pipeline import is_successful
 
-from sparloom.feed import POLICY
+from sparloom.feed import POLICY, RUNNERS
 from sparloom.link import bind, steady
 from sparloom.policy import apply_patch, check, parse
 
+from .poller import read_list
 from .state import State, digest
 
 PATH = "/-/configuration"
@@ -160,12 +161,18 @@
         logging.info("control: revision %d is in force.", new["revision"])
         return reply(200, {"revision": new["revision"]})
 
+    def _shelved(self, topic, look, none):
+        item = self.shop.shelf.items.get(topic)
+        return look(item.blob) if item else none
+
     async def _beliefs(self, req):
         led, now = self.core.ledger, steady()
         v = led.view
         return reply(200, {
             "node": self.up.node, "role": "controller",
-            "policy": list(self.shop.shelf.stamp(POLICY)),
+            "key": self.core.key, "policy": list(self.shop.shelf.stamp(POLICY)), "runners": list(self.shop.shelf.stamp(RUNNERS)),
+            "revision": self._shelved(POLICY, lambda raw: json.loads(zlib.decompress(raw))["revision"], 0),
+            "fleet": self._shelved(RUNNERS, lambda raw: {r.id: "draining" if r.draining else "ready" for r in read_list(raw).runners}, {}),
             "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in self.core.swim.table.values())},
             "view": v and {"epoch": v.epoch, "primary": v.primary, "backups": v.backups, "roster": list(v.ids)},
             "leading": led.leading(), "sureMs": self.shop.sureness(),
--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -38,7 +38,7 @@
 
     async def on_start(self):
         up, loop, rng = self.up, asyncio.get_running_loop(), random.Random()
-        self.disk = Disk(up.data or f"/tmp/sparloom-{up.node}", loop, self._saved, self._failed)
+        self.disk = Disk(up.data, loop, self._saved, self._failed)
         kept = self.disk.load()
         id = kept[0].id if kept else int.from_bytes(os.urandom(7)) | 1
         control = str(up.listen.control or "")
@@ -57,7 +57,7 @@
         for s in self.swim.leave():
             self.net.send(s.to, s.rec)
         self.server.close()
-        self.disk.stop()
+        await self.disk.stop()
         self.net.close()
 
     @Service.task
--- a/sparloom/controller/disk.py
+++ b/sparloom/controller/disk.py
@@ -1,4 +1,5 @@
 """The task that owns the disk: saves in order, many at a time, never in the loop's way."""
+import asyncio
 import queue
 import sqlite3
 import threading
@@ -29,9 +30,13 @@
         """Puts a save in line."""
         self.line.put(save)
 
-    def stop(self):
-        """Ends the thread after what is in line."""
+    async def stop(self):
+        """Ends the thread after what is in line; a hung disk is not waited for."""
         self.line.put(None)
+        for _ in range(100):
+            if not self.thread.is_alive():
+                return
+            await asyncio.sleep(0.005)
 
     def _run(self):
         while True:
@@ -42,6 +47,7 @@
             if saves:
                 self._save(saves)
             if len(saves) < len(batch):
+                self.store.close()
                 return
 
     def _save(self, saves):
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -49,7 +49,7 @@
         """What this router believes, for the comparison."""
         k, now = self.know, steady()
         return {
-            "node": self.up.node, "role": "router", "policy": list(k.shelf.stamp(POLICY)), "runners": list(k.shelf.stamp(RUNNERS)),
+            "node": self.up.node, "role": "router", "key": k.key, "policy": list(k.shelf.stamp(POLICY)), "runners": list(k.shelf.stamp(RUNNERS)),
             "revision": k.policy.revision if k.policy else 0,
             "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in k.swim.table.values())},
             "fleet": {p.id: "draining" if p.draining else "ready" for p in k.fleet.posts.values()},
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,116 @@
+"""A whole controller on loopback: the operator's calls, a stand-in platform, and a router that follows."""
+import asyncio
+import json
+import socket
+import tempfile
+import unittest
+
+import aiohttp
+
+from sparloom.compare.beliefs import compare
+from sparloom.controller.program import Controller
+from sparloom.router.program import Router
+from sparloom.startup import from_dict
+from standins.platform import Platform
+from standins.runner import Runner
+
+from .rig import POLICY, STARTUP, route
+
+
+def free(n):
+    socks = [socket.socket() for _ in range(n)]
+    for s in socks:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in socks]
+    for s in socks:
+        s.close()
+    return ports
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.dir = tempfile.TemporaryDirectory()
+        self.addCleanup(self.dir.cleanup)
+        self.runner = await Runner(id="i-0").start()
+        self.platform = await Platform([Platform.entry("i-0", "s", f"127.0.0.1:{self.runner.port}")]).start()
+        inner, control, front, ready = free(4)
+        base = {**STARTUP, "internalPortRange": [inner, inner + 9], "seedNodes": [f"127.0.0.1:{control}"], "bounds": {"contactMs": 600}, "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100}}
+        self.core = from_dict({**base, "nodeName": "core-1", "firstStart": True, "dataDirectory": self.dir.name, "listenAddresses": {"control": f"127.0.0.1:{control}"}}).unwrap()
+        self.edge = from_dict({**base, "listenAddresses": {"front": f"127.0.0.1:{front}", "readiness": f"127.0.0.1:{ready}"}}).unwrap()
+        self.url, self.front, self.ready = f"http://127.0.0.1:{control}/-/configuration", f"127.0.0.1:{front}", f"http://127.0.0.1:{ready}/-/ready"
+        self.ctl = Controller(self.core, "/nowhere")
+        await self.ctl.start()
+        self.http = aiohttp.ClientSession()
+        await self.until(lambda: self.ctl.core.ledger.leading())
+
+    async def asyncTearDown(self):
+        await self.http.close()
+        await self.ctl.stop()
+        await self.platform.stop()
+        await self.runner.stop()
+
+    async def until(self, true):
+        async with asyncio.timeout(10):
+            while not true():
+                await asyncio.sleep(0)
+
+    async def call(self, method, body, match=None):
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        heads = {} if match is None else {"If-Match": str(match)}
+        async with self.http.request(method, self.url, data=raw, headers=heads, allow_redirects=False) as r:
+            return r.status, await r.json()
+
+    async def test_the_operators_calls(self):
+        status, _ = await self.call("GET", b"")
+        self.assertEqual(status, 404)
+        self.assertEqual((await self.call("PUT", POLICY, 0))[0], 200)
+        self.assertEqual((await self.call("PUT", POLICY, 0))[0], 200)
+        self.assertEqual((await self.call("PUT", {**POLICY, "revision": 5}, 0))[0], 412)
+        self.assertEqual((await self.call("PUT", {**POLICY, "revision": 1, "routes": []}, 1))[0], 400)
+        self.assertEqual((await self.call("PUT", b'{"revision":', 1))[0], 400)
+        self.assertEqual((await self.call("PUT", {**POLICY, "revision": 5}))[0], 400)
+        patch = {"revision": 4, "upsert": {"routes": [route("new", "/new/")]}}
+        self.assertEqual((await self.call("PATCH", patch, 1))[0], 200)
+        self.assertEqual((await self.call("PATCH", patch, 1))[0], 200)
+        status, got = await self.call("GET", b"")
+        self.assertEqual((status, got["revision"], got["routes"][-1]["name"]), (200, 4, "new"))
+        self.assertEqual((await self.call("PUT", {**POLICY, "revision": 9, "routes": [route("x", "/x/", service="ghost")]}, 4))[1]["error"], "route x: the service ghost is unknown")
+
+    async def test_concurrent_changes_on_one_revision_have_one_winner(self):
+        await self.call("PUT", POLICY, 0)
+        got = await asyncio.gather(*(self.call("PUT", {**POLICY, "revision": 2 + i}, 1) for i in range(8)))
+        self.assertEqual(sorted(s for s, _ in got), [200] + [412] * 7)
+
+    async def test_what_was_acknowledged_is_on_disk(self):
+        await self.call("PUT", POLICY, 0)
+        await self.ctl.stop()
+        self.ctl = Controller(self.core, "/nowhere")
+        await self.ctl.start()
+        await self.until(lambda: self.ctl.core.ledger.leading())
+        self.assertEqual((await self.call("GET", b""))[1], POLICY)
+
+    async def test_a_router_follows_serves_and_agrees(self):
+        rt = Router(self.edge, "/nowhere")
+        await rt.start()
+        try:
+            async with self.http.get(self.ready) as r:
+                self.assertEqual(r.status, 503)
+            await self.call("PUT", POLICY, 0)
+            await self.until(rt.know.ready)
+            async with self.http.get(self.ready) as r:
+                self.assertEqual(r.status, 200)
+            heads = {"Host": "h.example", "X-Sparloom-Attempt-Id": "t1", "X-Sparloom-Deadline-Remaining": "2000"}
+            async with self.http.post(f"http://{self.front}/once/x", data=b"hi", headers=heads) as r:
+                self.assertEqual((r.status, (await r.read()).count(b"id:")), (200, 5))
+            self.platform.entries[0]["state"] = "draining"
+            await self.until(lambda: not rt.know.fleet.of("s"))
+            async with self.http.get(self.url.replace("configuration", "beliefs")) as r:
+                mine = await r.json()
+            await self.until(lambda: list(rt.know.shelf.stamp(1)) == mine["runners"])
+            self.assertEqual([d for d in compare(mine, rt.front.beliefs()) if d.topic != "members"], [])
+            await self.call("PUT", {**POLICY, "revision": 7, "routes": []}, 1)
+            await self.until(lambda: rt.know.policy.revision == 7)
+            async with self.http.post(f"http://{self.front}/once/x", data=b"hi", headers=heads) as r:
+                self.assertEqual(r.status, 404)
+        finally:
+            await rt.stop()
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,75 @@
+"""The policy: every kind of fault that the protocol lists, patches, and the lookup."""
+import copy
+import unittest
+
+from returns.pipeline import is_successful
+
+from sparloom.policy import apply_patch, build, check, parse
+
+from .rig import POLICY, route
+
+
+class Faults(unittest.TestCase):
+    def fault(self, edit, above=0):
+        d = copy.deepcopy(POLICY)
+        edit(d)
+        res = check(d, above)
+        self.assertFalse(is_successful(res))
+        return res.failure()
+
+    def test_each_fault_is_named(self):
+        cases = (
+            (lambda d: d["routes"][0].update(service="ghost"), "route once: the service ghost is unknown"),
+            (lambda d: d["routes"].append(route("twin", "/once/")), "two routes share host and prefix"),
+            (lambda d: d["routes"].append(route("once", "/other/")), "two routes are named once"),
+            (lambda d: (d["routes"][0].pop("service"), d["routes"][0].update(weightedServices=[{"service": "s", "weight": 0}])), "weights add up to 0"),
+            (lambda d: d["routes"][0].update(timeoutMs=0), "timeoutMs must be above 0"),
+            (lambda d: d.update(revision=0), "revision"), (lambda d: d.update(revision="3"), "revision"),
+            (lambda d: d["routes"][0].update(pathPrefix="once"), "pathPrefix"), (lambda d: d["routes"][0].update(routeKind="odd"), "route once"),
+            (lambda d: d.update(routes={}), "routes must be a list"), (lambda d: d["services"][0].update(connectionLimit="9"), "service s"),
+            (lambda d: d["routes"][0].update(maxAttempts=0), "route once"), (lambda d: d["routes"][0].pop("service"), "either service or weightedServices"),
+        )
+        for edit, words in cases:
+            with self.subTest(words):
+                self.assertIn(words, self.fault(edit))
+
+    def test_old_revisions_are_refused(self):
+        self.assertIn("not above the current 1", self.fault(lambda d: None, above=1))
+
+    def test_broken_json(self):
+        for raw in (b'{"revision":', b"\xff\xfe", b"[" * 100000):
+            self.assertFalse(is_successful(parse(raw)))
+
+    def test_no_kind_of_junk_gets_through_or_raises(self):
+        for junk in (None, 3, "x", [], {}, {"revision": 1, "routes": [3]}, {"revision": 1, "routes": [{}]}, {"revision": True}, {"revision": 1, "limits": 4}, {"revision": 1, "services": [{"name": 3}]}):
+            self.assertFalse(is_successful(check(junk)), junk)
+
+
+class Patches(unittest.TestCase):
+    def test_upsert_and_remove(self):
+        p = {"revision": 2, "upsert": {"routes": [route("once", "/once/", timeoutMs=9), route("new", "/new/")]}, "remove": {"routes": ["safe"]}}
+        d = apply_patch(POLICY, p).bind(check).unwrap()
+        names = [r["name"] for r in d["routes"]]
+        self.assertEqual((names[0], names[-1], "safe" in names, d["routes"][0]["timeoutMs"]), ("once", "new", False, 9))
+        self.assertEqual(POLICY["revision"], 1)
+
+    def test_a_patch_may_not_take_away_a_service_in_use(self):
+        self.assertIn("unknown", apply_patch(POLICY, {"revision": 2, "remove": {"services": ["s"]}}).bind(check).failure())
+
+    def test_ill_formed_patches(self):
+        for p in ([], {"revision": 2, "upsert": []}, {"revision": 2, "upsert": {"routes": [{}]}}, {"revision": 2, "remove": {"routes": [1]}}, {"revision": 2, "upsert": {"odd": []}}, {}):
+            self.assertFalse(is_successful(apply_patch(POLICY, p).bind(check)), p)
+
+
+class Lookup(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self):
+        p = build({"revision": 1, "services": [], "routes": [route("a", "/"), route("b", "/x/"), route("c", "/x/y/"), route("d", "/x/", hostname="other")]})
+        for path, want in (("/", "a"), ("/x/", "b"), ("/x", "a"), ("/x/y/z", "c"), ("/x/yy", "b")):
+            self.assertEqual(p.match("h.example:80", path).name, want)
+        self.assertEqual(p.match("OTHER", "/x/1").name, "d")
+        self.assertIsNone(p.match("other", "/z"))
+        self.assertIsNone(p.match("nobody", "/"))
+
+    def test_hundreds_of_routes(self):
+        d = {**POLICY, "routes": [route(f"r{i}", f"/p{i}/") for i in range(800)]}
+        self.assertEqual(build(check(d).unwrap()).match("h.example", "/p799/x").name, "r799")
