--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -85,7 +85,7 @@
                 await self._copies(frames, first)
             else:
                 await self.serve_pipe(frames, first)
-        except (OSError, EOFError, Broken, TimeoutError):
+        except (OSError, EOFError, Broken, TimeoutError, asyncio.CancelledError):
             pass
         finally:
             frames.close()
