--- /dev/null
+++ b/rehearsal/__init__.py
@@ -0,0 +1,1 @@
+"""Plays the project's own failure timelines and tells what held."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,67 @@
+"""A local try-out: a platform and two runners, and the files that the programs need."""
+import asyncio
+import json
+import os
+import sys
+
+import defopt
+
+from .platform import Platform
+from .runner import Runner
+
+FOLDER = os.path.join("target", "try")
+COMMON = """role = "{role}"
+nodeName = "{role}-1"
+ipAddress = "127.0.0.1"
+zone = "z1"
+internalPortRange = [18300, 18315]
+seedNodes = ["127.0.0.1:18262"]
+firstStart = true
+{more}
+[listenAddresses]
+{listen}
+[cloudApi]
+address = "127.0.0.1:18266"
+ratePerS = 10.0
+"""
+POLICY = {
+    "revision": 1,
+    "routes": [{"name": "talk", "hostname": "try.example", "pathPrefix": "/talk/", "routeKind": "streaming", "timeoutMs": 60000, "targetMs": 800, "service": "talkers", "maxAttempts": 2, "resumeStreams": True, "gapTargetMs": 500}],
+    "services": [{"name": "talkers", "connectionLimit": 64, "engine": {"slots": 8, "cacheTokens": 100000}}],
+}
+
+
+def _write(folder):
+    data = os.path.abspath(os.path.join(folder, "data"))
+    os.makedirs(data, exist_ok=True)
+    files = {
+        "controller.toml": COMMON.format(role="controller", more=f'dataDirectory = "{data}"', listen='control = "127.0.0.1:18262"'),
+        "router.toml": COMMON.format(role="router", more="", listen='front = "127.0.0.1:18263"\nreadiness = "127.0.0.1:18268"'),
+        "policy.json": json.dumps(POLICY, indent=1),
+    }
+    for name, text in files.items():
+        with open(os.path.join(folder, name), "w", encoding="utf-8") as f:
+            f.write(text)
+
+
+async def _serve(events, pause):
+    runners = [await Runner(id=f"i-{i}", events=events, pause=pause).start(port=18401 + i) for i in range(2)]
+    await Platform([Platform.entry(r.id, "talkers", f"127.0.0.1:{r.port}") for r in runners]).start(port=18266)
+    print(f"A platform on 127.0.0.1:18266, two runners; files in {FOLDER}. End with Ctrl-C.", flush=True)
+    await asyncio.Event().wait()
+
+
+def main(*, events: int = 10, pause: float = 0.2):
+    """Serve a platform and two runners on this machine.
+
+    :param events: events in each stream
+    :param pause: seconds between events
+    """
+    _write(FOLDER)
+    try:
+        asyncio.run(_serve(events, pause))
+    except KeyboardInterrupt:
+        return 0
+
+
+sys.exit(defopt.run(main))
