--- a/sparloom/router/line.py
+++ b/sparloom/router/line.py
@@ -5,6 +5,8 @@
 from sparloom.link import steady
 from sparloom.shares import Away, Gate, Granted, Need, Room, Waits, members_of
 
+from .tiers import most
+
 
 class Lines:
     """All gates of this router."""
@@ -26,7 +28,7 @@
         k = self.know
         s = k.policy.services.get(service)
         posts = k.fleet.of(service)
-        slots = sum(p.slots or (s.slots if s else 0) for p in posts)
+        slots = sum(most(p.slots or (s.slots if s else 0)) for p in posts)
         return Room(k.crowd.part(slots), k.crowd.part(s.cache_tokens * len(posts)) if s else 0)
 
     def gate(self, service):
--- a/sparloom/router/tiers.py
+++ b/sparloom/router/tiers.py
@@ -6,6 +6,15 @@
 FALLBACK_SLOTS = 32
 
 
+def most(slots):
+    """The most asks in flight at a runner: the last bucket's limit.
+
+    >>> most(64)
+    128
+    """
+    return 2 * (slots or FALLBACK_SLOTS)
+
+
 @lru_cache(maxsize=256)
 def buckets_for(route, slots):
     """Buckets from the route's aim and the runner's slots.
@@ -22,4 +31,4 @@
     """
     n = slots or FALLBACK_SLOTS
     aim = min(route.target, route.timeout)
-    return (Bucket(aim * 2, max(1, n // 2)), Bucket(aim * 1.5, n), Bucket(aim, 2 * n))
+    return (Bucket(aim * 2, max(1, n // 2)), Bucket(aim * 1.5, n), Bucket(aim, most(slots)))
