Startup figures may be whole or fractions; the router's news and words in files of their own

Every figure is now taken as either; those that count things are rounded to the safe side, a fraction of a budget is used as it is. know.py is split: follow.py (the feed) and tell.py (words among routers); no behaviour in that. Records of calls in flight get room for outcomes.

--- a/libs/startup/checks.py
+++ b/libs/startup/checks.py
@@ -2,6 +2,7 @@
 import os
 import tomllib
 from datetime import timedelta
+from math import ceil, floor, isfinite
 
 from attrs import define, field
 from returns.pipeline import is_successful
@@ -74,7 +75,7 @@
     config_apply: timedelta = timedelta(milliseconds=2000)
     budget_window: timedelta = timedelta(seconds=10)
     budget_ratio: float = 0.2
-    budget_slack: int = 10
+    budget_slack: float = 10
     pass_time: timedelta = timedelta(milliseconds=120)
     recovery: timedelta = timedelta(seconds=12)
 
@@ -152,21 +153,24 @@
 
 
 def _span(d, path, unit, default):
-    val = _get(d, path, float)
-    if val is None:
-        return default
-    if val < 0:
-        raise Bad(f"{path} must not be negative.")
-    return timedelta(**{unit: val})
+    return default if _get(d, path, float) is None else timedelta(**{unit: _figure(d, path, 0.0)})
 
 
-def _count(d, path, default=0):
-    val = _get(d, path, int, default)
+def _figure(d, path, default):
+    """A whole number or a fraction, as it stands; the operators write either."""
+    val = _get(d, path, float, default)
     if val < 0:
         raise Bad(f"{path} must not be negative.")
+    if not isfinite(val):
+        raise Bad(f"{path} must be a number with an end.")
     return val
 
 
+def _count(d, path, default=0, whole=floor):
+    """A figure that counts things: a fraction of one is rounded to the safe side."""
+    return whole(_figure(d, path, default))
+
+
 def _bounds(d):
     std = Bounds()
     return Bounds(
@@ -176,8 +180,8 @@
         grace=_span(d, "bounds.graceS", "seconds", std.grace),
         config_apply=_span(d, "bounds.configApplyMs", "milliseconds", std.config_apply),
         budget_window=_span(d, "bounds.budgetWindowS", "seconds", std.budget_window),
-        budget_ratio=_get(d, "bounds.retryBudgetRatio", float, std.budget_ratio),
-        budget_slack=_count(d, "bounds.retryBudgetSlack", std.budget_slack),
+        budget_ratio=_figure(d, "bounds.retryBudgetRatio", std.budget_ratio),
+        budget_slack=_figure(d, "bounds.retryBudgetSlack", std.budget_slack),
         pass_time=_span(d, "bounds.passMs", "milliseconds", std.pass_time),
         recovery=_span(d, "bounds.recoveryS", "seconds", std.recovery),
     )
@@ -228,7 +232,7 @@
         counted=_get(d, "lossCounted", bool, False),
         data=_get(d, "dataDirectory", str),
         limits=Limits(_count(d, "limits.memoryMb", 256), _count(d, "limits.fileDescriptors", 1024)),
-        tolerated=Tolerated(*(_count(d, f"toleratedLosses.{k}") for k in ("machines", "zones", "regions"))),
+        tolerated=Tolerated(*(_count(d, f"toleratedLosses.{k}", whole=ceil) for k in ("machines", "zones", "regions"))),
         bounds=_bounds(d),
         cloud=cloud and CloudApi(_address(cloud, "cloudApi.address"), rate, _span(d, "cloudApi.lagMs", "milliseconds", timedelta(0))),
         members=_members(d),
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -16,9 +16,13 @@
 from .buckets import pick
 
 
-@record(80, resource="Q", calls="H", tokens="I", silent="?")
+@record(80, resource="Q", calls="H", tokens="I", silent="H", good="H", bad="H", blamers="H")
 class Held:
-    """A holder's calls in flight at one resource; ``silent``: it hears nothing from it."""
+    """Calls in flight at one resource, of one holder or summed over several.
+
+    ``silent``: how many holders hear nothing from it. ``good`` and ``bad``:
+    ends of calls of late. ``blamers``: how many holders saw it fail of late.
+    """
 
 
 @record(82, resource="Q", part="Q", tokens="I")
@@ -134,6 +138,14 @@
         """
         return self._told(resource, now, 2)
 
+    def outcomes(self, resource, now):
+        """What peers saw of late at a resource: good ends, bad ends, how many saw bad ones.
+
+        >>> Counts(timedelta(1)).outcomes("r", timedelta(0))
+        (0, 0, 0)
+        """
+        return tuple(self._told(resource, now, part) for part in (3, 4, 5))
+
     def take(self, resource, buckets, now, tokens=0):
         """Takes a slot in every bucket, or tells the hook of a refusal and gives None.
 
@@ -180,7 +192,7 @@
     def hear(self, rec, now, names):
         """Takes a peer's word; ``names`` turns a wire number into a resource.
 
-        >>> c = Counts(timedelta(seconds=3)); c.hear(Holding("p", 1, 1, 1, [Held(7, 2, 0, False)], []), timedelta(0), {7: "r"})
+        >>> c = Counts(timedelta(seconds=3)); c.hear(Holding("p", 1, 1, 1, [Held(7, 2, 0, 0, 0, 0, 0)], []), timedelta(0), {7: "r"})
         >>> c.count("r", timedelta(0))
         2
         """
@@ -188,7 +200,7 @@
         if old and old.life == rec.life and rec.seq <= old.seq:
             return
         self.callers[rec.key, rec.life] = now
-        held = {names[h.resource]: (h.calls, h.tokens, int(h.silent)) for h in rec.held if h.resource in names}
+        held = {names[h.resource]: (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held if h.resource in names}
         self.peers[rec.key] = _Peer(rec.life, rec.seq, now, held, rec.crowd)
 
     def drop(self, key, life=None):
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -64,7 +64,7 @@
             slot = self.know.counts.take(p.id, buckets_for(self.ask.route, p.slots), now, s.unread)
             if slot:
                 p.kept.saw(self.ask.parts)
-                self.know.sent(p, self.ask.parts[:-1])
+                self.know.tell.sent(p, self.ask.parts[:-1])
                 return p, slot
         return None, None
 
@@ -206,7 +206,7 @@
             async for raw in resp.content.iter_any():
                 watch.heard()
                 if self.out is None:
-                    self.know.was_read(slot)
+                    self.know.tell.was_read(slot)
                     self._head(resp, None if joined else length)
                     await self.out.prepare(self.req)
                 keep = b"".join(ev for ev in split.feed(raw) if self.thread.take(ev)) if joined else raw
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -28,6 +28,8 @@
             ({"bounds": {"graceS": "8"}}, "bounds.graceS must be a number"), ({"bounds": {"drainMs": -1}}, "bounds.drainMs must not be negative"),
             ({"toleratedLosses": {"machines": -1}}, "toleratedLosses.machines"), ({"firstStart": 1}, "firstStart must be true or false"),
             ({"cloudApi": {"address": "h:1", "ratePerS": 0}}, "cloudApi.ratePerS"),
+            ({"bounds": {"retryBudgetSlack": float("inf")}}, "bounds.retryBudgetSlack"), ({"bounds": {"contactMs": float("nan")}}, "bounds.contactMs"),
+            ({"bounds": {"retryBudgetSlack": True}}, "bounds.retryBudgetSlack must be a number"),
         ):
             with self.subTest(kw):
                 d = {k: v for k, v in kw.items() if v is not None}
@@ -43,6 +45,16 @@
         up = from_dict({**STARTUP, "bounds": {"contactMs": 4500, "retryBudgetSlack": 7}, "toleratedLosses": {"machines": 2}}).unwrap()
         self.assertEqual((up.bounds.contact, up.bounds.budget_slack, up.tolerated.copies), (timedelta(seconds=4.5), 7, 2))
 
+    def test_every_figure_may_be_whole_or_a_fraction(self):
+        """Days played at a small size name fractions also where things are counted."""
+        up = from_dict({
+            **STARTUP, "bounds": {"contactMs": 3000.5, "graceS": 8, "retryBudgetRatio": 1, "retryBudgetSlack": 33.88, "fenced": True},
+            "limits": {"memoryMb": 160.7, "fileDescriptors": 4100.0}, "toleratedLosses": {"machines": 1.2, "zones": 0.0},
+        }).unwrap()
+        self.assertEqual((up.bounds.contact, up.bounds.budget_ratio, up.bounds.budget_slack), (timedelta(milliseconds=3000.5), 1.0, 33.88))
+        self.assertEqual((up.limits.memory_mb, up.limits.descriptors), (160, 4100))
+        self.assertEqual((up.tolerated.machines, up.tolerated.zones, up.tolerated.copies), (2, 0, 2))
+
     def test_not_toml(self):
         with tempfile.NamedTemporaryFile("wb", suffix=".toml") as f:
             f.write(b"= nonsense")
