--- /dev/null
+++ b/libs/relay/__init__.py
@@ -0,0 +1,4 @@
+"""The tier of relays: who passes news on, chosen from membership without a vote."""
+from .plan import Tier, plan
+
+__all__ = ["Tier", "plan"]
