Members: digests find what differs, suspects are asked once more, cost no longer grows with the table

Cause: with 100 processes that start at once some had not heard of others after 9 s (simulated time, contact bound 3 s), suspicions could ripen before their refutation spread, and each message cost time in proportion to the table (4.9 ms at 1,600 members). Ruled out: random samples of the table (a tail of 10 s and more).

--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -10,7 +10,7 @@
 from sparloom.ledger import Confirmed, Decided, Ledger, Lost, Member, Save, Send, Spans
 from sparloom.ledger.records import Copy, Hello, Join, Kept
 from sparloom.link import Datagrams, Frames, bind, dial, steady
-from sparloom.members import CONTROLLER, Ack, Peer, Ping, Relay, Swim, Times
+from sparloom.members import CONTROLLER, Ack, Compare, Peer, Ping, Relay, Swim, Times
 from sparloom.startup import Address
 from sparloom.wire import Broken
 
@@ -71,7 +71,7 @@
 
     # -- messages in --------------------------------------------------------
     def _arrive(self, src, rec):
-        if isinstance(rec, (Ping, Ack, Relay)):
+        if isinstance(rec, (Ping, Ack, Relay, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
         elif not isinstance(rec, Copy):
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -6,7 +6,7 @@
 from mode import Service
 
 from sparloom.link import Datagrams, steady
-from sparloom.members import DEAD, ROUTER, Ack, Peer, Ping, Relay, Swim, Times
+from sparloom.members import ROUTER, Ack, Compare, Peer, Ping, Relay, Swim, Times
 from sparloom.recover import Budget
 from sparloom.shares import Crowd
 from sparloom.timeouts import Counts, Holding
@@ -51,7 +51,7 @@
 
     def nodes(self):
         """How many routers there are, this one included."""
-        return 1 + sum(p.role == ROUTER for p in self.swim.alive())
+        return 1 + self.swim.up(ROUTER)
 
     def budget(self, service):
         """The budget of a service."""
@@ -79,13 +79,17 @@
 
     def _arrive(self, src, rec):
         if isinstance(rec, Holding):
-            self.tell.hear(rec)
-        elif isinstance(rec, (Ping, Ack, Relay)):
+            if self.swim.holds(rec.key, rec.life):
+                self.tell.hear(rec)
+        elif isinstance(rec, (Ping, Ack, Relay, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
-            for e in self.swim.table.values():
-                if e.peer.role == ROUTER and e.peer.key in self.counts.peers:
-                    self.counts.drop(e.peer.key, None if e.peer.state == DEAD else e.peer.life)
+            self._drop_ended()
+
+    def _drop_ended(self):
+        """Holders that are known gone take their slots with them."""
+        for key, life in self.swim.take_ended():
+            self.counts.drop(key, life)
 
     def count(self):
         """Notes by how many routers the whole is divided."""
@@ -100,6 +104,7 @@
             turn += 1
             for s in self.swim.tick(steady()):
                 self.net.send(s.to, s.rec)
+            self._drop_ended()
             self.lines.tick()
             if turn % 4 == 1:
                 self.count()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -112,3 +112,43 @@
         net.off.add("e")
         net.run(10)
         self.assertTrue(all("e" not in net.sees(n) for n in "abcdf"))
+
+    def test_one_that_stood_still_accuses_nobody_when_it_wakes(self):
+        for seed in range(8):
+            net = Net("abcdefgh", seed)
+            net.run(4000)
+            net.off.add("e")
+            net.run(2500)
+            net.off.discard("e")
+            net.tick("e", net.nodes["e"].me.life)
+            for _ in range(60):
+                net.run(50)
+                self.assertEqual(net.sees("e"), set("abcdfgh"), seed)
+            self.assertTrue(all("e" in net.sees(n) for n in "abcdfgh"), seed)
+
+    def test_ended_lives_are_told_once(self):
+        net = Net("abcdef", 3, loss=0)
+        net.run(4000)
+        net.nodes["a"].take_ended()
+        old = net.nodes["e"].me.life
+        net.off.add("e")
+        net.run(100)
+        net.boot("e")
+        net.run(4000)
+        self.assertEqual(net.nodes["a"].take_ended(), [("e:1", net.nodes["e"].me.life)])
+        self.assertEqual([net.nodes["a"].holds("e:1", x) for x in (old, net.nodes["e"].me.life)], [False, True])
+        net.off.add("e")
+        net.run(6000)
+        self.assertEqual(net.nodes["a"].take_ended(), [("e:1", None)])
+        self.assertFalse(net.nodes["a"].holds("e:1", net.nodes["e"].me.life))
+
+    def test_a_hundred_find_one_another_and_notice_a_death(self):
+        names = [chr(0x100 + i) for i in range(97)]
+        net = Net([*"abc", *names], 5)
+        net.run(9000)
+        every = {*"abc", *names}
+        self.assertEqual({n: len(net.sees(n)) for n in every}, dict.fromkeys(every, 99))
+        net.off.add(names[7])
+        net.run(7000)
+        self.assertEqual([n for n in every - {names[7]} if names[7] in net.sees(n)], [])
+        self.assertEqual({len(net.sees(n)) for n in every - {names[7]}}, {98})
