The feed goes down through a tier of relays, and as steps from the controller

Cause: every router hung on a controller, and each change went out whole to all. Change: a relay router serves its group over its internal port; libs/relay says whom to follow and when to leave; lists and configurations go out as steps, whole only to newcomers and after a gap; pulses pass a relay's own sureness on, with delay on the way.

--- a/libs/feed/records.py
+++ b/libs/feed/records.py
@@ -30,6 +30,10 @@
         return (self.base_epoch, self.base_number)
 
 
-@record(62, epoch="Q", age="I")
+@record(62, epoch="Q", age="I", sent="Q")
 class Pulse:
-    """The sender's sureness: ms since the primary was last confirmed."""
+    """The sender's sureness: ms since the primary was last confirmed.
+
+    ``sent``: ms of the sender's steady clock. What a later pulse takes longer
+    than the quickest one was held up on its way, and adds to the age.
+    """
--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -100,15 +100,19 @@
     def __init__(self, reader, writer):
         self.reader, self.writer = reader, writer
 
-    async def read(self):
+    async def read(self, begun=None):
         """The next record; raises EOFError, OSError or Broken at an end.
 
+        ``begun``: called once the record's size is here and its bytes are awaited.
+
         >>> Frames.read.__name__
         'read'
         """
         (n,) = _SIZE.unpack(await self.reader.readexactly(_SIZE.size))
         if n > MOST:
             raise Broken("too long")
+        if begun:
+            begun()
         return unpack(await self.reader.readexactly(n))
 
     async def write(self, rec):
--- a/libs/platform/list.py
+++ b/libs/platform/list.py
@@ -24,7 +24,38 @@
         >>> RunnerList([], 1).news_against(RunnerList([], 1))
         False
         """
-        return old is None or self.crowd != old.crowd or [evolve(r, cold=bool(r.cold)) for r in self.runners] != [evolve(r, cold=bool(r.cold)) for r in old.runners]
+        return old is None or self.crowd != old.crowd or [*map(_plain, self.runners)] != [*map(_plain, old.runners)]
+
+
+@record(72, crowd="H", put=[Runner], gone=["s"])
+class RunnerStep:
+    """What makes one list of the next: lives that came or changed, and ids that went."""
+
+
+def _plain(r):
+    return evolve(r, cold=int(bool(r.cold)))
+
+
+def step(old, new):
+    """The change from one list to the next; the passing of time is none.
+
+    >>> a = Runner("a", "s", "h:1", "z", 4, False, 0)
+    >>> step(RunnerList([a], 1), RunnerList([], 2))
+    RunnerStep(crowd=2, put=[], gone=['a'])
+    """
+    was, now = {r.id: r for r in old.runners}, {r.id: r for r in new.runners}
+    put = [r for r in new.runners if r.id not in was or _plain(was[r.id]) != _plain(r)]
+    return RunnerStep(new.crowd, put, [i for i in was if i not in now])
+
+
+def apply_step(old, change):
+    """The list that a change makes of another.
+
+    >>> apply_step(RunnerList([], 1), RunnerStep(2, [], ["a"]))
+    RunnerList(runners=[], crowd=2)
+    """
+    rows = {r.id: r for r in old.runners if r.id not in change.gone} | {r.id: r for r in change.put}
+    return RunnerList([rows[k] for k in sorted(rows)], change.crowd)
 
 
 def _runner(d):
--- a/libs/relay/plan.py
+++ b/libs/relay/plan.py
@@ -15,13 +15,15 @@
     """What one router makes of the membership.
 
     ``relays``: all relays' keys. ``parents``: those that this router may
-    follow, in the order in which to try them. ``relay``: whether it is one
-    itself. With no tier all are empty, and every router tells every other.
+    follow, in the order in which to try them; the first ``near`` of them are
+    in its own zone. ``relay``: whether it is one itself. With no tier all are
+    empty, and every router tells every other.
     """
 
     relays: tuple = ()
     parents: tuple = ()
     relay: bool = False
+    near: int = 0
 
     @property
     def stands(self):
@@ -51,14 +53,20 @@
 
     Groups hold about the square root of all routers: a relay then hears as
     many followers as it hears relays, and no node's messages grow faster than
-    that root. The tier stands once the busiest node, a relay, has less to send
-    with it than every node has without it.
+    that root. A hop costs delay, so the tier stands only where it at least
+    halves what the busiest node, a relay, has to send.
+
+    All of it follows from the membership alone, with no memory: two routers
+    that believe the same name the same relays. The group's size moves with the
+    root, and weights are drawn per zone, so one router that comes or goes
+    changes a relay or two and hands few followers over. What should ride out
+    a flicker (whom a router follows) waits for itself: see ``Upstream``.
 
     >>> plan("a", "z", [("b", "z")]).stands
     False
     >>> t = plan("n0", "z", [(f"n{i}", "z") for i in range(1, 64)])
-    >>> len(t.relays), len(t.parents) == 8 or t.relay
-    (8, True)
+    >>> len(t.relays), len(t.parents) == 8 or t.relay, t.near == len(t.parents)
+    (8, True, True)
     """
     zones = {}
     for k, z in ((me, zone), *others):
@@ -66,8 +74,8 @@
     n = 1 + len(others)
     by_zone = _relays(zones, _group(n))
     relays = tuple(sorted(k for ks in by_zone.values() for k in ks))
-    if n - 1 <= ceil(n / len(relays)) + len(relays):
+    if n - 1 < 2 * (ceil(n / len(relays)) + len(relays)):
         return Tier()
     near = set(by_zone.get(zone, ()))
     parents = sorted((k for k in relays if k != me), key=lambda k: (k not in near, -_weight(me, k)))
-    return Tier(relays, tuple(parents), me in relays)
+    return Tier(relays, tuple(parents), me in relays, sum(k in near for k in parents))
--- a/sparloom/controller/control.py
+++ b/sparloom/controller/control.py
@@ -1,7 +1,6 @@
 """What the operator calls: PUT, PATCH and GET of the configuration."""
 import asyncio
 import json
-import zlib
 
 from absl import logging
 from aiohttp import web
@@ -14,7 +13,6 @@
 from sparloom.members import ROUTER
 from sparloom.policy import apply_patch, check, parse
 
-from .poller import read_list
 from .state import State, digest
 
 PATH = "/-/configuration"
@@ -82,7 +80,7 @@
         st = State.unpack(data.blob)
         self.crowd = st.crowd
         if st.revision:
-            self.shop.put(POLICY, data.stamp, zlib.compress(json.dumps(st.policy, separators=(",", ":")).encode(), 1))
+            self.shop.renew(POLICY, data.stamp, st.policy)
 
     def _seen(self):
         """Routers that were seen of late, the dead ones of the last while included."""
@@ -171,18 +169,14 @@
         logging.info("control: revision %d is in force.", new["revision"])
         return reply(200, {"revision": new["revision"]})
 
-    def _shelved(self, topic, look, none):
-        item = self.shop.shelf.items.get(topic)
-        return look(item.blob) if item else none
-
     async def _beliefs(self, req):
         led, now = self.core.ledger, steady()
-        v = led.view
+        v, policy, listed = led.view, self.shop.held(POLICY), self.shop.held(RUNNERS)
         return reply(200, {
             "node": self.up.node, "role": "controller",
             "key": self.core.key, "policy": list(self.shop.shelf.stamp(POLICY)), "runners": list(self.shop.shelf.stamp(RUNNERS)),
-            "revision": self._shelved(POLICY, lambda raw: json.loads(zlib.decompress(raw))["revision"], 0),
-            "fleet": self._shelved(RUNNERS, lambda raw: {r.id: "draining" if r.draining else "ready" for r in read_list(raw).runners}, {}),
+            "revision": policy["revision"] if policy else 0,
+            "fleet": {r.id: "draining" if r.draining else "ready" for r in listed.runners} if listed else {},
             "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in self.core.swim.table.values())},
             "view": v and {"epoch": v.epoch, "primary": v.primary, "backups": v.backups, "roster": list(v.ids)},
             "leading": led.leading(), "sureMs": self.shop.sureness(),
--- a/sparloom/controller/poller.py
+++ b/sparloom/controller/poller.py
@@ -1,6 +1,5 @@
 """The duty of asking the platform, done by the primary alone."""
 import asyncio
-import zlib
 
 import aiohttp
 from absl import logging
@@ -9,7 +8,6 @@
 from sparloom.feed import RUNNERS
 from sparloom.link import steady
 from sparloom.platform import Pace, Pages, RunnerList, read_page
-from sparloom.wire import pack, unpack
 
 
 class Poller(Service):
@@ -72,11 +70,5 @@
         whole = whole and RunnerList(whole.runners, self.crowd())
         if whole is not None and whole.news_against(self.last) and self.core.ledger.leading():
             self.last, self.number = whole, self.number + 1
-            self.shop.put(RUNNERS, (self.epoch, self.number), zlib.compress(pack(whole), 1))
+            self.shop.renew(RUNNERS, (self.epoch, self.number), whole)
         return whole is None
-
-
-def read_list(blob):
-    """The list in a feed's blob."""
-    rec = unpack(zlib.decompress(blob))
-    return rec if isinstance(rec, RunnerList) else RunnerList([], 0)
--- a/sparloom/controller/shop.py
+++ b/sparloom/controller/shop.py
@@ -1,16 +1,15 @@
 """The feed's service: follows the primary, and serves those that follow this controller."""
 import asyncio
-from datetime import timedelta
 
 from absl import logging
 from mode import Service
 
-from sparloom.feed import POLICY, RUNNERS, UNSURE, Change, Follow, Pulse, Shelf, Tracker
+from sparloom import news
+from sparloom.feed import UNSURE, Change, Follow, Pulse, Shelf, Tracker
 from sparloom.link import dial, steady
+from sparloom.serving import MS, Bell, serve
 from sparloom.wire import Broken
 
-MS = timedelta(milliseconds=1)
-
 
 class Shop(Service):
     """The newest states, for all who follow."""
@@ -19,42 +18,52 @@
         super().__init__()
         self.up, self.core = up, None
         self.shelf = Shelf()
-        self.bell = asyncio.Event()
+        self.bell, self.afresh = Bell(), set()
         con = up.bounds.contact
-        self.pulse = con / 10
+        self.pulse, self.patience = con / 10, con / 3
         self.tracker = Tracker(con / 3, con / 3)
 
     def put(self, topic, stamp, blob, step=None):
         """Takes a newer state and rings."""
         if self.shelf.put(topic, stamp, blob, step):
-            self._ring()
+            self.bell.ring()
+
+    def held(self, topic):
+        """The state on the shelf, or None."""
+        item = self.shelf.items.get(topic)
+        return item and news.read(topic, item.blob)
 
-    def _ring(self):
-        self.bell.set()
-        self.bell = asyncio.Event()
+    def renew(self, topic, stamp, state):
+        """Puts a newer state on the shelf, with the step that leads to it where that is shorter."""
+        if stamp > self.shelf.stamp(topic):
+            blob, old = news.whole(topic, state), self.held(topic)
+            self.put(topic, stamp, blob, old and news.step(topic, old, state, len(blob)))
 
     def sureness(self):
         """ms since the primary was last confirmed, as known here."""
         now, led = steady(), self.core.ledger
-        age = led.sure_since(now) if led.leading() else self.tracker.sureness(now)
+        age = led.sure_since(now) if led.leading() else self.tracker.known(now)
         return UNSURE if age is None else max(0, min(UNSURE - 1, int(age / MS)))
 
+    # What ``serve`` asks: pulses of the primary are passed on when they come.
+    pulse_age = sureness
+
+    def open(self):
+        """Whether followers are served."""
+        return not self.should_stop
+
+    def period(self):
+        """How long a follower waits for the next pulse."""
+        return self.pulse if self.core.ledger.leading() else self.pulse * 1.5
+
+    def epoch(self):
+        """The newest epoch heard of."""
+        return self.core.ledger.reg.promised
+
     async def serve(self, frames, first):
         """Serves one follower until its pipe ends."""
-        if not isinstance(first, Follow):
-            return
-        place = first.place
-        while not self.should_stop:
-            bell = self.bell
-            for c in self.shelf.lacking(place):
-                place[c.topic] = c.stamp
-                await frames.write(c)
-            await frames.write(Pulse(self.core.ledger.reg.promised, self.sureness()))
-            try:
-                async with asyncio.timeout(self.pulse.total_seconds()):
-                    await bell.wait()
-            except TimeoutError:
-                pass
+        if isinstance(first, Follow):
+            await serve(frames, first.place, self)
 
     @Service.task
     async def _follow(self):
@@ -72,24 +81,33 @@
     async def _from(self, to):
         frames = await dial(to.host, to.port, self.pulse * 2)
         try:
-            await frames.write(self.shelf.follow(self.up.node))
+            await frames.write(self.shelf.follow(self.up.node, self.afresh))
             self.tracker.start(steady())
             while self.core.ledger.primary() == to:
                 async with asyncio.timeout(self.tracker.silence.total_seconds()):
                     rec = await frames.read()
                 if isinstance(rec, Pulse):
-                    unsure = self.tracker.age is None
-                    self.tracker.pulse(steady(), rec.age)
-                    if unsure and self.tracker.age is not None:
-                        self._ring()
+                    self.tracker.pulse(steady(), rec.age, rec.sent)
+                    self.bell.ring()
                 elif isinstance(rec, Change) and not self._take(rec):
                     return
         finally:
             frames.close()
 
     def _take(self, c):
-        if c.base == (0, 0):
+        """Whether the change was taken or known; steps are passed on as steps."""
+        if c.stamp <= self.shelf.stamp(c.topic):
+            return True
+        if c.base == news.ZERO:
             self.put(c.topic, c.stamp, c.blob)
+            self.afresh.discard(c.topic)
             return True
-        logging.info("feed: a step came where a whole state was due.")
-        return False
+        if c.base != self.shelf.stamp(c.topic):
+            return False
+        try:
+            self.put(c.topic, c.stamp, news.whole(c.topic, news.take(c, self.held(c.topic))), c.blob)
+        except news.Unfit as e:
+            logging.warning("feed: a step does not fit (%s); the whole is asked for.", e)
+            self.afresh.add(c.topic)
+            return False
+        return True
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -1,88 +1,120 @@
 """How a router comes by its news: it follows the numbered feed."""
 import asyncio
-import json
-import zlib
 from datetime import timedelta
 
 from absl import logging
 from mode import Service
 
-from sparloom.feed import POLICY, Change, Pulse, Shelf, Tracker
+from sparloom import news
+from sparloom.feed import POLICY, Change, Pulse, Shelf
 from sparloom.link import dial, steady
 from sparloom.members import CONTROLLER
-from sparloom.platform import RunnerList
-from sparloom.policy import apply_patch, build
-from sparloom.wire import Broken, unpack
+from sparloom.policy import build
+from sparloom.relay import GONE, Spans, Upstream
+from sparloom.serving import Bell
+from sparloom.wire import Broken
+
+MS = timedelta(milliseconds=1)
 
 
 class Follow(Service):
-    """Follows one controller at a time, and moves on when it is silent or cut off."""
+    """Follows one controller or relay at a time; ``Upstream`` says which, and when to leave."""
 
     def __init__(self, know):
         super().__init__()
         self.know = know
-        self.shelf = Shelf()
-        con = know.up.bounds.contact
-        self.tracker = Tracker(con / 3, con / 3)
-        self.raw, self.last_try = None, []
+        self.shelf, self.bell = Shelf(), Bell()
+        self.upstream = Upstream(know.key, Spans.of(know.up.bounds.contact), know.rng)
+        self.raw, self.epoch, self.afresh = None, 0, set()
 
     def _controllers(self):
-        """Controllers to follow: near ones first, those tried last at the end."""
+        """Controllers to follow: near ones first."""
         k = self.know
         found = {p.key: p.zone for p in k.swim.alive() if p.role == CONTROLLER}
         for s in k.seeds:
             found.setdefault(s, "")
-        return sorted(found, key=lambda c: (c in self.last_try and self.last_try.index(c) + 1, found[c] != k.up.zone, k.rng.random()))
+        return sorted(found, key=lambda c: (found[c] != k.up.zone, k.rng.random()))
 
     @Service.task
     async def _follow(self):
+        up = self.upstream
         while not self.should_stop:
-            to = self._controllers()[0]
-            self.last_try = [c for c in self.last_try if c != to][-8:] + [to]
-            try:
-                await self._from(to)
-            except (OSError, EOFError, Broken, TimeoutError):
-                pass
-            await asyncio.sleep(0.05)
+            to = up.choose(steady(), self._controllers())
+            if to is not None:
+                up.start(steady(), to)
+                why = GONE
+                try:
+                    why = await self._from(to)
+                except (OSError, EOFError, Broken, TimeoutError):
+                    pass
+                up.ended(steady(), why)
+            await asyncio.sleep(0.02 + 0.04 * self.know.rng.random())
 
     async def _from(self, to):
         host, _, port = to.rpartition(":")
-        frames = await dial(host, int(port), self.tracker.silence / 3)
+        up = self.upstream
+        frames = await dial(host, int(port), up.spans.dial)
         try:
-            await frames.write(self.shelf.follow(self.know.up.node))
-            self.tracker.start(steady())
-            while not self.tracker.move_on(steady()):
-                async with asyncio.timeout(self.tracker.silence.total_seconds()):
-                    rec = await frames.read()
+            await frames.write(self.shelf.follow(self.know.up.node, self.afresh))
+            up.tracker.start(steady())
+            while (why := up.leave(steady())) is None:
+                rec = await self._read(frames)
                 if isinstance(rec, Pulse):
-                    self.tracker.pulse(steady(), rec.age)
+                    up.pulse(steady(), rec.age, rec.sent)
+                    self.epoch = rec.epoch
                     self._sure(rec)
+                    self.bell.ring()
                 elif isinstance(rec, Change) and not self._take(rec):
-                    return
+                    return GONE
+            return why
         finally:
             frames.close()
 
+    async def _read(self, frames):
+        """The next record, or None when it is time to look again; a long one on its way gets longer."""
+        loop, begun = asyncio.get_running_loop(), []
+        due = self.upstream.due(steady()).total_seconds()
+        more = due + self.know.up.bounds.contact.total_seconds() / 3
+        try:
+            async with asyncio.timeout(due) as limit:
+                return await frames.read(lambda: begun.append(limit.reschedule(loop.time() + more)))
+        except TimeoutError:
+            if begun or not limit.expired():
+                raise
+            return None
+
     def _sure(self, rec):
         k = self.know
-        k.sure = k.sure or (k.listed is not None and k.policy is not None and rec.age < self.tracker.doubt / timedelta(milliseconds=1))
+        k.sure = k.sure or (k.listed is not None and k.policy is not None and rec.age < self.upstream.tracker.doubt / MS)
+
+    def _state(self, topic):
+        return self.raw if topic == POLICY else self.know.listed
 
     def _take(self, c):
+        """Whether the change was taken or known. The whole state's bytes are made again when asked for."""
         k = self.know
-        self.tracker.change(steady())
+        self.upstream.change(steady())
         if c.stamp <= self.shelf.stamp(c.topic):
             return True
-        if c.base != (0, 0) and c.base != self.shelf.stamp(c.topic):
+        if c.base != news.ZERO and c.base != self.shelf.stamp(c.topic):
+            return False
+        try:
+            new = news.take(c, self._state(c.topic))
+        except news.Unfit as e:
+            logging.warning("feed: a change does not fit (%s); the whole is asked for.", e)
+            self.afresh.add(c.topic)
             return False
         if c.topic == POLICY:
-            d = json.loads(zlib.decompress(c.blob))
-            self.raw = apply_patch(self.raw, d).unwrap() if c.base != (0, 0) else d
-            k.policy = build(self.raw)
+            self.raw, k.policy = new, build(new)
             logging.info("feed: revision %d is in force.", k.policy.revision)
         else:
-            rec = unpack(zlib.decompress(c.blob))
-            if isinstance(rec, RunnerList):
-                k.listed = rec
-                k.count()
+            k.listed = new
+            k.count()
         k.renew()
-        self.shelf.put(c.topic, c.stamp, b"")
+        if c.base == news.ZERO:
+            self.afresh.discard(c.topic)
+            self.shelf.put(c.topic, c.stamp, c.blob)
+        else:
+            self.shelf.put(c.topic, c.stamp, lambda: news.whole(c.topic, new), c.blob)
+        self.bell.ring()
         return True
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -6,14 +6,16 @@
 from mode import Service
 
 from sparloom.link import Datagrams, steady
-from sparloom.members import ROUTER, Ack, Compare, Peer, Ping, Relay, Swim, Times
+from sparloom.members import ROUTER, SUSPECT, Ack, Compare, Peer, Ping, Relay, Swim, Times
 from sparloom.recover import Budget
+from sparloom.relay import Tier, plan
 from sparloom.shares import Crowd
 from sparloom.timeouts import Counts, Holding
 
 from .fleet import Fleet
 from .follow import Follow
 from .line import Lines
+from .serve import Serve
 from .tell import Tell
 
 TICK = timedelta(milliseconds=50)
@@ -33,7 +35,9 @@
         self.budgets, self.born = {}, steady()
         self.crowd, self.lines = Crowd(con), Lines(self)
         self.known = asyncio.Event()
+        self.rng, self.tier, self.members = random.Random(), Tier(), None
         self.follow, self.tell = Follow(self), Tell(self)
+        self.serve = Serve(self, self.follow)
 
     @property
     def shelf(self):
@@ -62,11 +66,10 @@
         return b
 
     async def on_start(self):
-        rng = random.Random()
         peer = Peer(self.key, ROUTER, self.up.zone, "", self.tell.life, 0, 0)
-        self.swim = Swim(peer, self.seeds, Times.of(self.up.bounds.contact), rng)
-        self.rng = rng
+        self.swim = Swim(peer, self.seeds, Times.of(self.up.bounds.contact), self.rng)
         self.net = await Datagrams.open(self.up.ip, self.up.router_port, self._arrive)
+        await self.add_runtime_dependency(self.serve)
         await self.add_runtime_dependency(self.follow)
 
     async def on_stop(self):
@@ -97,6 +100,14 @@
         told = {k: p.crowd for k, p in self.counts.peers.items() if k in up}
         self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, told)
 
+    def see_tier(self):
+        """Plans the tier again when membership has changed; suspects are members still."""
+        up = [p for p in self.swim.alive() if p.role == ROUTER]
+        members = frozenset((p.key, p.zone) for p in up)
+        if members != self.members:
+            self.members, self.tier = members, plan(self.key, self.up.zone, list(members))
+        self.follow.upstream.see(steady(), self.tier, frozenset(p.key for p in up if p.state == SUSPECT))
+
     @Service.task
     async def _beat(self):
         turn = 0
@@ -108,6 +119,7 @@
             self.lines.tick()
             if turn % 4 == 1:
                 self.count()
+                self.see_tier()
             if turn % 4 == 0 or self.tell.soon:
                 self.tell.beat(turn)
             await asyncio.sleep(TICK.total_seconds())
--- /dev/null
+++ b/sparloom/router/serve.py
@@ -0,0 +1,89 @@
+"""Passes the feed on to routers that follow this one."""
+import asyncio
+
+from mode import Service
+
+from sparloom.feed import UNSURE, Follow
+from sparloom.link import Frames, bind, steady
+from sparloom.serving import MS, serve
+from sparloom.startup import Address
+from sparloom.wire import Broken
+
+
+class Serve(Service):
+    """Serves followers while this router itself follows a controller.
+
+    The port is not bound early: a router that is not ready to serve should
+    turn followers away at once, so that they go on to the next one.
+    """
+
+    def __init__(self, know, follow):
+        super().__init__()
+        self.know, self.follow = know, follow
+        con = know.up.bounds.contact
+        self.pulse, self.patience = con / 10, con / 3
+        self.server, self.followers = None, {}
+
+    @property
+    def shelf(self):
+        """What is served: what this router itself has."""
+        return self.follow.shelf
+
+    @property
+    def bell(self):
+        """Rings at news and at each pulse from above."""
+        return self.follow.bell
+
+    async def on_start(self):
+        up = self.know.up
+        try:
+            self.server = await asyncio.start_server(self._pipe, sock=bind(Address(up.ip, up.router_port)))
+        except OSError:
+            self.server = None
+
+    async def on_stop(self):
+        if self.server:
+            self.server.close()
+        for frames in list(self.followers):
+            frames.close()
+
+    def open(self):
+        """Whether followers are served."""
+        return self.follow.upstream.serves() and not self.should_stop
+
+    def period(self):
+        """How long a follower waits for a pulse when none comes from above."""
+        return self.pulse * 1.5
+
+    def epoch(self):
+        """The newest epoch heard of."""
+        return self.follow.epoch
+
+    def pulse_age(self):
+        """ms since the primary was confirmed, as known here; it grows while this router is cut off."""
+        age = self.follow.upstream.tracker.known(steady())
+        return UNSURE if age is None else min(UNSURE - 1, int(age / MS))
+
+    async def _pipe(self, reader, writer):
+        frames = Frames(reader, writer)
+        try:
+            async with asyncio.timeout(self.patience.total_seconds()):
+                first = await frames.read()
+            if isinstance(first, Follow) and self.open() and len(self.followers) < self.follow.upstream.room():
+                self.followers[frames] = first.node
+                await serve(frames, first.place, self)
+        except (OSError, EOFError, Broken, TimeoutError, asyncio.CancelledError):
+            pass
+        finally:
+            self.followers.pop(frames, None)
+            frames.close()
+
+    def told(self):
+        """This router's place in the tier, for its beliefs."""
+        up, now = self.follow.upstream, steady()
+        age = up.tracker.known(now)
+        return {
+            "follows": up.parent, "depth": 1 if up.direct else 2, "ageMs": None if age is None else int(age / MS),
+            "relay": up.tier.relay, "followers": sorted(self.followers.values()),
+        }
+
