--- a/sparloom/early.py
+++ b/sparloom/early.py
@@ -35,7 +35,11 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
     sock.listen(backlog)
     sock.setblocking(False)
     return sock
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -18,6 +18,13 @@
 
 
 def free(n):
+    """Free ports; the one after the first is the routers' internal port, so it is none of the rest."""
+    while (ports := _free(n))[0] + 1 in ports:
+        pass
+    return ports
+
+
+def _free(n):
     socks = [socket.socket() for _ in range(n)]
     for s in socks:
         s.bind(("127.0.0.1", 0))
