--- a/sparloom/compare/__main__.py
+++ b/sparloom/compare/__main__.py
@@ -7,7 +7,7 @@
 
 from sparloom import __version__
 
-from .beliefs import compare, fetch
+from .beliefs import compare, fetch, place
 
 
 def main(here: str, there: str, *, as_json: bool = False, slack: int = 2):
@@ -26,10 +26,11 @@
         print(json.dumps({"unreachable": bad}) if as_json else "\n".join(bad))
         return 2
     diffs = compare(*(g.unwrap() for g in got), slack)
+    places = [p for p in (place(g.unwrap()) for g in got) if p]
     if as_json:
-        print(json.dumps({"differences": [[d.topic, d.item, d.here, d.there] for d in diffs]}))
+        print(json.dumps({"differences": [[d.topic, d.item, d.here, d.there] for d in diffs], "places": places}))
     else:
-        print("\n".join(map(str, diffs)) or f"{here} and {there} agree")
+        print("\n".join([*places, *(map(str, diffs) if diffs else [f"{here} and {there} agree"])]))
     return 1 if diffs else 0
 
 
--- a/sparloom/compare/beliefs.py
+++ b/sparloom/compare/beliefs.py
@@ -5,7 +5,7 @@
 from attrs import define
 from returns.result import Failure, Success
 
-TOPICS = ("policy", "revision", "runners", "fleet", "members", "counts", "shares")
+TOPICS = ("policy", "revision", "runners", "fleet", "members", "counts", "shares", "relays")
 
 
 @define(frozen=True, slots=True)
@@ -44,6 +44,19 @@
     return Success(got) if isinstance(got, dict) else Failure(f"{address} tells no beliefs")
 
 
+def place(belief):
+    """A router's place in the tier of relays, in one line; None for other nodes.
+
+    >>> place({"key": "a:1", "tier": {"follows": "b:1", "depth": 2, "ageMs": 90, "relay": False, "followers": []}})
+    'a:1 follows b:1 (depth 2), its news is 90 ms old, 0 follow it'
+    """
+    t = belief.get("tier")
+    if not isinstance(t, dict):
+        return None
+    old = "of unknown age" if t.get("ageMs") is None else f"{t['ageMs']} ms old"
+    return f"{belief.get('key')} follows {t.get('follows') or 'nobody'} (depth {t.get('depth')}), its news is {old}, {len(t.get('followers', ()))} follow it"
+
+
 def _items(topic, a, b, skip):
     if isinstance(a, dict) and isinstance(b, dict):
         keys = sorted((set(a) | set(b)) - skip)
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -57,8 +57,12 @@
         try:
             await frames.write(self.shelf.follow(self.know.up.node, self.afresh))
             up.tracker.start(steady())
-            while (why := up.leave(steady())) is None:
-                rec = await self._read(frames)
+            while True:
+                # After a stall of its own it first reads what waits, and then judges.
+                why = up.leave(steady())
+                rec = await self._read(frames, up.spans.contact / 100 if why else up.due(steady()))
+                if rec is None and why:
+                    return why
                 if isinstance(rec, Pulse):
                     up.pulse(steady(), rec.age, rec.sent)
                     self.epoch = rec.epoch
@@ -66,14 +70,13 @@
                     self.bell.ring()
                 elif isinstance(rec, Change) and not self._take(rec):
                     return GONE
-            return why
         finally:
             frames.close()
 
-    async def _read(self, frames):
-        """The next record, or None when it is time to look again; a long one on its way gets longer."""
+    async def _read(self, frames, wait):
+        """The next record, or None when none came in time; a long one on its way gets longer."""
         loop, begun = asyncio.get_running_loop(), []
-        due = self.upstream.due(steady()).total_seconds()
+        due = wait.total_seconds()
         more = due + self.know.up.bounds.contact.total_seconds() / 3
         try:
             async with asyncio.timeout(due) as limit:
