--- /dev/null
+++ b/libs/sums/machine.py
@@ -0,0 +1,383 @@
+"""The machine of the tier's counts: time and words in, words out; no I/O.
+
+**Who counts where.** A follower tells its own word to one relay. A relay tells
+the other relays the sum of its group with whom it covers, and its followers
+the total of all that it knows, with which word of theirs is in it; a follower
+takes that word off again and adds what it holds now.
+
+**No call twice.** A newcomer to a group is not in its sum for ``2.5`` contact
+bounds: it is passed on as a word of its own, which counts nothing where any
+sum still covers that holder. The relay that it left sees it there with a newer
+word and gives it up. By the time it enters the sum no older sum can stand
+anywhere. A sum that still overlaps another one is set aside, and the one
+before it stands.
+
+**Late words.** A word stands at its relay, a sum at a relay and a total at a
+follower until known gone or until nothing newer was heard for one contact
+bound; then it counts nothing. What is on its way through more than one node in
+trouble may so stand for as many bounds. A relay that is itself out of touch
+says since when, and its followers go on to another one.
+"""
+from collections import deque
+from datetime import timedelta
+
+from attrs import define, field
+
+from .pieces import Piece, add, gather, replace, within
+from .words import LAST, ROOM, UNIT, Cover, Single, Sum, Total, Up, coded, decoded, holder, ranges
+
+MS = timedelta(milliseconds=1)
+ZERO = timedelta(0)
+UP, ACROSS, SLACK = 100 * MS, 200 * MS, 20 * MS
+
+
+@define(frozen=True, slots=True)
+class Send:
+    """A record for some nodes."""
+
+    to: tuple
+    rec: object
+
+
+@define(slots=True)
+class _Member:
+    life: int
+    holder: int
+    since: timedelta
+    crowd: int
+    piece: Piece
+
+
+@define(slots=True)
+class _Relay:
+    life: int
+    heard: timedelta
+    crowd: int = 0
+    newest: list = field(factory=list)
+    standing: list = field(factory=list)
+
+
+@define(slots=True)
+class Sums:
+    """One node's part in the tier.
+
+    >>> from sparloom.relay import Tier
+    >>> a, b = Sums("a", 1, timedelta(seconds=3)), Sums("b", 1, timedelta(seconds=3))
+    >>> a.see(ZERO, Tier(("b",), ("b",), False), {"b": 1}); b.see(ZERO, Tier(("b",), (), True), {"a": 1})
+    >>> a.note(ZERO, {7: (2, 0, 0, 0, 0, 0)}, 1); b.note(ZERO, {7: (1, 0, 0, 0, 0, 0)}, 1)
+    >>> for s in a.beat(ZERO): b.hear(ZERO, s.rec)
+    >>> for s in b.beat(ZERO): a.hear(ZERO, s.rec)
+    >>> a.view(ZERO), b.view(ZERO)
+    ({7: (1, 0, 0, 0, 0, 0)}, {7: (2, 0, 0, 0, 0, 0)})
+    """
+
+    key: str
+    life: int
+    contact: timedelta
+    tier: object = None
+    up: dict = field(factory=dict)
+    me: int = 0
+    seq: int = 0
+    held: dict = field(factory=dict)
+    crowd: int = 0
+    words: deque = field(factory=deque)
+    group: dict = field(factory=dict)
+    relays: dict = field(factory=dict)
+    direct: dict = field(factory=dict)
+    past: deque = field(factory=lambda: deque(maxlen=512))
+    since: timedelta | None = None
+    parent: str | None = None
+    joined: timedelta = ZERO
+    spoke: timedelta = ZERO
+    failed: dict = field(factory=dict)
+    total: list = field(factory=list)
+    teller: tuple = ()
+    total_crowd: int = 0
+    out_seq: int = 0
+    sent: dict = field(factory=dict)
+    farewell: int = 0
+    pending: set = field(factory=set)
+
+    def __attrs_post_init__(self):
+        self.me = holder(self.key, self.life)
+
+    # -- what this node sees and holds ------------------------------------
+    def see(self, now, tier, up, prefer=None):
+        """Takes the plan, the routers believed up (key: life), and the parent that the news come from.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).see(ZERO, None, {})
+        """
+        self.tier, self.up = tier, up
+        if self.acting:
+            if self.since is None:
+                self.since = now
+                self._word(now)
+            self.parent = None
+        else:
+            if self.since is not None:
+                self.since, self.farewell = None, 3
+            self._choose(now, prefer)
+
+    @property
+    def acting(self):
+        """Whether this node works as a relay: by the plan, or since some follow it all the same."""
+        return bool(self.tier and self.tier.relay or self.group)
+
+    def _choose(self, now, prefer):
+        able = [p for p in self.tier.parents if p in self.up] if self.tier else []
+        if not able:
+            self.parent = None
+            return
+        third = self.contact / 3
+        self.failed = {k: t for k, t in self.failed.items() if now - t < 2 * self.contact}
+        if self.parent in able and now - max(self.joined, self.spoke) > third:
+            self.failed[self.parent] = now
+        well = [p for p in able if p not in self.failed] or sorted(able, key=lambda p: self.failed[p])
+        to = self.parent if self.parent in well else well[0]
+        if prefer in well:
+            to = prefer
+        elif self.parent in well and now - self.joined > 5 * self.contact:
+            to = well[0]
+        if to != self.parent:
+            self.parent, self.joined = to, now
+            self._word(now)
+
+    def note(self, now, held, crowd):
+        """Takes what this node holds now, {short number: (calls, tokens, silent, good, bad, blamers)}.
+
+        >>> s = Sums("a", 1, timedelta(seconds=3)); s.note(ZERO, {}, 1); s.seq
+        1
+        """
+        held = {k: (v[0], -(-v[1] // UNIT) * UNIT, *v[2:]) for k, v in held.items()}
+        if held != self.held or crowd != self.crowd or not self.words:
+            self.held, self.crowd = held, crowd
+            self._word(now)
+
+    def _word(self, now):
+        self.seq += 1
+        self.words.append((now, self.seq, self.held))
+        while len(self.words) > 1 and now - self.words[1][0] > 4 * self.contact:
+            self.words.popleft()
+
+    def _own(self, seq):
+        return next((h for _, q, h in reversed(self.words) if q <= seq), None)
+
+    def gone(self, key, life=None):
+        """A node is known gone, or all of its lives but one: what it told counts no more.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).gone("b")
+        """
+        for d in (self.group, self.relays, self.direct):
+            if key in d and d[key].life != life:
+                if life is not None:
+                    self.past.append(holder(key, d[key].life))
+                del d[key]
+
+    # -- words in -----------------------------------------------------------
+    def hear(self, now, rec):
+        """Takes a word of the tier.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).hear(ZERO, Up("b", 1, 1, 1, b""))
+        """
+        {Up: self._up, Sum: self._sum, Total: self._total}[type(rec)](now, rec)
+
+    def hear_direct(self, now, key, life, seq, held):
+        """Takes the word of a node that has no tier and tells everybody."""
+        old = self.direct.get(key)
+        if old is None or old.life != life or old.piece.seq < seq:
+            h = holder(key, life)
+            self.direct[key] = _Member(life, h, now, 0, Piece(seq, now, {h: seq}, held))
+
+    def _up(self, now, rec):
+        h, old = holder(rec.key, rec.life), self.group.get(rec.key)
+        if h in self.past or self._claimed(h) > rec.seq:
+            return
+        if old and old.life == rec.life and rec.seq < old.piece.seq:
+            return
+        since = old.since if old and old.life == rec.life else now
+        if old and old.life != rec.life:
+            self.past.append(old.holder)
+        self.group[rec.key] = _Member(rec.life, h, since, rec.crowd, Piece(rec.seq, now, {h: rec.seq}, decoded(rec.held)))
+
+    def _claimed(self, h):
+        return max((p.cover.get(h, 0) for r in self.relays.values() for p in r.newest), default=0)
+
+    def _sum(self, now, rec):
+        h, r = holder(rec.key, rec.life), self.relays.get(rec.key)
+        if h in self.past or rec.key == self.key:
+            return
+        if r is None or r.life != rec.life:
+            if r:
+                self.past.append(holder(rec.key, r.life))
+            r = self.relays[rec.key] = _Relay(rec.life, now)
+        singles = tuple((s.holder, s.seq, decoded(s.held)) for s in rec.singles)
+        new = replace(r.newest, Piece(rec.seq, now, {c.holder: c.seq for c in rec.cover}, decoded(rec.held), rec.lo, rec.hi, singles))
+        if new is None:
+            return
+        r.newest, r.heard, r.crowd = new, now, rec.crowd
+        told = {c.holder: c.seq for c in rec.cover} | {s.holder: s.seq for s in rec.singles}
+        for k, m in list(self.group.items()):
+            if told.get(m.holder, 0) > m.piece.seq:
+                del self.group[k]
+        self._settle(now, rec.key)
+
+    def _settle(self, now, key):
+        """A relay's new pieces are taken where they overlap no sum that stands."""
+        r = self.relays[key]
+        others = [q for k, o in self.relays.items() if k != key for q in o.standing if now - q.heard <= self.contact]
+        self.pending.discard(key)
+        for p in r.newest:
+            if now - p.heard > self.contact:
+                continue
+            if any(p.meets(q) for q in others):
+                self.pending.add(key)
+            else:
+                r.standing = replace(r.standing, p) or r.standing
+
+    def _total(self, now, rec):
+        if rec.key != self.parent or self.acting:
+            return
+        if self.teller != (rec.key, rec.life):
+            self.teller = (rec.key, rec.life)
+            self.total = [Piece(-1, p.heard, p.cover, p.held, p.lo, p.hi) for p in self.total]
+        mine = [c.seq for c in rec.cover if c.holder == self.me]
+        own = self._own(mine[0]) if mine and mine[0] else {}
+        if own is None or mine == [0]:
+            return
+        held = decoded(rec.held)
+        add(held, within(own, rec.lo, rec.hi), -1)
+        new = replace(self.total, Piece(rec.seq, now, {}, held, rec.lo, rec.hi))
+        if new is not None:
+            self.total, self.total_crowd = new, rec.crowd
+            self.spoke = max(self.spoke, now - rec.age * MS)
+
+    # -- what is known ------------------------------------------------------
+    def _sure(self, now):
+        """Whether a new relay has heard the others, or waited long enough for them."""
+        others = [k for k in self.tier.relays if k != self.key and k in self.up] if self.tier else []
+        return self.since is not None and (now - self.since > self.contact / 4 or all(k in self.relays for k in others))
+
+    def _clean(self, now):
+        for d in (self.group, self.direct):
+            for k in [k for k, m in d.items() if now - m.piece.heard > self.contact]:
+                del d[k]
+        for r in self.relays.values():
+            r.standing = [p for p in r.standing if now - p.heard <= self.contact]
+        for k in [k for k in self.pending if k in self.relays]:
+            self._settle(now, k)
+
+    def _gather(self, now):
+        self._clean(now)
+        fresh = [p for r in self.relays.values() for p in r.newest if now - p.heard <= self.contact]
+        words = [(m.holder, m.piece) for d in (self.group, self.direct) for m in d.values()]
+        words += [(h, Piece(q, p.heard, {}, d, p.lo, p.hi)) for p in fresh for h, q, d in p.singles]
+        return gather([p for r in self.relays.values() for p in r.standing], words, self.me, self._own)
+
+    def view(self, now, direct=()):
+        """What all others hold, or None while the direct words are what counts.
+
+        ``direct``: the keys of those whose direct words are fresh.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).view(ZERO) is None
+        True
+        """
+        if self.acting and self._sure(now):
+            return self._gather(now).held
+        self.total = [p for p in self.total if now - p.heard <= self.contact]
+        if not self.acting and self.parent is None and self.total and self.up.keys() <= set(direct):
+            self.total = []
+        if not self.total:
+            return self._gather(now).held if self.acting else None
+        got = {}
+        for p in self.total:
+            got.update(p.held)
+        return got
+
+    def crowds(self, now):
+        """The least number that others divide by, as each of those heard tells it."""
+        if not self.acting:
+            return {self.teller[0]: self.total_crowd} if self.total and self.total_crowd else {}
+        told = {k: m.crowd for k, m in self.group.items()}
+        return told | {k: r.crowd for k, r in self.relays.items() if r.crowd and now - r.heard <= self.contact}
+
+    # -- words out ------------------------------------------------------------
+    def beat(self, now):
+        """The words that are due, as a list of ``Send``; asked for some twenty times a second."""
+        self._clean(now)
+        if self.acting:
+            return self._as_relay(now)
+        out = []
+        if self.farewell:
+            self.farewell -= 1
+            self.out_seq += 1
+            out.append(Send(self._others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [])))
+        if self.parent and self._due(now, "up", UP, (self.parent, self.seq)):
+            out.append(Send((self.parent,), Up(self.key, self.life, self.seq, self.crowd, coded(self.held))))
+        return out
+
+    def _due(self, now, what, span, state):
+        at, last = self.sent.get(what, (None, None))
+        if at is not None and now - at < (span if state != last else self.contact / 9) - SLACK:
+            return False
+        self.sent[what] = (now, state)
+        return True
+
+    def _others(self, now):
+        heard = {k for k, r in self.relays.items() if now - r.heard <= self.contact and any(p.cover or p.singles for p in r.newest)}
+        return tuple(k for k in {*(self.tier.relays if self.tier else ()), *heard} if k in self.up and k != self.key)
+
+    def age(self, now):
+        """For how long this relay has been out of touch with half of the relays.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).age(ZERO)
+        datetime.timedelta(0)
+        """
+        others = [k for k in (self.tier.relays if self.tier else ()) if k != self.key]
+        ages = sorted([ZERO, *(now - (self.relays[k].heard if k in self.relays else self.since or now) for k in others)])
+        return ages[-(-len(ages) // 2) - 1]
+
+    def _as_relay(self, now):
+        out = []
+        state = (self.seq, *(m.piece.seq for m in self.group.values()))
+        others = self._others(now)
+        if others and self._due(now, "across", ACROSS, state):
+            out += [Send(others, rec) for rec in self._sums(now)]
+        if self.group and self._sure(now):
+            heard = (state, *(p.seq for r in self.relays.values() for p in r.newest))
+            if self._due(now, "down", UP, heard):
+                out += [Send(tuple(self.group), rec) for rec in self._totals(now)]
+        return out
+
+    def _sums(self, now):
+        self._clean(now)
+        fold = now - 2.5 * self.contact
+        covered = {h for r in self.relays.values() for p in r.standing for h in p.cover}
+        mine = _Member(self.life, self.me, self.since, self.crowd, Piece(self.seq, now, {}, self.held))
+        all_ = [mine, *self.group.values()]
+        old = [m for m in all_ if m.since <= fold and m.holder not in covered]
+        new = [m for m in all_ if m.since > fold or m.holder in covered]
+        held = {}
+        for m in old:
+            add(held, m.piece.held)
+        self.out_seq += 1
+        crowd = min((m.crowd for m in all_ if m.crowd), default=0)
+        for lo, hi in self._ranges(held, 12 * len(old), [m.piece.held for m in new]):
+            yield Sum(
+                self.key, self.life, self.out_seq, crowd, lo, hi, [Cover(m.holder, m.piece.seq) for m in old], coded(within(held, lo, hi)),
+                [Single(m.holder, m.piece.seq, coded(within(m.piece.held, lo, hi))) for m in new],
+            )
+
+    def _totals(self, now):
+        got = self._gather(now)
+        add(got.held, self.held)
+        self.out_seq += 1
+        crowd = min([self.crowd, *(c for c in self.crowds(now).values() if c)])
+        cover = [Cover(m.holder, got.seqs.get(m.holder, 0)) for m in self.group.values()]
+        for lo, hi in self._ranges(got.held, 12 * len(cover)):
+            yield Total(self.key, self.life, self.out_seq, crowd, int(self.age(now) / MS), lo, hi, cover, coded(within(got.held, lo, hi)))
+
+    @staticmethod
+    def _ranges(held, fixed, singles=()):
+        shorts = {*held, *(k for s in singles for k in s)}
+        size = 7 * (len(held) + sum(map(len, singles)))
+        return ranges(shorts, -(-size // max(300, ROOM - fixed - 16 * len(singles))) or 1)
--- /dev/null
+++ b/libs/sums/words.py
@@ -0,0 +1,145 @@
+"""The words of the tier, and how they are kept small.
+
+A resource goes by the upper 32 bits of its number. Where two runners share
+them, a count holds for both: that errs towards shorter timeouts. Tokens go in
+units of 32, rounded up.
+"""
+import struct
+from hashlib import blake2b
+
+from sparloom.timeouts import Read
+from sparloom.wire import Broken, record
+
+UNIT = 32
+LAST = 0xFFFFFFFF
+ROOM = 1000
+_SHORT = struct.Struct("!I")
+ACROSS, DOWN = 1, 2
+
+
+@record(83, holder="Q", seq="I")
+class Cover:
+    """One life of a holder, and which of its words is in a sum."""
+
+
+@record(84, holder="Q", seq="I", held="b")
+class Single:
+    """A holder's own word, passed on as it is: it has not been in the group for long."""
+
+
+@record(85, key="s", life="Q", seq="I", crowd="H", held="b")
+class Up:
+    """All that a follower has in flight, to its relay."""
+
+
+@record(86, key="s", life="Q", seq="I", crowd="H", lo="I", hi="I", cover=[Cover], held="b", singles=[Single])
+class Sum:
+    """A relay's group, to the other relays: whom it covers, their sum, and those told one by one.
+
+    ``lo`` to ``hi``: the resources that this piece tells of, both included.
+    ``crowd``: the least number that any of them divides by, 0 for none.
+    """
+
+
+@record(87, key="s", life="Q", seq="I", crowd="H", age="I", lo="I", hi="I", cover=[Cover], held="b")
+class Total:
+    """All that a relay knows, to its followers; ``cover``: which word of each follower is in it.
+
+    ``age``: for how many ms the relay has been out of touch with half of the relays.
+    """
+
+
+@record(88, hop="B", reads=[Read])
+class Reads:
+    """Long parts of prompts that went out to be read; ``hop``: 0 up, 1 across, 2 down."""
+
+
+def short(number):
+    """A resource's short number.
+
+    >>> short(0xAABBCCDD11223344) == 0xAABBCCDD
+    True
+    """
+    return number >> 32
+
+
+def holder(key, life):
+    """The number of one life of a holder.
+
+    >>> holder("a:1", 1) != holder("a:1", 2)
+    True
+    """
+    return int.from_bytes(blake2b(f"{key}|{life}".encode(), digest_size=8).digest())
+
+
+def _put(n, out):
+    while n > 127:
+        out.append(n & 127 | 128)
+        n >>= 7
+    out.append(n)
+
+
+def _take(raw, at):
+    n = shift = 0
+    while True:
+        b = raw[at]
+        n, at, shift = n | (b & 127) << shift, at + 1, shift + 7
+        if b < 128:
+            return n, at
+
+
+def coded(held):
+    """Bytes for {short number: (calls, tokens, silent, good, bad, blamers)}.
+
+    >>> decoded(coded({7: (2, 33, 0, 0, 0, 0), 9: (1, 0, 1, 5, 2, 1)}))
+    {7: (2, 64, 0, 0, 0, 0), 9: (1, 0, 1, 5, 2, 1)}
+    >>> len(coded({7: (2, 3200, 0, 0, 0, 0)}))
+    6
+    """
+    out = bytearray()
+    for k, v in held.items():
+        more = any(v[2:])
+        out += _SHORT.pack(k)
+        _put(v[0] << 1 | more, out)
+        _put(-(-v[1] // UNIT), out)
+        if more:
+            for n in v[2:]:
+                _put(n, out)
+    return bytes(out)
+
+
+def decoded(raw):
+    """The opposite of ``coded``; raises Broken.
+
+    >>> decoded(b"abc")
+    Traceback (most recent call last):
+    ...
+    sparloom.wire.records.Broken: no counts
+    """
+    out, at = {}, 0
+    try:
+        while at < len(raw):
+            (k,) = _SHORT.unpack_from(raw, at)
+            n, at = _take(raw, at + 4)
+            t, at = _take(raw, at)
+            rest = [0, 0, 0, 0]
+            if n & 1:
+                for i in range(4):
+                    rest[i], at = _take(raw, at)
+            out[k] = (n >> 1, t * UNIT, *rest)
+    except (struct.error, IndexError) as e:
+        raise Broken("no counts") from e
+    return out
+
+
+def ranges(shorts, pieces):
+    """Cuts the resources into ranges of about as many each, the first from 0, the last to the end.
+
+    >>> ranges([1, 5, 9, 12], 2)
+    [(0, 8), (9, 4294967295)]
+    >>> ranges([], 1)
+    [(0, 4294967295)]
+    """
+    keys = sorted(shorts)
+    cuts = [0] + [keys[len(keys) * i // pieces] for i in range(1, pieces)] + [LAST + 1]
+    return [(a, b - 1) for a, b in zip(cuts, cuts[1:], strict=False) if a < b]
--- /dev/null
+++ b/tests/fleet_of_sums.py
@@ -0,0 +1,135 @@
+"""A fleet of the tier's machines on a simulated net: seeded luck, no sleeping."""
+import heapq
+import random
+from datetime import timedelta
+from itertools import count
+
+from sparloom.relay import plan
+from sparloom.sums import Sums
+
+MS = timedelta(milliseconds=1)
+CONTACT = 3000 * MS
+SHARED = 10 ** 6
+
+
+class Fleet:
+    """Each node holds one call at a resource of its own (its index), and some at shared ones."""
+
+    def __init__(self, n, zones=3, seed=1, loss=0.03, twice=0.02, churn=0):
+        self.rng, self.now, self.tie, self.todo = random.Random(seed), 0 * MS, count(), []
+        self.loss, self.twice, self.churn = loss, twice, churn
+        self.names = [f"n{i}" for i in range(n)]
+        self.zone = {k: f"z{i % zones}" for i, k in enumerate(self.names)}
+        self.nodes, self.lives, self.sent, self.size = {}, count(1), {k: 0 for k in self.names}, {k: 0 for k in self.names}
+        self.off, self.frozen, self.cuts, self.queue = set(), set(), set(), {}
+        self.views, self.held, self.changed = {}, {k: {} for k in self.names}, {}
+        for k in self.names:
+            self.boot(k)
+        for k in self.names:
+            for o in self.names:
+                self.views[k][o] = self.nodes[o].life
+
+    def boot(self, k):
+        """A new life of a node; the others learn of it within a sixth of the contact bound."""
+        self.nodes[k] = s = Sums(k, next(self.lives), CONTACT)
+        self.off.discard(k)
+        self.views[k] = {o: self.nodes[o].life for o in self.nodes if o not in self.off}
+        self.held[k] = {}
+        for o in self.names:
+            if o != k:
+                self.at(self.rng.random() * CONTACT / 6, lambda o=o, life=s.life: self.learn(o, k, life))
+        self.at(self.rng.random() * 50 * MS, lambda: self.tick(k, s))
+
+    def learn(self, o, k, life):
+        if o in self.nodes and self.nodes[k].life == life and k not in self.off:
+            self.views[o][k] = life
+            self.nodes[o].gone(k, life)
+
+    def kill(self, k):
+        """It is gone; the others know between 0.3 and 0.7 of the contact bound later."""
+        self.off.add(k)
+        life = self.nodes[k].life
+        for o in self.names:
+            if o != k:
+                self.at((0.3 + 0.4 * self.rng.random()) * CONTACT, lambda o=o: self.forget(o, k, life))
+
+    def forget(self, o, k, life):
+        if self.views[o].get(k) == life and (k in self.off or self.nodes[k].life != life):
+            del self.views[o][k]
+            self.nodes[o].gone(k)
+
+    def thaw(self, k):
+        self.frozen.discard(k)
+        for rec in self.queue.pop(k, []):
+            self.nodes[k].hear(self.now, rec)
+
+    def at(self, d, fn):
+        heapq.heappush(self.todo, (self.now + d, next(self.tie), fn))
+
+    def tick(self, k, s):
+        if k in self.off or self.nodes[k] is not s:
+            return
+        if k not in self.frozen:
+            self._churn(k)
+            up = {o: life for o, life in self.views[k].items() if o != k}
+            s.see(self.now, plan(k, self.zone[k], [(o, self.zone[o]) for o in up]), up)
+            own = {self.names.index(k): (1, 0, 0, 0, 0, 0)} | {SHARED + r: (n, 0, 0, 0, 0, 0) for r, n in self.held[k].items() if n}
+            s.note(self.now, own, 1)
+            for m in s.beat(self.now):
+                self.send(k, m)
+        self.at(50 * MS, lambda: self.tick(k, s))
+
+    def _churn(self, k):
+        for r in range(self.churn):
+            n, x = self.held[k].get(r, 0), self.rng.random()
+            if x < 0.02:
+                self.held[k][r] = n + 1
+            elif x < 0.04 and n:
+                self.held[k][r] = n - 1
+
+    def send(self, k, m):
+        from sparloom.wire import pack
+        raw = len(pack(m.rec))
+        self.biggest = max(getattr(self, "biggest", 0), raw)
+        for to in m.to:
+            self.sent[k] += 1
+            self.size[k] += raw + 28
+            for _ in range(1 + (self.rng.random() < self.twice)):
+                if (k, to) not in self.cuts and self.rng.random() > self.loss:
+                    self.at((1 + 20 * self.rng.random() ** 4) * MS, lambda to=to: self.arrive(to, m.rec))
+
+    def arrive(self, to, rec):
+        if to in self.frozen:
+            q = self.queue.setdefault(to, [])
+            if len(q) < 200:
+                q.append(rec)
+        elif to in self.nodes and to not in self.off:
+            self.nodes[to].hear(self.now, rec)
+
+    def run(self, span, check=None, every=100 * MS):
+        """Moves time on; ``check`` is called now and then."""
+        end, nxt = self.now + span, self.now + every
+        while self.todo and self.todo[0][0] <= end:
+            while check and nxt <= self.todo[0][0]:
+                self.now = nxt
+                check()
+                nxt += every
+            self.now, _, fn = heapq.heappop(self.todo)
+            fn()
+        self.now = end
+
+    def running(self):
+        return [k for k in self.names if k not in self.off and k not in self.frozen]
+
+    def private(self, k):
+        """What a node counts of the others' own calls: {index: calls}."""
+        return {r: v[0] for r, v in (self.nodes[k].view(self.now) or {}).items() if r < SHARED and v[0]}
+
+    def missing(self, k, of=None):
+        have = self.private(k)
+        return {o for o in (of or self.names) if o != k and o not in self.off and self.names.index(o) not in have}
+
+    def error(self, k, shared):
+        """The mean absolute error of a node's counts at the shared resources."""
+        got = self.nodes[k].view(self.now) or {}
+        return sum(abs(got.get(SHARED + r, (0,))[0] - sum(self.held[o].get(r, 0) for o in self.names if o != k)) for r in range(shared)) / shared
