--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -70,20 +70,22 @@
         pass
 
     def send(self, to, rec):
-        """Sends a record to HOST:PORT; it may get lost.
+        """Sends a record to HOST:PORT, or to each of a tuple of them; it may get lost.
 
         >>> Datagrams.send.__name__
         'send'
         """
         if self.transport is None or self.transport.is_closing():
             return
-        addr = self.addrs.get(to)
-        if addr is None:
-            host, _, port = to.rpartition(":")
-            if not host or not port.isdigit():
-                return
-            addr = self.addrs[to] = (host, int(port))
-        self.transport.sendto(pack(rec), addr)
+        raw = pack(rec)
+        for t in (to,) if isinstance(to, str) else to:
+            addr = self.addrs.get(t)
+            if addr is None:
+                host, _, port = t.rpartition(":")
+                if not host or not port.isdigit():
+                    continue
+                addr = self.addrs[t] = (host, int(port))
+            self.transport.sendto(raw, addr)
 
     def close(self):
         """Closes the socket.
--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -111,7 +111,7 @@
         if self.acting:
             if self.since is None:
                 self.since = now
-                self._word(now)
+                self.word(now)
             self.parent = None
         else:
             if self.since is not None:
@@ -123,6 +123,11 @@
         """Whether this node works as a relay: by the plan, or since some follow it all the same."""
         return bool(self.tier and self.tier.relay or self.group)
 
+    @property
+    def busy(self):
+        """Whether anything of a tier is still at work here, whatever the plan says."""
+        return bool(self.group or self.farewell or self.total or self.since is not None)
+
     def _choose(self, now, prefer):
         able = [p for p in self.tier.parents if p in self.up] if self.tier else []
         if not able:
@@ -140,7 +145,7 @@
             to = well[0]
         if to != self.parent:
             self.parent, self.joined = to, now
-            self._word(now)
+            self.word(now)
 
     def note(self, now, held, crowd):
         """Takes what this node holds now, {short number: (calls, tokens, silent, good, bad, blamers)}.
@@ -151,13 +156,15 @@
         held = {k: (v[0], -(-v[1] // UNIT) * UNIT, *v[2:]) for k, v in held.items()}
         if held != self.held or crowd != self.crowd or not self.words:
             self.held, self.crowd = held, crowd
-            self._word(now)
+            self.word(now)
 
-    def _word(self, now):
+    def word(self, now):
+        """The number of a new word of this node, which holds what was noted last."""
         self.seq += 1
         self.words.append((now, self.seq, self.held))
         while len(self.words) > 1 and now - self.words[1][0] > 4 * self.contact:
             self.words.popleft()
+        return self.seq
 
     def _own(self, seq):
         return next((h for _, q, h in reversed(self.words) if q <= seq), None)
@@ -173,6 +180,14 @@
                     self.past.append(holder(key, d[key].life))
                 del d[key]
 
+    def heard(self):
+        """The keys of those whose words are kept.
+
+        >>> Sums("a", 1, timedelta(seconds=3)).heard()
+        set()
+        """
+        return {*self.group, *self.relays, *self.direct}
+
     # -- words in -----------------------------------------------------------
     def hear(self, now, rec):
         """Takes a word of the tier.
@@ -310,7 +325,7 @@
         if self.farewell:
             self.farewell -= 1
             self.out_seq += 1
-            out.append(Send(self._others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [])))
+            out.append(Send(self.others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [])))
         if self.parent and self._due(now, "up", UP, (self.parent, self.seq)):
             out.append(Send((self.parent,), Up(self.key, self.life, self.seq, self.crowd, coded(self.held))))
         return out
@@ -322,7 +337,8 @@
         self.sent[what] = (now, state)
         return True
 
-    def _others(self, now):
+    def others(self, now):
+        """The other relays: those of the plan, and those that were heard as such."""
         heard = {k for k, r in self.relays.items() if now - r.heard <= self.contact and any(p.cover or p.singles for p in r.newest)}
         return tuple(k for k in {*(self.tier.relays if self.tier else ()), *heard} if k in self.up and k != self.key)
 
@@ -339,7 +355,7 @@
     def _as_relay(self, now):
         out = []
         state = (self.seq, *(m.piece.seq for m in self.group.values()))
-        others = self._others(now)
+        others = self.others(now)
         if others and self._due(now, "across", ACROSS, state):
             out += [Send(others, rec) for rec in self._sums(now)]
         if self.group and self._sure(now):
--- a/libs/sums/words.py
+++ b/libs/sums/words.py
@@ -14,7 +14,7 @@
 LAST = 0xFFFFFFFF
 ROOM = 1000
 _SHORT = struct.Struct("!I")
-ACROSS, DOWN = 1, 2
+UP, ACROSS, DOWN = 0, 1, 2
 
 
 @record(83, holder="Q", seq="I")
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -5,9 +5,11 @@
 heard from it for ``stale``. Until then the last word counts in full: a peer
 that can't be reached is taken to still hold its slots, so a late count errs
 towards shorter timeouts. After ``stale`` it counts nothing, so that a lost
-peer can't hold a runner's slots for ever.
+peer can't hold a runner's slots for ever. Where words go through a tier of
+relays, ``sparloom.sums`` says how the same rule holds.
 """
 from datetime import timedelta
+from operator import add
 
 from attrs import define, field
 
@@ -15,6 +17,8 @@
 
 from .buckets import pick
 
+NONE = (0, 0, 0, 0, 0, 0)
+
 
 @record(80, resource="Q", calls="H", tokens="I", silent="H", good="H", bad="H", blamers="H")
 class Held:
@@ -95,6 +99,9 @@
 class Counts:
     """The shared in-flight counts, as one node knows them.
 
+    ``shared``: what a tier of relays tells of all others, by resource; None
+    where peers tell each other directly.
+
     >>> c = Counts(timedelta(seconds=3))
     >>> from .buckets import Bucket
     >>> s = c.take("r", [Bucket(timedelta(seconds=1), 1)], timedelta(0))
@@ -110,9 +117,20 @@
     weight: dict = field(factory=dict)
     peers: dict = field(factory=dict)
     callers: dict = field(factory=dict)
+    shared: dict | None = None
+    _sum: dict = field(factory=dict)
+    _until: timedelta | None = None
 
     def _told(self, resource, now, part):
-        return sum(p.held[resource][part] for p in self.peers.values() if resource in p.held and now - p.heard <= self.stale)
+        if self.shared is not None:
+            return self.shared.get(resource, NONE)[part]
+        if self._until is None or now > self._until:
+            fresh = [p for p in self.peers.values() if now - p.heard <= self.stale]
+            self._until, self._sum = min((p.heard for p in fresh), default=now) + self.stale, {}
+            for p in fresh:
+                for r, v in p.held.items():
+                    self._sum[r] = tuple(map(add, self._sum.get(r, NONE), v))
+        return self._sum.get(resource, NONE)[part]
 
     def count(self, resource, now):
         """Calls in flight at a resource across all nodes.
@@ -202,6 +220,7 @@
         self.callers[rec.key, rec.life] = now
         held = {names[h.resource]: (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held if h.resource in names}
         self.peers[rec.key] = _Peer(rec.life, rec.seq, now, held, rec.crowd)
+        self._until = None
 
     def drop(self, key, life=None):
         """A holder is known gone: its slots are free.
@@ -210,6 +229,7 @@
         """
         if key in self.peers and (life is None or self.peers[key].life != life):
             del self.peers[key]
+            self._until = None
 
     def processes(self, now, span=timedelta(seconds=60)):
         """How many processes have called within a span, this one included.
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -10,13 +10,13 @@
 from sparloom.recover import Budget
 from sparloom.relay import Tier, plan
 from sparloom.shares import Crowd
-from sparloom.timeouts import Counts, Holding
+from sparloom.timeouts import Counts
 
 from .fleet import Fleet
 from .follow import Follow
 from .line import Lines
 from .serve import Serve
-from .tell import Tell
+from .tell import WORDS, Tell
 
 TICK = timedelta(milliseconds=50)
 
@@ -81,9 +81,8 @@
                 await p.session.close()
 
     def _arrive(self, src, rec):
-        if isinstance(rec, Holding):
-            if self.swim.holds(rec.key, rec.life):
-                self.tell.hear(rec)
+        if isinstance(rec, WORDS):
+            self.tell.hear(rec, src)
         elif isinstance(rec, (Ping, Ack, Relay, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
@@ -92,13 +91,12 @@
     def _drop_ended(self):
         """Holders that are known gone take their slots with them."""
         for key, life in self.swim.take_ended():
-            self.counts.drop(key, life)
+            self.tell.gone(key, life)
 
     def count(self):
         """Notes by how many routers the whole is divided."""
         up = {p.key for p in self.swim.alive() if p.role == ROUTER}
-        told = {k: p.crowd for k, p in self.counts.peers.items() if k in up}
-        self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, told)
+        self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, self.tell.crowds())
 
     def see_tier(self):
         """Plans the tier again when membership has changed; suspects are members still."""
@@ -120,8 +118,7 @@
             if turn % 4 == 1:
                 self.count()
                 self.see_tier()
-            if turn % 4 == 0 or self.tell.soon:
-                self.tell.beat(turn)
+            self.tell.beat(turn)
             await asyncio.sleep(TICK.total_seconds())
 
     def renew(self):
--- a/sparloom/router/tell.py
+++ b/sparloom/router/tell.py
@@ -1,11 +1,19 @@
-"""What this router tells the others of its calls, and what it hears from them."""
+"""What this router tells the others of its calls, and what it hears from them.
+
+In a small fleet each router tells every other. Where a tier of relays stands,
+words go through it (``sparloom.sums``).
+"""
 import os
+from functools import singledispatchmethod
 
 from sparloom.link import steady
 from sparloom.members import ROUTER
+from sparloom.sums import ACROSS, DOWN, UP, Reads, Sum, Sums, Total, Up, short
 from sparloom.timeouts import Held, Holding, Read
 
 LONG = 1024
+MANY = 50
+WORDS = (Holding, Up, Sum, Total, Reads)
 
 
 class Tell:
@@ -13,41 +21,142 @@
 
     def __init__(self, know):
         self.know = know
-        self.life, self.seq, self.said = int.from_bytes(os.urandom(7)), 0, None
-        self.reads, self.soon = [], False
+        self.life, self.said = int.from_bytes(os.urandom(7)), None
+        self.sums = Sums(know.key, self.life, know.up.bounds.contact)
+        self.reads, self.down, self.soon = [], {}, False
+        self.fleet, self.shorts, self.tiered = None, {}, False
 
     def sent(self, post, parts):
         """A prompt went out: the other routers hear at once of its long parts."""
-        self.reads += [Read(post.number, k, n) for k, n in parts if n >= LONG]
-        if self.reads:
-            self.beat(0)
+        reads = [Read(post.number, k, n) for k, n in parts if n >= LONG]
+        if reads and self.tiered:
+            self._pass_on(reads, UP, self.know.key)
+        elif reads:
+            self.reads += reads
+            self._directly(0)
 
     def was_read(self, slot):
         """A prompt has been read; a long one is told at the next beat."""
         self.soon = self.soon or slot.tokens >= LONG
         slot.read(slot.tokens)
 
-    def beat(self, turn):
-        """Tells what this router holds, if it changed or was not told for long."""
+    # -- words out ----------------------------------------------------------
+    def _held(self):
+        """What this router holds now, per runner."""
         k, now = self.know, steady()
         posts = k.fleet.posts
-        held = [
+        return [
             Held(posts[id].number, min(n, 0xFFFF), min(k.counts.weight.get(id, 0), 0xFFFFFFFF), int(posts[id].silent > 0 and posts[id].doubted(now)), 0, 0, 0)
             for id, n in k.counts.own.items() if id in posts
         ]
+
+    def beat(self, turn):
+        """Tells what is due; called some twenty times a second."""
+        k = self.know
+        was, self.tiered = self.tiered, k.tier.stands or self.sums.busy
+        if not k.tier.stands and (turn % 4 == 0 or self.soon):
+            self._directly(turn)
+        if self.tiered or was:
+            self._through(was)
+            if turn % (2 if self.sums.acting else 4) == 0 or not self.tiered:
+                self._take_view(steady())
+
+    def _directly(self, turn):
+        k, held = self.know, self._held()
         if held == self.said and turn % 20 and not self.reads:
             return
-        self.said, self.seq, self.soon = held, self.seq + 1, False
-        rec, self.reads = Holding(k.key, self.life, self.seq, k.crowd.divisor, held, self.reads), []
-        for p in k.swim.alive():
-            if p.role == ROUTER:
-                k.net.send(p.key, rec)
-
-    def hear(self, rec):
-        """Takes another router's word."""
+        self.said, self.soon = held, False
+        rec, self.reads = Holding(k.key, self.life, self.sums.word(steady()), k.crowd.divisor, held, self.reads), []
+        k.net.send(tuple(self._up()), rec)
+
+    def _through(self, was):
+        k, now, up = self.know, steady(), self._up()
+        if not was:
+            for key, p in k.counts.peers.items():
+                self.sums.hear_direct(p.heard, key, p.life, p.seq, {short(k.fleet.posts[id].number): v for id, v in p.held.items() if id in k.fleet.posts})
+        self.sums.see(now, k.tier, up, k.follow.upstream.parent)
+        self.sums.note(now, {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in self._held()}, k.crowd.divisor)
+        for s in self.sums.beat(now):
+            k.net.send(s.to, s.rec)
+        self._pass_down()
+        self.soon = False
+
+    def _up(self):
+        return {p.key: p.life for p in self.know.swim.alive() if p.role == ROUTER}
+
+    def _take_view(self, now):
+        """What the tier told becomes what the counts say of the others."""
         k = self.know
-        names = k.fleet.numbers
-        k.counts.hear(rec, steady(), names)
-        for r in rec.reads:
-            if r.resource in names:
-                k.fleet.posts[names[r.resource]].kept.saw(((r.part, r.tokens),))
+        if self.fleet is not k.fleet:
+            self.fleet, self.shorts = k.fleet, {}
+            for p in k.fleet.posts.values():
+                self.shorts.setdefault(short(p.number), []).append(p.id)
+        view = self.sums.view(now, [key for key, p in k.counts.peers.items() if now - p.heard <= k.counts.stale])
+        k.counts.shared = None if view is None else {id: v for s, v in view.items() for id in self.shorts.get(s, ())}
+
+    # -- long prompts read -------------------------------------------------
+    def _pass_on(self, reads, hop, src):
+        """Long parts go up, across and down, each way once."""
+        k, s = self.know, self.sums
+        if not s.acting:
+            if hop == UP and s.parent:
+                k.net.send(s.parent, Reads(UP, reads))
+            return
+        if hop == UP:
+            k.net.send(s.others(steady()), Reads(ACROSS, reads))
+        if hop != DOWN:
+            self.down |= {(r.resource, r.part): (r, src) for r in reads}
+
+    def _pass_down(self):
+        todo, self.down = list(self.down.values()), {}
+        for i in range(0, len(todo), MANY):
+            some = todo[i:i + MANY]
+            only = {src for _, src in some}
+            to = tuple(key for key in self.sums.group if {key} != only)
+            self.know.net.send(to, Reads(DOWN, [r for r, _ in some]))
+
+    def _saw(self, reads):
+        fleet = self.know.fleet
+        for r in reads:
+            if r.resource in fleet.numbers:
+                fleet.posts[fleet.numbers[r.resource]].kept.saw(((r.part, r.tokens),))
+
+    # -- words in -------------------------------------------------------------
+    @singledispatchmethod
+    def hear(self, rec, src):
+        """Takes another router's word; one of a life that is known gone tells nothing."""
+        now = steady()
+        if not self.know.swim.holds(rec.key, rec.life):
+            return
+        self.sums.hear(now, rec)
+        if isinstance(rec, Total):
+            self._take_view(now)
+
+    @hear.register
+    def _(self, rec: Holding, src):
+        k, now = self.know, steady()
+        if not k.swim.holds(rec.key, rec.life):
+            return
+        k.counts.hear(rec, now, k.fleet.numbers)
+        if self.tiered:
+            self.sums.hear_direct(now, rec.key, rec.life, rec.seq, {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held})
+        self._saw(rec.reads)
+
+    @hear.register
+    def _(self, rec: Reads, src):
+        self._saw(rec.reads)
+        self._pass_on(rec.reads, rec.hop, src)
+
+    def gone(self, key, life):
+        """A router's lives, all but one, are known gone: they hold nothing any more."""
+        self.know.counts.drop(key, life)
+        self.sums.gone(key, life)
+
+    def crowds(self):
+        """What the others divide by, as far as they told; a newcomer waits for its first total."""
+        k, now, up = self.know, steady(), self._up()
+        if k.counts.shared is not None:
+            return self.sums.crowds(now)
+        told = {key: p.crowd for key, p in k.counts.peers.items() if key in up}
+        waits = self.tiered and now - k.born < k.up.bounds.contact
+        return told | {"": 0} if waits else told
