--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -349,7 +349,7 @@
         datetime.timedelta(0)
         """
         others = [k for k in (self.tier.relays if self.tier else ()) if k != self.key]
-        ages = sorted([ZERO, *(now - (self.relays[k].heard if k in self.relays else self.since or now) for k in others)])
+        ages = sorted([ZERO, *(now - (self.relays[k].heard if k in self.relays else now if self.since is None else self.since) for k in others)])
         return ages[-(-len(ages) // 2) - 1]
 
     def _as_relay(self, now):
--- a/libs/sums/words.py
+++ b/libs/sums/words.py
@@ -116,17 +116,23 @@
     ...
     sparloom.wire.records.Broken: no counts
     """
-    out, at = {}, 0
+    out, at, size = {}, 0, len(raw)
     try:
-        while at < len(raw):
+        while at < size:
             (k,) = _SHORT.unpack_from(raw, at)
-            n, at = _take(raw, at + 4)
-            t, at = _take(raw, at)
-            rest = [0, 0, 0, 0]
+            n, t = raw[at + 4], raw[at + 5]
+            at += 6
+            if n > 127 or t > 127:
+                n, at = _take(raw, at - 2)
+                t, at = _take(raw, at)
             if n & 1:
-                for i in range(4):
-                    rest[i], at = _take(raw, at)
-            out[k] = (n >> 1, t * UNIT, *rest)
+                rest = []
+                for _ in range(4):
+                    v, at = _take(raw, at)
+                    rest.append(v)
+                out[k] = (n >> 1, t * UNIT, *rest)
+            else:
+                out[k] = (n >> 1, t * UNIT, 0, 0, 0, 0)
     except (struct.error, IndexError) as e:
         raise Broken("no counts") from e
     return out
--- a/tests/fleet_of_sums.py
+++ b/tests/fleet_of_sums.py
@@ -5,7 +5,9 @@
 from itertools import count
 
 from sparloom.relay import plan
+from sparloom.shares import Crowd
 from sparloom.sums import Sums
+from sparloom.wire import pack
 
 MS = timedelta(milliseconds=1)
 CONTACT = 3000 * MS
@@ -13,16 +15,17 @@
 
 
 class Fleet:
-    """Each node holds one call at a resource of its own (its index), and some at shared ones."""
+    """Each life of a node holds one call at a resource of its own (its number), and some at shared ones."""
 
-    def __init__(self, n, zones=3, seed=1, loss=0.03, twice=0.02, churn=0):
+    def __init__(self, n, zones=3, seed=1, loss=0.03, twice=0.02, churn=0, private=True):
         self.rng, self.now, self.tie, self.todo = random.Random(seed), 0 * MS, count(), []
-        self.loss, self.twice, self.churn = loss, twice, churn
+        self.loss, self.twice, self.churn, self.own = loss, twice, churn, private
         self.names = [f"n{i}" for i in range(n)]
         self.zone = {k: f"z{i % zones}" for i, k in enumerate(self.names)}
         self.nodes, self.lives, self.sent, self.size = {}, count(1), {k: 0 for k in self.names}, {k: 0 for k in self.names}
-        self.off, self.frozen, self.cuts, self.queue = set(), set(), set(), {}
-        self.views, self.held, self.changed = {}, {k: {} for k in self.names}, {}
+        self.off, self.frozen, self.cuts, self.queue, self.plans, self.biggest = set(), set(), set(), {}, {}, 0
+        self.crowds, self.recorded = {}, n
+        self.views, self.held = {}, {}
         for k in self.names:
             self.boot(k)
         for k in self.names:
@@ -40,6 +43,13 @@
                 self.at(self.rng.random() * CONTACT / 6, lambda o=o, life=s.life: self.learn(o, k, life))
         self.at(self.rng.random() * 50 * MS, lambda: self.tick(k, s))
 
+    def join(self):
+        """A router that was not there before."""
+        k = f"n{len(self.names)}"
+        self.names.append(k)
+        self.zone[k], self.sent[k], self.size[k] = self.zone[self.names[0]], 0, 0
+        self.boot(k)
+
     def learn(self, o, k, life):
         if o in self.nodes and self.nodes[k].life == life and k not in self.off:
             self.views[o][k] = life
@@ -72,13 +82,21 @@
         if k not in self.frozen:
             self._churn(k)
             up = {o: life for o, life in self.views[k].items() if o != k}
-            s.see(self.now, plan(k, self.zone[k], [(o, self.zone[o]) for o in up]), up)
-            own = {self.names.index(k): (1, 0, 0, 0, 0, 0)} | {SHARED + r: (n, 0, 0, 0, 0, 0) for r, n in self.held[k].items() if n}
-            s.note(self.now, own, 1)
+            s.see(self.now, self.plan(k, up), up)
+            own = ({s.life: (1, 0, 0, 0, 0, 0)} if self.own else {}) | {SHARED + r: (n, 0, 0, 0, 0, 0) for r, n in self.held[k].items() if n}
+            c = self.crowds.setdefault(s.life, Crowd(CONTACT))
+            told = s.crowds(self.now) if s.view(self.now) is not None else {"": 0}
+            c.see(self.now, 1 + len(up), self.recorded, told)
+            s.note(self.now, own, c.divisor)
             for m in s.beat(self.now):
                 self.send(k, m)
         self.at(50 * MS, lambda: self.tick(k, s))
 
+    def plan(self, k, up):
+        if self.plans.get(k, (None,))[0] != up.keys():
+            self.plans[k] = (set(up), plan(k, self.zone[k], [(o, self.zone[o]) for o in up]))
+        return self.plans[k][1]
+
     def _churn(self, k):
         for r in range(self.churn):
             n, x = self.held[k].get(r, 0), self.rng.random()
@@ -88,9 +106,8 @@
                 self.held[k][r] = n - 1
 
     def send(self, k, m):
-        from sparloom.wire import pack
         raw = len(pack(m.rec))
-        self.biggest = max(getattr(self, "biggest", 0), raw)
+        self.biggest = max(self.biggest, raw)
         for to in m.to:
             self.sent[k] += 1
             self.size[k] += raw + 28
@@ -122,12 +139,12 @@
         return [k for k in self.names if k not in self.off and k not in self.frozen]
 
     def private(self, k):
-        """What a node counts of the others' own calls: {index: calls}."""
+        """What a node counts of each life's own call: {life: calls}."""
         return {r: v[0] for r, v in (self.nodes[k].view(self.now) or {}).items() if r < SHARED and v[0]}
 
     def missing(self, k, of=None):
         have = self.private(k)
-        return {o for o in (of or self.names) if o != k and o not in self.off and self.names.index(o) not in have}
+        return {o for o in (of or self.names) if o != k and o not in self.off and self.nodes[o].life not in have}
 
     def error(self, k, shared):
         """The mean absolute error of a node's counts at the shared resources."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,6 +7,8 @@
 
 from sparloom.shares import Away, Crowd, Gate, Granted, Need, Room, Waits, declared
 
+from .fleet_of_sums import Fleet as Sums
+
 MS = timedelta(milliseconds=1)
 S = timedelta(seconds=1)
 
@@ -150,3 +152,36 @@
         for c in crowds:
             c.see(0 * S, 1, 8, {})
         self.assertLessEqual(sum(c.part(320) for c in crowds), 320)
+
+    def through_a_tier(self, seed, steps, most, step):
+        f, rng, whole = Sums(24, seed=seed), random.Random(seed), 960
+        f.run(4 * S)
+
+        def check():
+            total = sum(f.crowds[f.nodes[k].life].part(whole) for k in f.names if k not in f.off)
+            self.assertLessEqual(total, most, (seed, f.now))
+
+        for _ in range(steps):
+            step(f, rng)
+            f.run(2 * S, check, 50 * MS)
+        self.assertGreater(min(f.crowds[f.nodes[k].life].divisor for k in f.running()), 24)
+        self.assertTrue(all(f.crowds[f.nodes[k].life].open for k in f.running()))
+
+    def test_newcomers_wait_for_all_also_when_the_numbers_come_through_a_tier(self):
+        """Up to six join at once; the eighth that is never granted stays whole."""
+        self.through_a_tier(1, 4, 960 * 7 // 8, lambda f, rng: [f.join() for _ in range(rng.randrange(1, 7))])
+
+    def test_the_parts_add_up_through_a_tier_with_deaths_and_cuts(self):
+        def step(f, rng):
+            r, k = rng.random(), rng.choice(f.running())
+            if r < 0.5:
+                f.join()
+            elif r < 0.7:
+                f.kill(k)
+            elif r < 0.9:
+                c = {(k, o) for o in f.names} | {(o, k) for o in f.names}
+                f.cuts |= c
+                f.at(2 * S, lambda: f.cuts.difference_update(c))
+
+        for seed in range(2):
+            self.through_a_tier(seed, 7, 960, step)
--- /dev/null
+++ b/tests/test_sums.py
@@ -0,0 +1,259 @@
+"""Counts through the tier of relays: who counts where, as groups change hands; a column per node."""
+import random
+import unittest
+from math import log, pi, sqrt
+
+from sparloom.relay import Tier
+from sparloom.sums import Sums, coded, decoded
+
+from .fleet_of_sums import CONTACT, MS, Fleet
+
+S = 1000 * MS
+
+
+def held(n, res=7):
+    return {res: (n, 0, 0, 0, 0, 0)} if n else {}
+
+
+class Line:
+    """Relays a and b, followers f of a and g of b; a step: who beats, and who hears it."""
+
+    def __init__(self):
+        self.now = 0 * MS
+        self.up = {"a": 1, "b": 1, "f": 1, "g": 1}
+        self.parents = {"f": ("a", "b"), "g": ("b", "a")}
+        self.nodes = {k: Sums(k, 1, CONTACT) for k in self.up}
+        self.holds, self.cut, self.loose = {"a": 1, "b": 2, "f": 4, "g": 8}, set(), []
+
+    def beat(self, span, prefer=None):
+        """All beat each 50 ms; datagrams arrive at once, save those of a cut."""
+        end = self.now + span
+        while self.now < end:
+            self.now += 50 * MS
+            for k, s in self.nodes.items():
+                up = {o: n for o, n in self.up.items() if o != k}
+                if k in up or k in self.up:
+                    s.see(self.now, Tier(("a", "b"), tuple(p for p in self.parents.get(k, ()) if p in up), k in "ab"), up, (prefer or {}).get(k))
+                    s.note(self.now, held(self.holds[k]), 4)
+                    for m in s.beat(self.now):
+                        for to in m.to:
+                            if (k, to) not in self.cut and to in self.nodes:
+                                self.nodes[to].hear(self.now, m.rec)
+
+    def counts(self):
+        return {k: (s.view(self.now) or {}).get(7, (None,))[0] for k, s in self.nodes.items()}
+
+
+class Timelines(unittest.TestCase):
+    def setUp(self):
+        self.x = Line()
+
+    def test_each_counts_all_others_once(self):
+        self.x.beat(S)
+        #                                      own 1    own 2    own 4    own 8
+        self.assertEqual(self.x.counts(), {"a": 14, "b": 13, "f": 11, "g": 7})
+        self.x.beat(9 * S)
+        self.assertTrue(all(p.cover for r in self.x.nodes["a"].relays.values() for p in r.standing))
+        self.assertEqual(self.x.counts(), {"a": 14, "b": 13, "f": 11, "g": 7})
+
+    def test_a_follower_that_moves_counts_once_at_every_step(self):
+        self.x.beat(10 * S)
+        for _ in range(400):
+            self.x.beat(50 * MS, {"f": "b"})
+            self.assertEqual(self.x.counts(), {"a": 14, "b": 13, "f": 11, "g": 7})
+        self.assertEqual((set(self.x.nodes["a"].group), set(self.x.nodes["b"].group)), (set(), {"f", "g"}))
+
+    def test_it_moves_while_its_relays_do_not_hear_each_other(self):
+        """b's claim does not reach a: a's sum with f's old word stands until a gives f up."""
+        self.x.beat(10 * S)
+        self.x.cut = {("b", "a")}
+        for _ in range(160):
+            self.x.beat(50 * MS, {"f": "b"})
+            got = self.x.counts()
+            self.assertLessEqual(got["b"], 13)
+            self.assertLessEqual(got["a"] or 0, 14)
+            self.assertEqual(got["f"], 11)
+        self.x.cut = set()
+        self.x.beat(S)
+        self.assertEqual(self.x.counts(), {"a": 14, "b": 13, "f": 11, "g": 7})
+
+    def test_the_own_word_that_a_total_holds_is_taken_off_also_when_it_is_old(self):
+        self.x.beat(10 * S)
+        self.x.cut = {("f", "a")}
+        self.x.holds["f"] = 40
+        self.x.beat(500 * MS)
+        self.assertEqual(self.x.counts()["f"], 11)
+
+    def test_a_silent_relay_is_left_within_a_third_of_the_contact_bound(self):
+        self.x.beat(10 * S)
+        self.x.cut = {("a", k) for k in "bfg"} | {(k, "a") for k in "bfg"}
+        self.x.beat(CONTACT / 3 + 150 * MS)
+        self.assertIn("f", self.x.nodes["b"].group)
+        self.x.beat(CONTACT)
+        self.assertEqual(self.x.counts()["g"], 6)
+
+    def test_a_relay_that_hears_no_other_says_so(self):
+        """Three relays: a is heard by f, and hears neither b nor c."""
+        a, now = Sums("a", 1, CONTACT), 10 * S
+        a.see(0 * S, Tier(("a", "b", "c"), (), True), {"b": 1, "c": 1, "f": 1})
+        self.assertEqual(a.age(now), now)
+        a.hear(now, _sum("b", 1, {}, 0))
+        self.assertEqual(a.age(now + S), S)
+
+    def test_a_gone_holders_slots_are_free_at_all(self):
+        self.x.beat(10 * S)
+        del self.x.up["f"], self.x.nodes["f"]
+        self.x.nodes["a"].gone("f")
+        self.x.beat(400 * MS)
+        self.assertEqual(self.x.counts(), {"a": 10, "b": 9, "g": 3})
+
+    def test_a_holder_that_is_silent_counts_for_one_contact_bound(self):
+        self.x.beat(10 * S)
+        del self.x.nodes["f"]
+        self.x.beat(CONTACT - 500 * MS)
+        self.assertEqual(self.x.counts(), {"a": 14, "b": 13, "g": 7})
+        self.x.beat(S)
+        self.assertEqual(self.x.counts(), {"a": 10, "b": 9, "g": 3})
+
+    def test_a_sum_that_overlaps_is_set_aside_and_the_one_before_stands(self):
+        r = Sums("r", 1, CONTACT)
+        r.see(0 * S, Tier(("a", "b", "r"), (), True), {"a": 1, "b": 1})
+        one = lambda key, seq, cover, n: r.hear(S, _sum(key, seq, cover, n))  # noqa: E731
+        one("a", 1, {1: 1, 2: 1}, 2)
+        one("b", 1, {3: 1}, 8)
+        one("b", 2, {3: 1, 2: 5}, 9)
+        self.assertEqual(r.view(S)[7][0], 10)
+        one("a", 2, {1: 1}, 1)
+        self.assertEqual(r.view(S)[7][0], 10)
+
+    def test_the_least_number_that_others_divide_by_comes_through(self):
+        x = self.x
+        x.beat(S)
+        self.assertEqual([set(s.crowds(x.now).values()) for s in x.nodes.values()], [{4}] * 4)
+        x.nodes["g"].note(x.now, held(8), 3)
+        x.cut = {("g", "b")}
+        x.beat(S)
+        x.cut = set()
+        x.nodes["b"].hear(x.now, _up("g", 99, 3))
+        x.beat(500 * MS)
+        self.assertEqual({k: min(s.crowds(x.now).values()) for k, s in x.nodes.items() if k != "g"}, {"a": 3, "b": 3, "f": 3})
+
+
+def _sum(key, seq, cover, n):
+    from sparloom.sums import Cover, Sum
+    return Sum(key, 1, seq, 1, 0, 0xFFFFFFFF, [Cover(h, q) for h, q in cover.items()], coded(held(n)), [])
+
+
+def _up(key, seq, crowd):
+    from sparloom.sums import Up
+    return Up(key, 1, seq, crowd, coded(held(8)))
+
+
+class Words(unittest.TestCase):
+    def test_what_is_coded_comes_back(self):
+        for seed in range(50):
+            rng = random.Random(seed)
+            d = {rng.randrange(1 << 32): (rng.randrange(300), 32 * rng.randrange(10 ** 5), *(rng.choice((0, 0, rng.randrange(200))) for _ in range(4))) for _ in range(rng.randrange(80))}
+            self.assertEqual(decoded(coded(d)), d)
+
+    def test_ten_thousand_runners_go_in_pieces_of_which_any_may_be_lost(self):
+        a, f = Sums("a", 1, CONTACT), Sums("f", 1, CONTACT)
+        tier = Tier(("a",), ("a",), False)
+        rng = random.Random(1)
+        shorts = rng.sample(range(1 << 32), 10 ** 4)
+        a.see(0 * S, Tier(("a",), (), True), {"f": 1})
+        a.note(0 * S, {k: (1, 0, 0, 0, 0, 0) for k in shorts}, 1)
+        f.see(0 * S, tier, {"a": 1})
+        f.note(0 * S, held(1, shorts[0]), 1)
+        for m in f.beat(0 * S):
+            a.hear(0 * S, m.rec)
+        first = [m.rec for m in a.beat(0 * S)]
+        self.assertLess(max(len(r.held) for r in first), 1100)
+        for rec in first:
+            f.hear(0 * S, rec)
+        self.assertEqual(len(f.view(0 * S)), 10 ** 4)
+        a.note(S, {k: (2, 0, 0, 0, 0, 0) for k in shorts}, 1)
+        for rec in [m.rec for m in a.beat(S)][::2]:
+            f.hear(S, rec)
+        got = f.view(S)
+        self.assertEqual((len(got), {v[0] for v in got.values()}), (10 ** 4, {1, 2}))
+
+
+def trouble(f, rng, kind):
+    """One trouble in a fleet; what it takes away comes back by itself."""
+    relays = [k for k in f.running() if f.nodes[k].acting] or f.running()
+    k = rng.choice(relays)
+    back = lambda k, ms: f.at(ms * MS, lambda: k in f.off and f.boot(k))  # noqa: E731
+    if kind == "kill":
+        f.kill(k)
+        back(k, rng.choice((200, 1500, 6000)))
+    elif kind == "freeze":
+        f.frozen.add(k)
+        f.at(rng.choice((300, 1500, 4000, 9000)) * MS, lambda: f.thaw(k))
+    elif kind in ("deaf", "mute"):
+        c = {(o, k) if kind == "deaf" else (k, o) for o in f.names}
+        f.cuts |= c
+        f.at(2500 * MS, lambda: f.cuts.difference_update(c))
+    elif kind == "zone":
+        for r in [r for r in relays if f.zone[r] == f.zone[k]]:
+            f.kill(r)
+            back(r, 3000)
+    elif kind == "herd":
+        for r in rng.sample(f.running(), len(f.names) // 3):
+            f.kill(r)
+            back(r, 800)
+
+
+class Storms(unittest.TestCase):
+    KINDS = ("kill", "freeze", "deaf", "mute", "zone", "herd", "none")
+
+    def storm(self, n, seed, steps):
+        f, rng = Fleet(n, seed=seed), random.Random(seed)
+        f.run(8 * S)
+
+        def check():
+            for k in f.running():
+                got = f.private(k)
+                self.assertLessEqual(max(got.values(), default=0), 1, (seed, f.now, k))
+                self.assertNotIn(f.nodes[k].life, got, (seed, f.now, k))
+
+        for _ in range(steps):
+            trouble(f, rng, rng.choice(self.KINDS))
+            f.run(S, check, 250 * MS)
+        # The last frozen one thaws after 9 s at most; then a contact bound and a half of calm.
+        f.run(9 * S + 1.5 * CONTACT, check, 500 * MS)
+        alive = {f.nodes[k].life for k in f.running()}
+        for k in f.running():
+            self.assertEqual(set(f.private(k)) | {f.nodes[k].life}, alive, (seed, k))
+        self.assertLess(f.biggest, 1200)
+
+    def test_no_call_counts_twice_and_all_count_in_the_end(self):
+        for seed in range(4):
+            self.storm(24, seed, 10)
+
+    def test_in_a_fleet_of_eighty(self):
+        self.storm(80, 1, 6)
+
+
+class Figures(unittest.TestCase):
+    def test_messages_per_node_grow_no_faster_than_the_logarithm(self):
+        """With the count of 20 nodes as the measure; each node's calls change all the time."""
+        got = {}
+        for n, span in ((20, 3 * S), (80, 2 * S), (320, S)):
+            f = Fleet(n, zones=5, churn=36, private=False)
+            f.run(800 * MS)
+            before = sum(f.sent.values()), sum(f.size.values())
+            f.run(span)
+            got[n] = [(x - y) / n / (span / S) for x, y in zip((sum(f.sent.values()), sum(f.size.values())), before, strict=True)]
+        for n in (80, 320):
+            self.assertLess(got[n][0], got[20][0] * log(n) / log(20), got)
+
+    def test_the_error_follows_from_the_staleness_and_not_from_the_nodes(self):
+        """Mean error of a count against sqrt(4 x calls a second x staleness / pi)."""
+        for n in (20, 80):
+            f, found = Fleet(n, churn=6, private=False), []
+            f.run(4 * S)
+            f.run(S, lambda f=f, found=found: found.extend(f.error(k, 6) for k in f.names[::4]))
+            # Each node at each tick of 50 ms begins a call with 0.02, and ends about as many.
+            rate = n * 0.02 / 0.05
+            self.assertLess(sum(found) / len(found), 1.3 * sqrt(4 * rate * 0.25 / pi), n)
--- /dev/null
+++ b/tests/test_tell.py
@@ -0,0 +1,123 @@
+"""Routers' words about calls and long prompts: directly in a small fleet, through the tier in a large one."""
+import random
+import unittest
+from datetime import timedelta
+from unittest import mock
+
+from sparloom.members import ROUTER, Peer, Swim, Times
+from sparloom.platform import Runner, RunnerList
+from sparloom.router import know as know_module
+from sparloom.router import tell as tell_module
+from sparloom.router.know import Know
+from sparloom.startup import from_dict
+from sparloom.timeouts import Bucket
+
+from .rig import STARTUP
+
+MS = timedelta(milliseconds=1)
+OPEN = [Bucket(timedelta(seconds=1), -1)]
+
+
+class Net:
+    def __init__(self, key, fleet):
+        self.key, self.fleet, self.sent = key, fleet, 0
+
+    def send(self, to, rec):
+        for t in (to,) if isinstance(to, str) else to:
+            self.sent += 1
+            self.fleet.routers[t].tell.hear(rec, self.key)
+
+
+class Routers:
+    """Routers that know each other, on a clock that is moved by hand."""
+
+    def __init__(self, n):
+        self.now, self.turn, self.routers = timedelta(seconds=100), 0, {}
+        for i in range(n):
+            up = from_dict({**STARTUP, "nodeName": f"front-{i}", "ipAddress": f"10.0.0.{i}", "zone": f"z{i % 3}"}).unwrap()
+            k = Know(up)
+            k.rng = random.Random(i)
+            k.swim = Swim(Peer(k.key, ROUTER, up.zone, "", k.tell.life, 0, 0), (), Times.of(timedelta(seconds=3)), k.rng)
+            k.net, k.listed = Net(k.key, self), RunnerList([Runner(f"i-{r}", "s", f"10.1.0.{r}:1", "z0", 8, False, 0) for r in range(4)], n)
+            k.fleet = k.fleet.renew(k.listed.runners, lambda s: 10 ** 6)
+            self.routers[k.key] = k
+        for k in self.routers.values():
+            for o in self.routers.values():
+                if o is not k:
+                    k.swim._learn(o.swim.me)
+        self.all = list(self.routers.values())
+
+    def beat(self, turns):
+        for _ in range(turns):
+            self.turn, self.now = self.turn + 1, self.now + 50 * MS
+            for k in self.all:
+                if self.turn % 4 == 1:
+                    k.count()
+                    k.see_tier()
+                k.tell.beat(self.turn)
+
+
+class Words(unittest.TestCase):
+    def setUp(self):
+        for m in (tell_module, know_module):
+            p = mock.patch.object(m, "steady", lambda: self.fleet.now if self.fleet else timedelta(seconds=100))
+            p.start()
+            self.addCleanup(p.stop)
+        self.fleet = None
+
+    def routers(self, n):
+        self.fleet = Routers(n)
+        self.fleet.beat(40)
+        return self.fleet.all
+
+    def test_each_counts_the_calls_of_all(self):
+        for n, tiered in ((4, False), (36, True)):
+            ks = self.routers(n)
+            self.assertEqual({k.tier.stands for k in ks}, {tiered})
+            slots = [k.counts.take("i-1", OPEN, self.fleet.now, 64) for k in ks]
+            self.fleet.beat(12)
+            self.assertEqual({(k.counts.count("i-1", self.fleet.now), k.counts.tokens("i-1", self.fleet.now)) for k in ks}, {(n, 64 * n)})
+            for s in slots[1:]:
+                s.free(self.fleet.now)
+            self.fleet.beat(12)
+            self.assertEqual({k.counts.count("i-1", self.fleet.now) for k in ks}, {1})
+            self.assertEqual(sum(k.counts.count("i-2", self.fleet.now) for k in ks), 0)
+
+    def test_long_parts_reach_all_within_a_beat(self):
+        for n in (4, 36):
+            ks = self.routers(n)
+            for k in (next(k for k in ks if not k.tier.relay), ks[-1], next((k for k in ks if k.tier.relay), ks[0])):
+                part = (k.rng.getrandbits(60), 5000)
+                k.tell.sent(k.fleet.posts["i-3"], (part, (1, 10)))
+                self.fleet.beat(1)
+                self.assertEqual([o.key for o in ks if o is not k and part[0] not in o.fleet.posts["i-3"].kept.parts], [])
+
+    def test_the_divisor_comes_through(self):
+        ks = self.routers(36)
+        self.assertEqual({k.crowd.divisor for k in ks}, {36})
+        self.assertEqual({min(k.tell.crowds().values()) for k in ks}, {36})
+        self.assertTrue(all(k.crowd.open for k in ks))
+
+    def test_a_fleet_that_shrinks_goes_back_to_direct_words(self):
+        ks = self.routers(30)
+        slots = [k.counts.take("i-1", OPEN, self.fleet.now) for k in ks]
+        self.fleet.beat(12)
+        for k in ks[6:]:
+            for o in ks[:6]:
+                o.swim._learn(Peer(k.key, ROUTER, k.up.zone, "", k.tell.life, 1, 2))
+                o.tell.members()
+        self.fleet.all = ks[:6]
+        for _ in range(20):
+            self.fleet.beat(4)
+            self.assertLessEqual(max(k.counts.count("i-1", self.fleet.now) for k in ks[:6]), 30)
+        self.assertEqual({(k.tier.stands, k.tell.tiered, k.counts.count("i-1", self.fleet.now)) for k in ks[:6]}, {(False, False, 6)})
+        self.assertEqual(len(slots), 30)
+
+    def test_datagrams_are_a_quarter_of_those_without_a_tier(self):
+        ks = self.routers(72)
+        before = sum(k.net.sent for k in ks)
+        for t in range(20):
+            for k in ks:
+                k.counts.take(f"i-{t % 4}", OPEN, self.fleet.now)
+            self.fleet.beat(1)
+        self.assertLess(sum(k.net.sent for k in ks) - before, 72 * 71 * 5 / 4)
