--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -181,14 +181,6 @@
                     self.past.append(holder(key, d[key].life))
                 del d[key]
 
-    def heard(self):
-        """The keys of those whose words are kept.
-
-        >>> Sums("a", 1, timedelta(seconds=3)).heard()
-        set()
-        """
-        return {*self.group, *self.relays, *self.direct}
-
     # -- words in -----------------------------------------------------------
     def hear(self, now, rec):
         """Takes a word of the tier.
--- a/sparloom/router/tell.py
+++ b/sparloom/router/tell.py
@@ -25,6 +25,7 @@
         self.sums = Sums(know.key, self.life, know.up.bounds.contact)
         self.reads, self.down, self.soon = [], {}, False
         self.fleet, self.shorts, self.tiered = None, {}, False
+        self.seen, self.up = None, {}
 
     def sent(self, post, parts):
         """A prompt went out: the other routers hear at once of its long parts."""
@@ -82,7 +83,10 @@
         self.soon = False
 
     def _up(self):
-        return {p.key: p.life for p in self.know.swim.alive() if p.role == ROUTER}
+        swim = self.know.swim
+        if self.seen != swim.version:
+            self.seen, self.up = swim.version, {p.key: p.life for p in swim.alive() if p.role == ROUTER}
+        return self.up
 
     def _take_view(self, now):
         """What the tier told becomes what the counts say of the others."""
--- a/tests/test_tell.py
+++ b/tests/test_tell.py
@@ -105,7 +105,7 @@
         for k in ks[6:]:
             for o in ks[:6]:
                 o.swim._learn(Peer(k.key, ROUTER, k.up.zone, "", k.tell.life, 1, 2))
-                o.tell.members()
+                o._drop_ended()
         self.fleet.all = ks[:6]
         for _ in range(20):
             self.fleet.beat(4)
