--- a/libs/relay/upstream.py
+++ b/libs/relay/upstream.py
@@ -107,6 +107,15 @@
         """
         return self.direct
 
+    @property
+    def depth(self):
+        """Hops to the controller: 1, or 2 under a relay.
+
+        >>> Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)).depth
+        1
+        """
+        return 1 if self.direct else 2
+
     def room(self):
         """How many followers it takes at most: four groups, since relays stand in for each other.
 
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -57,11 +57,13 @@
         try:
             await frames.write(self.shelf.follow(self.know.up.node, self.afresh))
             up.tracker.start(steady())
+            logging.info("feed: follows %s at depth %d.", to, up.depth)
             while True:
                 # After a stall of its own it first reads what waits, and then judges.
                 why = up.leave(steady())
                 rec = await self._read(frames, up.spans.contact / 100 if why else up.due(steady()))
                 if rec is None and why:
+                    logging.info("feed: leaves %s (%s).", to, why)
                     return why
                 if isinstance(rec, Pulse):
                     up.pulse(steady(), rec.age, rec.sent)
--- a/sparloom/router/serve.py
+++ b/sparloom/router/serve.py
@@ -83,7 +83,7 @@
         up, now = self.follow.upstream, steady()
         age = up.tracker.known(now)
         return {
-            "follows": up.parent, "depth": 1 if up.direct else 2, "ageMs": None if age is None else int(age / MS),
+            "follows": up.parent, "depth": up.depth, "ageMs": None if age is None else int(age / MS),
             "relay": up.tier.relay, "followers": sorted(self.followers.values()),
         }
 
