--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -9,6 +9,7 @@
 
 _SIZE = struct.Struct("!I")
 MOST = 1 << 25
+CHUNK = 1 << 16
 
 
 def tune(sock, dead=timedelta(seconds=2)):
@@ -102,10 +103,10 @@
     def __init__(self, reader, writer):
         self.reader, self.writer = reader, writer
 
-    async def read(self, begun=None):
+    async def read(self, progress=None):
         """The next record; raises EOFError, OSError or Broken at an end.
 
-        ``begun``: called once the record's size is here and its bytes are awaited.
+        ``progress``: called whenever a part of a record that is awaited has come.
 
         >>> Frames.read.__name__
         'read'
@@ -113,19 +114,36 @@
         (n,) = _SIZE.unpack(await self.reader.readexactly(_SIZE.size))
         if n > MOST:
             raise Broken("too long")
-        if begun:
-            begun()
-        return unpack(await self.reader.readexactly(n))
-
-    async def write(self, rec):
+        parts = []
+        while n:
+            if progress:
+                progress()
+            parts.append(await self.reader.read(min(n, CHUNK)))
+            if not parts[-1]:
+                raise EOFError("cut short")
+            n -= len(parts[-1])
+        return unpack(b"".join(parts))
+
+    async def write(self, rec, patience=None):
         """Writes a record.
 
+        ``patience``: raises TimeoutError once the other end has taken nothing for so long.
+
         >>> Frames.write.__name__
         'write'
         """
         raw = pack(rec)
         self.writer.write(_SIZE.pack(len(raw)) + raw)
-        await self.writer.drain()
+        if patience is None:
+            return await self.writer.drain()
+        while True:
+            left = self.writer.transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(patience.total_seconds()):
+                    return await self.writer.drain()
+            except TimeoutError:
+                if self.writer.transport.get_write_buffer_size() >= left:
+                    raise
 
     def close(self):
         """Closes the pipe at once.
--- a/libs/relay/plan.py
+++ b/libs/relay/plan.py
@@ -4,6 +4,7 @@
 for moments; nothing breaks then: a relay serves whoever follows it, and a
 follower that finds no relay goes on to the next one of its list.
 """
+from functools import lru_cache
 from hashlib import blake2b
 from math import ceil, sqrt
 
@@ -35,6 +36,7 @@
         return bool(self.relays)
 
 
+@lru_cache(1 << 13)
 def _weight(*what):
     return int.from_bytes(blake2b("|".join(what).encode(), digest_size=8).digest())
 
--- a/libs/relay/upstream.py
+++ b/libs/relay/upstream.py
@@ -98,6 +98,12 @@
             self.under, self.wished = under, now
             self.stay = now + (self._some(2, 1) if self.tier.relay else self._some(1, 1) if under else self._some(0.5, 0.5))
         self.tier = tier
+        self._bear()
+
+    def _bear(self):
+        """What silence and age it bears hangs on its duty."""
+        sp = self.spans
+        self.tracker.silence, self.tracker.doubt = sp.follower if not self.direct else sp.relay if self.tier.relay else sp.single
 
     def serves(self):
         """Whether this router may serve followers: only one that follows a controller.
@@ -161,8 +167,7 @@
             self.tried = [c for c in self.tried if c != to][-8:] + [to]
             if self.under and now >= self.stay:
                 self.stay = now + self._some(1, 1)
-        role = self.spans.single if self.direct and not self.tier.relay else self.spans.relay if self.direct else self.spans.follower
-        self.tracker.silence, self.tracker.doubt = role
+        self._bear()
         self.odd = None
         self.tracker.start(now)
 
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -76,12 +76,11 @@
             frames.close()
 
     async def _read(self, frames, wait):
-        """The next record, or None when none came in time; a long one on its way gets longer."""
+        """The next record, or None when none came in time; one that is on its way may take longer."""
         loop, begun = asyncio.get_running_loop(), []
-        due = wait.total_seconds()
-        more = due + self.know.up.bounds.contact.total_seconds() / 3
+        more = self.know.up.bounds.contact.total_seconds() / 3
         try:
-            async with asyncio.timeout(due) as limit:
+            async with asyncio.timeout(wait.total_seconds()) as limit:
                 return await frames.read(lambda: begun.append(limit.reschedule(loop.time() + more)))
         except TimeoutError:
             if begun or not limit.expired():
--- a/sparloom/serving.py
+++ b/sparloom/serving.py
@@ -31,7 +31,7 @@
     """Brings a follower up from its place and keeps it so, until ``src.open()`` ends or it stops reading.
 
     ``src``: ``shelf``, ``bell``, ``period()`` between pulses, ``pulse_age()`` in ms,
-    ``epoch()`` and ``patience`` for one write. Each follower has its own task
+    ``epoch()`` and ``patience`` with a write that makes no way. Each follower has its own task
     and at most one change in hand, so one that does not read holds up nobody.
 
     The first pulse comes ahead of the changes: a follower learns at once
@@ -39,8 +39,7 @@
     up to date.
     """
     async def write(rec):
-        async with asyncio.timeout(src.patience.total_seconds()):
-            await frames.write(rec)
+        await frames.write(rec, src.patience)
 
     async def pulse():
         await write(Pulse(src.epoch(), src.pulse_age(), int(steady() / MS)))
