--- a/tests/test_relay_loop.py
+++ b/tests/test_relay_loop.py
@@ -106,15 +106,33 @@
         self.tier(relay, a)
         await self.until(lambda: relay.serve.told()["followers"] == ["front-1"])
         relay.serve.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        relay.serve.patience = BOUND / 10
+        _, deaf = await self.narrow(relay, "deaf")
+        reader, slow = await self.narrow(relay, "slow")
+        got = bytearray()
+        sips = asyncio.ensure_future(self.sip(reader, got))
+        await self.until(lambda: {"deaf", "slow"} <= set(relay.serve.told()["followers"]))
+        await self.put({**ROUTES, "revision": 2, "routes": [route(f"r{i}", f"/{i}/{os.urandom(800).hex()}") for i in range(400)]})
+        await self.until(lambda: a.policy.revision == 2)
+        await self.until(lambda: relay.serve.told()["followers"] == ["front-1", "slow"])
+        await self.until(lambda: len(got) > 200_000)
+        self.assertIn("slow", relay.serve.told()["followers"])
+        sips.cancel()
+        for w in (deaf, slow):
+            w.close()
+
+    async def narrow(self, relay, name):
+        """A follower with small buffers that never reads by itself."""
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.connect((relay.up.ip, relay.up.router_port))
-        _, writer = await asyncio.open_connection(sock=sock, limit=64)
-        raw = pack(Follow("deaf", 0, 0, 0, 0))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=64)
+        raw = pack(Follow(name, 0, 0, 0, 0))
         writer.write(len(raw).to_bytes(4) + raw)
-        await self.until(lambda: "deaf" in relay.serve.told()["followers"])
-        await self.put({**ROUTES, "revision": 2, "routes": [route(f"r{i}", f"/{i}/{os.urandom(800).hex()}") for i in range(400)]})
-        await self.until(lambda: a.policy.revision == 2)
-        self.assertIn("deaf", relay.serve.told()["followers"])
-        await self.until(lambda: relay.serve.told()["followers"] == ["front-1"])
-        writer.close()
+        return reader, writer
+
+    async def sip(self, reader, got):
+        """Reads a little at a time."""
+        while more := await reader.read(4096):
+            got += more
+            await asyncio.sleep(0.005)
