Budget: lives that follow each other no longer add up past the slack

Cause: a node's part of the slack grew to the whole within its first window while what its former life spent was still inside the window; eight nodes killed together could spend 64 of a slack of 56 in one window (the new timeline, with the code as it was). Change: within the first window a life has only what the margin leaves (3/7 of its part, building up); then its part. Result: at most 56 in the timeline for one, two and five restarts within a window.

--- a/libs/recover/budget.py
+++ b/libs/recover/budget.py
@@ -11,10 +11,11 @@
 
     A node spends a part of ``ratio`` times the asks that it took itself, which
     adds up over all nodes whoever they are, and an equal part of the slack.
-    The slack part builds up from nothing over one window after a start, so a
-    node that comes back can't spend what its former life spent; and it is
-    shared among the most nodes seen within two windows, so one that joins
-    doesn't stretch the sum.
+    A node that starts doesn't know what its former lives spent. So within its
+    first window it has only what the margin leaves of its part of the slack,
+    building up from nothing; then nothing of a former life is in the window
+    any more. The slack is shared among the most nodes told within two windows,
+    so one that joins doesn't stretch the sum.
 
     >>> b = Budget(timedelta(seconds=10), 0.2, 0, timedelta(0)); b.allowed(timedelta(0), 1)
     False
@@ -57,8 +58,8 @@
         if not self.crowd or self.crowd[-1][1] != nodes or now - self.crowd[-1][0] > self.window / 10:
             self.crowd.append((now, nodes))
         most = max(n for _, n in self.crowd)
-        grown = min(1.0, (now - self.born) / self.window)
-        return self.slack / (most + 1) * grown
+        age = (now - self.born) / self.window
+        return self.slack / (most + 1) * (1.0 if age > 1 else age * (1 / self.margin - 1))
 
     def allowed(self, now, nodes):
         """Whether one more arrival fits, with that many nodes about.
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -88,5 +88,17 @@
             with self.subTest(seed=seed):
                 self.assertLessEqual(self.worst(seed), 0)
 
+    def test_lives_that_follow_each_other_do_not_add_up(self):
+        """All are killed together at seconds 20, and again as told; each life spends all it may at its end."""
+        for ends in ((20, 29.9), (20, 24, 29.9), (20, 22, 23, 25, 28, 29.9)):
+            spent, born = 0, 0 * S
+            for end in ends:
+                for b in [Budget(10 * S, 0.2, 56, born) for _ in range(8)]:
+                    while b.allowed(end * S, 8):
+                        b.spend(end * S)
+                        spent += 1
+                born = end * S
+            self.assertLessEqual(spent, 56, ends)
+
     def test_a_new_life_starts_without_slack(self):
         self.assertFalse(Budget(10 * S, 0.2, 52, 5 * S).allowed(5 * S, 1))
