Shares: fractions of reserves hold, connections add up, a cheap gate

Cause: int() of a small part is nothing: with 73 routers (13 slots each) a member's default reserve (0.81 slot) was 0, so no reserve held. A router cut off from its peers counted one node and took 0.9 of each runner's connections alone; with more routers than connections each kept one. Every request worked out the room over all runners and built dicts. Change: fractions of reserves are kept together, rounded up out of the common part, and a flood can't take them. Connections: an equal part each, the rest by a rotation that all agree on, divided by the safe number of routers (as the gate), less an eighth. The room is worked out once per news, the sum beyond reserves is a running one. Names: line -> queue, turnedAway -> refused in what the beliefs show. Storms: parts and connections never above the whole.

--- a/libs/shares/crowd.py
+++ b/libs/shares/crowd.py
@@ -26,18 +26,21 @@
     seen: deque = field(factory=deque)
     recorded: int = 0
     divisor: int = 1
+    index: int = 0
     open: bool = True
     since: timedelta | None = None
 
-    def see(self, now, routers, recorded, told):
+    def see(self, now, routers, recorded, told, index=0):
         """Notes the routers seen (self included), the recorded number, and what peers divide by.
 
+        ``index`` is this router's place among those seen, in an order that all agree on.
+
         >>> c = Crowd(timedelta(seconds=3)); c.see(timedelta(0), 3, 2, {"a": 2, "b": 2}); c.open
         False
         >>> c.see(timedelta(1), 3, 2, {"a": 3, "b": 3}); c.open
         True
         """
-        self.recorded = max(self.recorded, recorded)
+        self.recorded, self.index = max(self.recorded, recorded), index
         self.seen.append((now, routers))
         while now - self.seen[0][0] > 2 * self.contact:
             self.seen.popleft()
@@ -49,9 +52,25 @@
             self.open = False
 
     def part(self, whole):
-        """This router's part of a whole.
+        """This router's part of a whole: slots, tokens.
+
+        Where routers outnumber the slots a part of nothing would stop the
+        service, so each keeps one; the shared count at the runners bounds them.
+
+        >>> Crowd(timedelta(seconds=3)).part(64), Crowd(timedelta(seconds=3), divisor=100).part(64)
+        (56, 1)
+        """
+        return max(int(whole > 0), int(whole * (1 - SPARE) / self.divisor)) if self.open else 0
+
+    def pieces(self, whole, salt=0):
+        """This router's part of things that can't be split, such as a runner's connections; they add up to the whole less an eighth.
+
+        What is left after an equal part for all goes to the routers from a
+        place on that differs by ``salt`` (a runner's number), so that nothing
+        is lost by rounding, also with more routers than things.
 
-        >>> Crowd(timedelta(seconds=3)).part(64)
-        56
+        >>> [Crowd(timedelta(seconds=3), divisor=4, index=i).pieces(8, salt=1) for i in range(4)]
+        [2, 2, 1, 2]
         """
-        return int(whole * (1 - SPARE) / self.divisor) if self.open else 0
+        each, rest = divmod(int(whole * (1 - SPARE)), self.divisor)
+        return each + ((self.index + salt) % self.divisor < rest)
--- a/libs/shares/gate.py
+++ b/libs/shares/gate.py
@@ -1,14 +1,17 @@
-"""The gate of one service at one router: reserves, the common part, and a line per member."""
+"""The gate of one service at one router: reserves, the common part, and a queue per member."""
 from datetime import timedelta
 
 from attrs import define, field
 
+from .reserve import Reserves
+
 OTHERS = ""
+NONE = (0, 0)
 
 
 @define(frozen=True, slots=True)
 class Need:
-    """What an ask takes: a slot and some tokens."""
+    """What a request takes: a slot and some tokens."""
 
     tokens: int = 0
 
@@ -23,28 +26,28 @@
 
 @define(frozen=True, slots=True)
 class Granted:
-    """The ask may be dispatched."""
+    """The request may be dispatched."""
 
     id: object
 
 
 @define(frozen=True, slots=True)
 class Waits:
-    """The ask stands in its member's line."""
+    """The request stands in its member's queue."""
 
     id: object
 
 
 @define(frozen=True, slots=True)
 class Away:
-    """The ask can't be served usefully: turned away, with a time to come back."""
+    """The request can't be served usefully: refused, with a time to come back."""
 
     id: object
     back: timedelta
 
 
 @define(slots=True)
-class _Ask:
+class _Request:
     id: object
     member: str
     priority: int
@@ -52,15 +55,18 @@
     need: Need
     horizon: timedelta
     began: timedelta = timedelta(0)
+    tokens: int = 0
 
 
 @define(slots=True)
 class Gate:
-    """Grants, lines and refusals.
+    """Grants, queues and refusals.
 
     A member's reserve is granted to it alone. What it uses beyond competes for
     the common part by priority and then age. Nothing is ever lent out of a
     reserve, so a flood fills the common part and its own reserve only.
+    What all members together use beyond their reserves is kept as a running
+    sum, so that the cost of a grant grows with no number of members.
 
     >>> g = Gate(Room(4), {"a": 0.5, "b": 0.25}); now = timedelta(0)
     >>> [type(g.enter(now, i, "b", 0, Need(), timedelta(9))).__name__ for i in range(3)]
@@ -74,106 +80,113 @@
     bound: int = 64
     held: dict = field(factory=dict)
     used: dict = field(factory=dict)
-    lines: dict = field(factory=dict)
-    away: dict = field(factory=dict)
+    queues: dict = field(factory=dict)
+    refused: dict = field(factory=dict)
     hold: timedelta = timedelta(0)
-    kept: dict = field(factory=dict)
-    common: tuple = (0, 0)
+    kept: Reserves = field(init=False)
+    over: tuple = field(init=False, default=(0, 0, 0))
 
     def __attrs_post_init__(self):
         self._lay_out()
 
     def _lay_out(self):
         """Works out every reserve and the common part, once per change of room or parts."""
-        self.kept = {m: (int(self.room.slots * p), int(self.room.tokens * p)) for m, p in self.parts.items()}
-        self.common = (self.room.slots - sum(s for s, _ in self.kept.values()), self.room.tokens - sum(t for _, t in self.kept.values()))
+        self.kept = Reserves.of(self.room.slots, self.room.tokens, self.parts)
+        overs = [self.kept.over(m, u) for m, u in self.used.items()]
+        self.over = tuple(sum(o[i] for o in overs) for i in range(3))
 
-    def _reserve(self, m):
-        return self.kept.get(m, (0, 0))
+    def _after(self, m, used):
+        """The running sum, were this member's use as told."""
+        was, new, sums = self.kept.over(m, self.used.get(m, NONE)), self.kept.over(m, used), self.over
+        return sums[0] - was[0] + new[0], sums[1] - was[1] + new[1], sums[2] - was[2] + new[2]
 
-    def _over(self, m, used):
-        rs, rt = self._reserve(m)
-        return max(0, used[0] - rs), max(0, used[1] - rt)
+    def _fit(self, m, need):
+        """A member's use and the running sum after a grant, or None where it doesn't fit.
+
+        A request that needs more tokens than its share could hold counts as all of it.
+        """
+        kept, (slots, tokens) = self.kept, self.used.get(m, NONE)
+        take = min(need.tokens, kept.tokens.get(m, 0) + kept.common[1]) if self.room.tokens else 0
+        used = (slots + 1, tokens + take)
+        after = self._after(m, used)
+        common = kept.common_use(after)
+        if common > kept.common[0] and common > kept.common_use(self.over):
+            return None
+        if self.room.tokens and after[2] > kept.common[1] and after[2] > self.over[2]:
+            return None
+        return take, used, after
 
     def fits(self, m, need):
-        """Whether an ask of a member may be granted now.
+        """Whether a request of a member may be granted now.
 
         >>> Gate(Room(0), {}).fits("a", Need())
         False
         """
-        cs, ct = self.common
-        rt = self._reserve(m)[1]
-        tokens = min(need.tokens, rt + ct) if self.room.tokens else 0
-        over_s = over_t = 0
-        for o, u in {**self.used, m: self.used.get(m, (0, 0))}.items():
-            s, t = self._over(o, (u[0] + 1, u[1] + tokens) if o == m else u)
-            over_s, over_t = over_s + s, over_t + t
-        was = self._over(m, self.used.get(m, (0, 0)))
-        now = self._over(m, (self.used.get(m, (0, 0))[0] + 1, self.used.get(m, (0, 0))[1] + tokens))
-        return (over_s <= cs or now[0] == was[0]) and (not self.room.tokens or over_t <= ct or now[1] == was[1])
+        return self._fit(m, need) is not None
 
     def _wait_of(self, m):
-        rs = self._reserve(m)[0] + self.common[0]
-        return self.hold * ((len(self.lines.get(m, ())) + 1) / max(1, rs))
+        return self.hold * ((len(self.queues.get(m, ())) + 1) / max(1, self.kept.most(m)))
 
     def enter(self, now, id, member, priority, need, horizon):
-        """An ask comes: it is granted, waits, or is turned away at once.
+        """A request comes: it is granted, waits, or is refused at once.
 
         >>> type(Gate(Room(0), {}).enter(timedelta(0), 1, "a", 0, Need(), timedelta(0))).__name__
         'Away'
         """
         m = member if member in self.parts else OTHERS
-        a = _Ask(id, m, priority, now, need, horizon)
-        line = self.lines.setdefault(m, [])
-        if not line and self.fits(m, need):
-            return self._grant(now, a)
+        r = _Request(id, m, priority, now, need, horizon)
+        queue = self.queues.setdefault(m, [])
+        fit = None if queue else self._fit(m, need)
+        if fit:
+            return self._grant(now, r, fit)
         wait = self._wait_of(m)
-        if len(line) >= self.bound or now + wait + self.hold / 2 >= horizon:
-            return self._turn(a, wait)
-        line.append(a)
-        line.sort(key=lambda x: (x.priority, x.came))
+        if len(queue) >= self.bound or now + wait + self.hold / 2 >= horizon:
+            return self._refuse(r, wait)
+        queue.append(r)
+        queue.sort(key=lambda x: (x.priority, x.came))
         return Waits(id)
 
-    def _turn(self, a, wait):
-        self.away[a.member] = self.away.get(a.member, 0) + 1
-        return Away(a.id, max(wait, timedelta(milliseconds=20)))
+    def _refuse(self, r, wait):
+        self.refused[r.member] = self.refused.get(r.member, 0) + 1
+        return Away(r.id, max(wait, timedelta(milliseconds=20)))
 
-    def _grant(self, now, a):
-        s, t = self.used.get(a.member, (0, 0))
-        self.used[a.member] = (s + 1, t + a.need.tokens)
-        a.began = now
-        self.held[a.id] = a
-        return Granted(a.id)
+    def _grant(self, now, r, fit):
+        r.began = now
+        r.tokens, self.used[r.member], self.over = fit
+        self.held[r.id] = r
+        return Granted(r.id)
 
     def leave(self, now, id):
-        """An ask has ended, or its requester has gone; gives the grants that follow.
+        """A request has ended, or its requester has gone; gives the grants that follow.
 
         >>> Gate(Room(0), {}).leave(timedelta(0), 1)
         []
         """
-        a = self.held.pop(id, None)
-        if a is None:
-            self.lines = {m: [x for x in ln if x.id != id] for m, ln in self.lines.items()}
+        r = self.held.pop(id, None)
+        if r is None:
+            self.queues = {m: [x for x in q if x.id != id] for m, q in self.queues.items()}
             return []
-        s, t = self.used[a.member]
+        s, t = self.used[r.member]
+        self.over = self._after(r.member, (s - 1, t - r.tokens))
         if s > 1:
-            self.used[a.member] = (s - 1, t - a.need.tokens)
+            self.used[r.member] = (s - 1, t - r.tokens)
         else:
-            del self.used[a.member]
-        took = now - a.began
+            del self.used[r.member]
+        took = now - r.began
         self.hold = took if not self.hold else self.hold * 0.9 + took * 0.1
         return self._next(now)
 
     def _next(self, now):
         out = []
-        while True:
-            heads = [ln[0] for ln in self.lines.values() if ln]
-            heads.sort(key=lambda a: (self.used.get(a.member, (0, 0))[0] >= self._reserve(a.member)[0], a.priority, a.came))
-            a = next((h for h in heads if self.fits(h.member, h.need)), None)
-            if a is None:
-                return out
-            self.lines[a.member].pop(0)
-            out.append(self._grant(now, a))
+        while any(self.queues.values()):
+            heads = [q[0] for q in self.queues.values() if q]
+            heads.sort(key=lambda r: (not self.kept.inside(r.member, self.used.get(r.member, NONE), self.over), r.priority, r.came))
+            r, fit = next(((h, f) for h in heads if (f := self._fit(h.member, h.need))), (None, None))
+            if r is None:
+                break
+            self.queues[r.member].pop(0)
+            out.append(self._grant(now, r, fit))
+        return out
 
     def tick(self, now, room=None, parts=None):
         """Time moves on, or the room changes; gives grants and refusals.
@@ -184,24 +197,26 @@
         if (room or self.room, parts if parts is not None else self.parts) != (self.room, self.parts):
             self.room, self.parts = room or self.room, self.parts if parts is None else parts
             self._lay_out()
-            for m in [m for m in self.lines if m not in self.parts and m != OTHERS]:
-                moved = self.lines.pop(m)
-                for a in moved:
-                    a.member = OTHERS
-                self.lines[OTHERS] = sorted(self.lines.get(OTHERS, []) + moved, key=lambda x: (x.priority, x.came))
-        late = [a for ln in self.lines.values() for a in ln if now + self.hold / 2 >= a.horizon]
-        for a in late:
-            self.lines[a.member].remove(a)
-        return [self._turn(a, self.hold) for a in late] + self._next(now)
+            for m in [m for m in self.queues if m not in self.parts and m != OTHERS]:
+                moved = self.queues.pop(m)
+                for r in moved:
+                    r.member = OTHERS
+                self.queues[OTHERS] = sorted(self.queues.get(OTHERS, []) + moved, key=lambda x: (x.priority, x.came))
+        if not any(self.queues.values()):
+            return []
+        late = [r for q in self.queues.values() for r in q if now + self.hold / 2 >= r.horizon]
+        for r in late:
+            self.queues[r.member].remove(r)
+        return [self._refuse(r, self.hold) for r in late] + self._next(now)
 
     def figures(self, now):
-        """What is seen from outside, per member.
+        """What is seen from outside, per member; a reserve may be a fraction of a slot.
 
         >>> Gate(Room(8), {"a": 0.5}).figures(timedelta(0))["a"]["reserve"]
-        4
+        4.0
         """
         return {m or "(others)": {
-            "reserve": self._reserve(m)[0], "used": self.used.get(m, (0, 0))[0], "line": len(self.lines.get(m, ())),
-            "oldestMs": max((int((now - a.came) / timedelta(milliseconds=1)) for a in self.lines.get(m, ())), default=0),
-            "turnedAway": self.away.get(m, 0),
+            "reserve": round(self.room.slots * self.parts.get(m, 0), 2), "used": self.used.get(m, NONE)[0], "queue": len(self.queues.get(m, ())),
+            "oldestMs": max((int((now - r.came) / timedelta(milliseconds=1)) for r in self.queues.get(m, ())), default=0),
+            "refused": self.refused.get(m, 0),
         } for m in {**self.parts, **self.used}}
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -56,10 +56,10 @@
         """The best runner with room, and a slot there."""
         now = steady()
         posts = {p.id: p for p in self.know.fleet.of(service)}
-        pipes = self._pipe_share(service)
+        pipes = self.know.lines.connections(service)
         for s in choose(self._stands(posts.values(), now), self.ask.key):
             p = posts[s.id]
-            if p.id in self.tried or p.open >= pipes:
+            if p.id in self.tried or p.open >= pipes[p.id]:
                 continue
             slot = self.know.counts.take(p.id, buckets_for(self.ask.route, p.slots), now, s.unread)
             if slot:
@@ -68,10 +68,6 @@
                 return p, slot
         return None, None
 
-    def _pipe_share(self, service):
-        s = self.ask.policy.services.get(service)
-        return max(1, int((s.pipe_limit if s else 64) * 0.9 / self.know.nodes()))
-
     def _plan(self, service, verdict):
         r = self.ask.route
         return Plan(
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -1,6 +1,7 @@
 """What a router knows: the snapshots that its other parts read, and who the members are."""
 import asyncio
 import random
+from bisect import bisect
 from datetime import timedelta
 
 from mode import Service
@@ -95,8 +96,8 @@
 
     def count(self):
         """Notes by how many routers the whole is divided."""
-        up = {p.key for p in self.swim.alive() if p.role == ROUTER}
-        self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, self.tell.crowds())
+        up = sorted(p.key for p in self.swim.alive() if p.role == ROUTER)
+        self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, self.tell.crowds(), bisect(up, self.key))
 
     def see_tier(self):
         """Plans the tier again when membership has changed; suspects are members still."""
--- a/sparloom/router/line.py
+++ b/sparloom/router/line.py
@@ -14,6 +14,7 @@
     def __init__(self, know):
         self.know, self.gates, self.waits, self.ids = know, {}, {}, count(1)
         self.told, self.members, self.parts, self.owners = None, (), {}, {}
+        self.rooms, self.cons = {}, {}
 
     def _parts(self):
         policy = self.know.policy
@@ -25,11 +26,28 @@
         return self.parts
 
     def _room(self, service):
+        """This router's room, worked out anew only after news; snapshots are swapped whole, so their identity tells."""
         k = self.know
-        s = k.policy.services.get(service)
-        posts = k.fleet.of(service)
+        posts, s = k.fleet.of(service), k.policy.services.get(service)
+        old = self.rooms.get(service)
+        if old and old[0] is posts and old[1] is s and old[2:4] == (k.crowd.divisor, k.crowd.open):
+            return old[4]
         slots = sum(most(p.slots or (s.slots if s else 0)) for p in posts)
-        return Room(k.crowd.part(slots), k.crowd.part(s.cache_tokens * len(posts)) if s else 0)
+        room = Room(k.crowd.part(slots), k.crowd.part(s.cache_tokens * len(posts)) if s else 0)
+        self.rooms[service] = (posts, s, k.crowd.divisor, k.crowd.open, room)
+        return room
+
+    def connections(self, service):
+        """How many connections this router may hold to each runner of a service, by id; one each where there would be none at all."""
+        k = self.know
+        posts, s, c = k.fleet.of(service), k.policy.services.get(service), k.crowd
+        old = self.cons.get(service)
+        if old and old[0] is posts and old[1] is s and old[2:4] == (c.divisor, c.index):
+            return old[4]
+        cons = {p.id: c.pieces(s.pipe_limit if s else 64, p.number) for p in posts}
+        cons = cons if any(cons.values()) else dict.fromkeys(cons, 1)
+        self.cons[service] = (posts, s, c.divisor, c.index, cons)
+        return cons
 
     def gate(self, service):
         """The gate of a service, with the room of this moment."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -80,7 +80,7 @@
                         waits.add(a.id)
                     else:
                         waits.discard(a.id)
-                lines = {x.id for ln in g.lines.values() for x in ln}
+                lines = {x.id for q in g.queues.values() for x in q}
                 self.assertEqual((set(g.held), lines), (held, waits))
                 self.assertLessEqual(len(held), 10)
 
@@ -111,6 +111,31 @@
         g.tick(S, parts={"a": 0.3})
         self.assertEqual(g.figures(S)["a"]["reserve"], 3)
 
+    def test_a_reserve_of_less_than_a_slot_still_holds_against_a_flood(self):
+        for slots, members, safe in ((13, 2, 2), (13, 40, 2), (4, 2, 1), (3, 350, 1), (2, 350, 1)):
+            g = Gate(Room(slots), {f"m{i}": 0.125 / members for i in range(members)})
+            flood = [self.enter(g, i, "m0") for i in range(20)]
+            self.assertLessEqual(flood.count(Granted), slots - safe)
+            others = [self.enter(g, 100 + i, f"m{i}") for i in range(1, members)]
+            self.assertGreaterEqual(others.count(Granted), min(safe, members - 1))
+            self.assertLessEqual(len(g.held), slots)
+
+    def test_the_running_sum_is_what_counting_anew_gives(self):
+        for seed in range(20):
+            rng, g, now = random.Random(seed), Gate(Room(11, 900), {"a": 0.13, "b": 0.3, "c": 0.02}), 0 * S
+            for i in range(400):
+                now += 5 * MS
+                if rng.random() < 0.6:
+                    g.enter(now, i, rng.choice("abcz"), 0, Need(rng.randrange(300)), now + S)
+                elif g.held:
+                    g.leave(now, rng.choice(sorted(g.held)))
+                if rng.random() < 0.05:
+                    g.tick(now, Room(rng.randrange(14), rng.randrange(1, 900)), rng.choice(({"a": 0.5}, {"a": 0.13, "b": 0.3, "c": 0.02})))
+                g.tick(now)
+                overs = [g.kept.over(m, u) for m, u in g.used.items()]
+                self.assertEqual(g.over, tuple(map(sum, zip((0, 0, 0), *overs))))
+                self.assertEqual(sum(s for s, _ in g.used.values()), len(g.held))
+
 
 class Fleet(unittest.TestCase):
     """All routers' parts together, as routers join, die, freeze and come back.
@@ -143,9 +168,21 @@
                             views[i].add(j)
                     views[i] -= {j for j in views[i] if j not in up and rng.random() < 0.1}
                     told = {j: crowds[j].divisor for j in views[i] & up if j != i}
-                    crowds[i].see(now, len(views[i] | {i}), recorded if rng.random() < 0.5 else 8, told)
+                    seen = sorted(views[i] | {i})
+                    crowds[i].see(now, len(seen), recorded if rng.random() < 0.5 else 8, told, seen.index(i))
                 total = sum(crowds[i].part(whole) for i in up)
                 self.assertLessEqual(total, whole, (seed, step))
+                for limit in (57, 370):
+                    total = sum(crowds[i].pieces(limit, step) for i in up if crowds[i].open)
+                    self.assertLessEqual(total, limit, (seed, step))
+
+    def test_nothing_is_lost_by_rounding_nor_held_twice_with_more_routers_than_things(self):
+        for routers in (63, 73, 1600):
+            crowds = [Crowd(3 * S, divisor=routers, index=i) for i in range(routers)]
+            for salt in (0, 5, 2 ** 63 + 11):
+                self.assertEqual(sum(c.pieces(510, salt) for c in crowds), 446)
+            some = [c.pieces(510, salt=7 * r) for c in crowds[:1] for r in range(routers)]
+            self.assertGreater(sum(some), 0)
 
     def test_a_start_of_all_together_begins_with_the_recorded_number(self):
         crowds = [Crowd(3 * S) for _ in range(8)]
