Controllers remember which runner keeps which long prefix; budgets by the safe number of routers

Change: each router tells the nearest controller the long parts that it sent, once a second; a controller keeps them in a file (replaced whole by a thread), and answers routers that start. The first requests wait up to a thirtieth of the contact bound for the answers.

--- a/libs/choice/kept.py
+++ b/libs/choice/kept.py
@@ -49,6 +49,17 @@
         while self.used > self.room and len(self.parts) > 1:
             self.used -= self.parts.popitem(last=False)[1]
 
+    def recalled(self, key, n):
+        """Notes a part that went to the runner before all that is known here.
+
+        >>> k = Kept(10); k.saw((("a", 6),)); k.recalled("b", 3); k.recalled("c", 3); list(k.parts)
+        ['b', 'a']
+        """
+        if key not in self.parts and self.used + n <= self.room:
+            self.used += n
+            self.parts[key] = n
+            self.parts.move_to_end(key, last=False)
+
     def unread(self, parts):
         """The tokens of a prompt that the runner would have to read.
 
--- /dev/null
+++ b/libs/prefixes/memory.py
@@ -0,0 +1,82 @@
+"""A memory of long prefixes and the runners that they went to; records to tell it and to ask for it."""
+import zlib
+from collections import OrderedDict
+from struct import Struct
+
+from attrs import define, field
+
+from sparloom.timeouts import Read
+from sparloom.wire import record
+
+_ITEM, _SUM = Struct("!QQI"), Struct("!I")
+
+
+@record(95, reads=[Read])
+class Reads:
+    """Long parts of prompts and the runner lives (by number) that they went to."""
+
+
+@record(96, key="s")
+class Recall:
+    """A router that started asks for all that is remembered."""
+
+
+@define(slots=True)
+class Memory:
+    """Parts that went to runners, the longest unused given up first; a hint, never a promise.
+
+    A runner's number is that of one life, so what ended with a runner fits
+    nothing any more and falls out by age.
+
+    >>> m = Memory(2); m.saw([Read(7, 1, 2000), Read(8, 2, 3000), Read(7, 3, 1000)])
+    >>> [(r.resource, r.part, r.tokens) for r in m.answers()[0].reads]
+    [(7, 3, 1000), (8, 2, 3000)]
+    """
+
+    most: int = 1024
+    items: OrderedDict = field(factory=OrderedDict)
+    changed: bool = False
+
+    def saw(self, reads):
+        """Notes parts that went to runners.
+
+        >>> m = Memory(); m.saw([Read(7, 1, 2000)]); m.changed
+        True
+        """
+        for r in reads:
+            self.items[r.resource, r.part] = r.tokens
+            self.items.move_to_end((r.resource, r.part))
+        while len(self.items) > self.most:
+            self.items.popitem(last=False)
+        self.changed = self.changed or bool(reads)
+
+    def answers(self, each=48):
+        """All of it as records that fit datagrams, newest first; at least one, if an empty one.
+
+        >>> [len(a.reads) for a in Memory().answers()]
+        [0]
+        """
+        reads = [Read(r, p, n) for (r, p), n in reversed(self.items.items())]
+        return [Reads(reads[i:i + each]) for i in range(0, max(1, len(reads)), each)]
+
+    def pack(self):
+        """The bytes to keep: a checksum, then the items.
+
+        >>> m = Memory(); m.saw([Read(7, 1, 2000)]); Memory.unpack(m.pack()).items
+        OrderedDict([((7, 1), 2000)])
+        """
+        raw = b"".join(_ITEM.pack(r, p, n) for (r, p), n in self.items.items())
+        return _SUM.pack(zlib.crc32(raw)) + raw
+
+    @staticmethod
+    def unpack(raw, most=1024):
+        """The memory in some bytes; an empty one where they are torn.
+
+        >>> Memory.unpack(b"torn").items
+        OrderedDict()
+        """
+        m, body = Memory(most), raw[_SUM.size:]
+        if len(raw) >= _SUM.size and len(body) % _ITEM.size == 0 and _SUM.unpack_from(raw)[0] == zlib.crc32(body):
+            m.saw([Read(*i) for i in _ITEM.iter_unpack(body)])
+            m.changed = False
+        return m
--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -15,6 +15,7 @@
 from sparloom.wire import Broken
 
 from .disk import Disk
+from .remember import Remember
 
 TICK = timedelta(milliseconds=40)
 
@@ -46,7 +47,10 @@
         self.ledger = Ledger.start(me, kept, up.first_start, Spans.of(up.bounds.contact), rng, up.tolerated.copies, {(s.host, self.port) for s in up.seeds}, steady())
         peer = Peer(self.key, CONTROLLER, up.zone, control, int.from_bytes(os.urandom(7)), 0, 0)
         self.swim = Swim(peer, self.seeds, Times.of(up.bounds.contact), rng)
+        self.prefixes = Remember(up.data, lambda to, rec: self.net.send(to, rec), up.bounds.contact.total_seconds() / 2)
+        self.prefixes.load()
         self.net = await Datagrams.open(up.ip, self.port, self._arrive)
+        await self.add_runtime_dependency(self.prefixes)
         self.server = await asyncio.start_server(self._pipe, sock=bind(Address(up.ip, self.port)))
         self.disk.start()
         if kept is None:
@@ -74,7 +78,7 @@
         if isinstance(rec, (Ping, Ack, Relay, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
-        elif not isinstance(rec, Copy):
+        elif not self.prefixes.arrive(src, rec) and not isinstance(rec, Copy):
             self._act(self.ledger.receive(steady(), rec))
 
     async def _pipe(self, reader, writer):
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -65,6 +65,7 @@
             if slot:
                 p.kept.saw(self.ask.parts)
                 self.know.tell.sent(p, self.ask.parts[:-1])
+                self.know.prefixes.sent(p, self.ask.parts[:-1])
                 return p, slot
         return None, None
 
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -8,6 +8,7 @@
 
 from sparloom.link import Datagrams, steady
 from sparloom.members import ROUTER, SUSPECT, Ack, Compare, Peer, Ping, Relay, Swim, Times
+from sparloom.prefixes import Reads
 from sparloom.recover import Budget
 from sparloom.relay import Tier, plan
 from sparloom.shares import Crowd
@@ -16,6 +17,7 @@
 from .fleet import Fleet
 from .follow import Follow
 from .line import Lines
+from .prefixes import Prefixes
 from .serve import Serve
 from .tell import WORDS, Tell
 
@@ -37,7 +39,7 @@
         self.crowd, self.lines = Crowd(con), Lines(self)
         self.known = asyncio.Event()
         self.rng, self.tier, self.members = random.Random(), Tier(), None
-        self.follow, self.tell = Follow(self), Tell(self)
+        self.follow, self.tell, self.prefixes = Follow(self), Tell(self), Prefixes(self)
         self.serve = Serve(self, self.follow)
 
     @property
@@ -55,8 +57,8 @@
         return self.policy is not None and self.listed is not None and (self.sure or steady() - self.born > self.up.bounds.contact * 2)
 
     def nodes(self):
-        """How many routers there are, this one included."""
-        return 1 + self.swim.up(ROUTER)
+        """How many routers the budgets are shared among; one that is cut off doesn't take itself for the only one."""
+        return self.crowd.divisor
 
     def budget(self, service):
         """The budget of a service."""
@@ -84,6 +86,8 @@
     def _arrive(self, src, rec):
         if isinstance(rec, WORDS):
             self.tell.hear(rec, src)
+        elif isinstance(rec, Reads):
+            self.prefixes.hear(src, rec)
         elif isinstance(rec, (Ping, Ack, Relay, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
@@ -120,14 +124,15 @@
                 self.count()
                 self.see_tier()
             self.tell.beat(turn)
+            self.prefixes.beat(turn)
             await asyncio.sleep(TICK.total_seconds())
 
     def renew(self):
         """The next snapshot of the fleet, after news."""
         if self.listed is not None:
             self.fleet = self.fleet.renew(self.listed.runners, self._room)
-        if self.policy is not None and self.listed is not None:
-            self.known.set()
+        if self.policy is not None and self.listed is not None and not self.known.is_set():
+            self.prefixes.ask()
 
     async def wait_known(self):
         """Waits a moment after a start for the first policy and the first runners."""
--- /dev/null
+++ b/sparloom/router/prefixes.py
@@ -0,0 +1,71 @@
+"""What controllers remember of long prefixes: told now and then, asked for at a start."""
+import asyncio
+
+from sparloom.link import steady
+from sparloom.members import CONTROLLER
+from sparloom.prefixes import Reads, Recall
+from sparloom.timeouts import Read
+
+from .tell import LONG
+
+TURNS = 20
+
+
+class Prefixes:
+    """This router's side of the memory.
+
+    A router that starts knows nothing of what runners keep, and after a loss
+    of all power none does; each long prompt was then read anew, mostly at
+    another runner than the one that keeps it. So each router tells one near
+    controller what it sent, and asks all of them at its start. The first
+    requests wait a moment for the answers.
+    """
+
+    def __init__(self, know):
+        self.know, self.batch = know, {}
+        self.began, self.asked, self.heard = None, frozenset(), set()
+
+    def sent(self, post, parts):
+        """A prompt went out: its long parts are told with the next batch."""
+        self.batch.update({(post.number, k): n for k, n in parts if n >= LONG})
+
+    def beat(self, turn):
+        """Tells the batch once a second, and asks again those that have not answered yet."""
+        k = self.know
+        if self.batch and turn % TURNS == 0:
+            near = min((p for p in k.swim.alive() if p.role == CONTROLLER), key=lambda p: (p.zone != k.up.zone, p.key), default=None)
+            if near:
+                items = list(self.batch.items())
+                self.batch = {}
+                for i in range(0, len(items), 48):
+                    k.net.send(near.key, Reads([Read(r, part, n) for (r, part), n in items[i:i + 48]]))
+        if self.began is not None and turn % 4 == 0:
+            if steady() - self.began > k.up.bounds.contact:
+                self.began = None
+            else:
+                self._ask()
+
+    def ask(self):
+        """Asks all controllers at the start; ``known`` is set once they answered, or after a moment."""
+        if self.began is None:
+            self.began = steady()
+            self._ask()
+            asyncio.get_running_loop().call_later(self.know.up.bounds.contact.total_seconds() / 30, self.know.known.set)
+
+    def _ask(self):
+        k = self.know
+        self.asked = frozenset(k.seeds) | {p.key for p in k.swim.alive() if p.role == CONTROLLER}
+        for to in self.asked - self.heard:
+            k.net.send(to, Recall(k.key))
+
+    def hear(self, src, rec):
+        """Takes an answer: what it tells is older than all that this router has seen itself."""
+        k = self.know
+        for r in rec.reads:
+            id = k.fleet.numbers.get(r.resource)
+            if id is not None:
+                k.fleet.posts[id].kept.recalled(r.part, r.tokens)
+        self.heard.add(src)
+        if self.began is not None and self.asked <= self.heard:
+            self.began = None
+            k.known.set()
