--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,6 +5,8 @@
 
 from returns.pipeline import is_successful
 
+from sparloom.policy import Route
+from sparloom.router.tiers import buckets_for, most
 from sparloom.shares import Away, Crowd, Gate, Granted, Need, Room, Waits, declared
 
 from .fleet_of_sums import Fleet as Sums
@@ -222,3 +224,63 @@
 
         for seed in range(2):
             self.through_a_tier(seed, 7, 960, step)
+
+class Wall(unittest.TestCase):
+    """Member b floods all routers in one moment, when all look empty; a's few requests come at every router.
+
+    Words of what is in flight reach the others every 200 ms; one router may hear none.
+    """
+
+    SLOTS, RUNNERS, ROUTERS = 64, 6, 8
+
+    def flood(self, seed, steps=60):
+        rng, whole, parts = random.Random(seed), self.RUNNERS * most(self.SLOTS), {"a": 0.2, "b": 0.1}
+        crowds = [Crowd(3 * S, divisor=self.ROUTERS, index=i) for i in range(self.ROUTERS)]
+        gates = [Gate(Room(c.part(whole)), parts) for c in crowds]
+        route = Route("r", "h", "/", "safe", (), 9 * S, S, S)
+        own = [[0] * self.RUNNERS for _ in gates]
+        told, deaf, ends, late, most_b, ids = [list(o) for o in own], rng.choice([None, 3]), [], 0, 0, 0
+        for step in range(steps):
+            now = step * 50 * MS
+            for end, i, id, run in [e for e in ends if e[0] <= now]:
+                gates[i].leave(now, id)
+                own[i][run] -= 1
+            ends = [e for e in ends if e[0] > now]
+            told = [list(o) for o in own] if step % 4 == 0 else told
+            for i, g in enumerate(gates):
+                known = [sum(told[j][r] for j in range(len(gates)) if j != i and i != deaf) + own[i][r] for r in range(self.RUNNERS)]
+                for m in ["b"] * rng.choice((40, 200) if step == 4 else (0, 5, 30)) + ["a"] * rng.randrange(2):
+                    ids, g.extra = ids + 1, crowds[i].extra(whole, whole * 0.3, sum(known)) if g.tight() else 0
+                    before = g.used.get("a", (0, 0))[0]
+                    got = g.enter(now, ids, m, 0, Need(), now + 9 * S)
+                    if m == "a" and before < int(g.room.slots * 0.2):
+                        self.assertTrue(isinstance(got, Granted) and got.reserved, (seed, step))
+                    if isinstance(got, Granted):
+                        run = min(range(self.RUNNERS), key=lambda r: known[r])
+                        fits = known[run] < max(b.limit for b in buckets_for(route, self.SLOTS, got.reserved))
+                        late += m == "a" and not fits
+                        if not fits:
+                            g.leave(now, ids)
+                            continue
+                        known[run] += 1
+                        own[i][run] += 1
+                        ends.append((now + rng.randrange(300, 1500) * MS, i, ids, run))
+                    elif isinstance(got, Waits):
+                        g.leave(now, ids)
+                most_b = max(most_b, sum(g.used.get("b", (0, 0))[0] for g in gates))
+        return late, most_b / whole
+
+    def test_a_flood_at_all_routers_at_once_shuts_nobody_out_of_its_reserve(self):
+        for seed in range(12):
+            late, most_b = self.flood(seed)
+            self.assertEqual(late, 0, seed)
+            self.assertLess(most_b, 2 - 0.2)
+
+    def test_a_router_with_more_than_its_part_serves_it_while_the_others_are_idle(self):
+        g, c = Gate(Room(84), {"a": 0.0625, "b": 0.0625}), Crowd(3 * S, divisor=8)
+        got = []
+        for i in range(157):
+            g.extra = c.extra(768, 96, 200 + i) if g.tight() else 0
+            got.append(type(g.enter(0 * S, i, "a", 0, Need(), 9 * S)))
+        self.assertGreater(got.count(Granted), 120)
+        self.assertEqual(type(g.enter(0 * S, 999, "b", 0, Need(), 9 * S)), Granted)
