--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -249,7 +249,7 @@
             told = [list(o) for o in own] if step % 4 == 0 else told
             for i, g in enumerate(gates):
                 known = [sum(told[j][r] for j in range(len(gates)) if j != i and i != deaf) + own[i][r] for r in range(self.RUNNERS)]
-                for m in ["b"] * rng.choice((40, 200) if step == 4 else (0, 5, 30)) + ["a"] * rng.randrange(2):
+                for m in ["b"] * (250 if step == 5 else step > 5 and rng.choice((0, 5, 30))) + ["a"] * rng.randrange(2):
                     ids, g.extra = ids + 1, crowds[i].extra(whole, whole * 0.3, sum(known)) if g.tight() else 0
                     before = g.used.get("a", (0, 0))[0]
                     got = g.enter(now, ids, m, 0, Need(), now + 9 * S)
