--- a/libs/choice/__init__.py
+++ b/libs/choice/__init__.py
@@ -1,5 +1,5 @@
-"""Which runner gets an ask: where the prompt's parts are likely kept, within bounds of load."""
+"""Which runner gets a request: where the prompt's parts are likely kept, within bounds of load."""
 from .kept import Kept, parse_parts
-from .rank import Standing, choose, home
+from .rank import Standing, Weights, choose, heavy, lean
 
-__all__ = ["Kept", "Standing", "choose", "home", "parse_parts"]
+__all__ = ["Kept", "Standing", "Weights", "choose", "heavy", "lean", "parse_parts"]
--- a/libs/choice/rank.py
+++ b/libs/choice/rank.py
@@ -1,12 +1,40 @@
-"""Orders the runners for one ask."""
-from hashlib import blake2b
-
+"""Orders the runners for one request."""
 from attrs import define
 
+MASK = (1 << 64) - 1
+
 
 @define(frozen=True, slots=True)
+class Weights:
+    """What the choice weighs, in prompt tokens where nothing else is said.
+
+    ``call``: one more call beside a request. ``even`` and ``spare``: a runner
+    with more calls than ``even`` times the mean and ``spare`` more counts them
+    twice. ``again``: how much more a token costs that another runner keeps
+    already. ``near``: a runner of the own zone. ``warm``: an open idle
+    connection.
+
+    >>> Weights().call
+    96
+    """
+
+    call: int = 96
+    even: float = 1.25
+    spare: int = 4
+    again: float = 4.0
+    near: int = 384
+    warm: int = 384
+
+
+@define(slots=True)
 class Standing:
-    """A runner as one ask sees it; tokens measure work."""
+    """A runner as one request sees it; tokens measure work.
+
+    ``lean`` is the rendezvous weight of the prefix there.
+
+    >>> Standing("a", 100).calls
+    0
+    """
 
     id: str
     unread: int
@@ -16,47 +44,70 @@
     cold: bool = False
     doubt: int = 0
     near: bool = False
-    shared: int = 0
-    home: bool = False
+    warm: bool = False
+    lean: int = 0
+
 
+def lean(key, number):
+    """The rendezvous weight of a prefix at a runner: the same on every router.
 
-def _weight(key, id):
-    return int.from_bytes(blake2b(f"{key}|{id}".encode(), digest_size=8).digest())
+    Both are spread evenly already (hashes); the product mixes them.
+
+    >>> lean(1, 2) == lean(1, 2), lean(1, 2) == lean(1, 3)
+    (True, False)
+    """
+    x = ((key ^ number) * 0x9E3779B97F4A7C15) & MASK
+    return ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & MASK
 
 
-def home(key, ids):
-    """The runner where all routers expect a prefix to be (rendezvous hashing).
+def heavy(unread, room, slots):
+    """Whether a prompt has more to be read than a slot's share of the runner's memory.
 
-    >>> home("p", ["a", "b"]) == home("p", ["b", "a"])
-    True
+    Such a prompt is late whatever its place in the order, and everything that
+    waits behind it is late with it; so it lets the others go first.
+
+    >>> heavy(30000, 378959, 16), heavy(3000, 378959, 16), heavy(3000, 0, 16)
+    (True, False, False)
     """
-    return max(ids, key=lambda i: _weight(key, i), default=None)
+    return room > 0 and unread * max(1, slots) > room
 
 
-def choose(stands, key, call_tokens=96, even=1.25, again=0.6):
+def choose(stands, shared=0, weights=Weights()):
     """The runners in the order in which to try them.
 
-    Reading again what another runner keeps costs extra (``again``), so an ask
-    waits a while at the runner that keeps its prefix before it is read anew
-    elsewhere. A prefix that nobody is known to keep leans to its home.
+    Work counts in tokens: those to read for this request, those already waiting
+    there, and a little for each call that runs beside it. Reading again what
+    another runner keeps costs extra, so a request waits a while at the runner
+    that keeps its prefix before it is read anew elsewhere. A prefix that nobody
+    is known to keep leans to its home, the runner with the greatest rendezvous
+    weight: every router leans the same way without a word between them.
 
-    Work counts in tokens: those to read for this ask, those already waiting
-    there, and a little for each call that runs beside it. Doubted and cold
-    runners come last, and so do full ones. Within the bound of load the home
-    of the prefix wins ties, so that every router leans the same way.
+    Doubted and cold runners come last, and so do full ones. Among runners of
+    about the same work, near ones and those with an open connection win.
 
-    >>> [s.id for s in choose([Standing("a", 100, waiting=5000), Standing("b", 100)], "k")]
+    >>> [s.id for s in choose([Standing("a", 100, waiting=5000), Standing("b", 100)])]
+    ['b', 'a']
+    >>> [s.id for s in choose([Standing("a", 100), Standing("b", 100, near=True)])]
     ['b', 'a']
     """
-    mean = sum(s.calls for s in stands) / max(1, len(stands))
-    least = min((s.unread for s in stands), default=0)
-    cold = stands and least == max(s.unread for s in stands)
+    if not stands:
+        return []
+    w = weights
+    most = w.even * sum(s.calls for s in stands) / len(stands) + w.spare
+    unread = [s.unread for s in stands]
+    least = min(unread)
+    home = max(stands, key=lambda s: s.lean) if least == max(unread) else None
 
     def cost(s):
-        full = s.slots and s.calls >= s.slots
-        over = s.calls > even * mean + 4
-        work = s.unread + s.waiting + call_tokens * s.calls + again * (s.unread - least)
-        work -= s.shared if cold and s.home else 0
-        return (s.doubt, full, s.cold, work + (call_tokens * s.calls if over else 0) - (call_tokens // 2 if s.near else 0), -_weight(key, s.id))
+        work = s.unread + s.waiting + w.call * s.calls + w.again * (s.unread - least)
+        if s is home:
+            work -= shared
+        if s.calls > most:
+            work += w.call * s.calls
+        if s.near:
+            work -= w.near
+        if s.warm:
+            work -= w.warm
+        return s.doubt, s.slots and s.calls >= s.slots, s.cold, work, -s.lean
 
     return sorted(stands, key=cost)
--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -30,12 +30,13 @@
     came: timedelta
     horizon: timedelta
     parts: tuple
+    yields: bool = False
 
     @property
     def key(self):
-        """The prefix by which runners are chosen: the longest shared part."""
+        """The number of the prefix by which runners are chosen: the longest shared part."""
         shared = self.parts[:-1] or self.parts
-        return max(shared, key=lambda p: p[1])[0] if shared else self.id
+        return max(shared, key=lambda p: p[1])[0] if shared else int.from_bytes(self.id.encode()[-8:])
 
 
 def end_to_end(raw):
@@ -71,8 +72,9 @@
 def onward(ask, post, now, last):
     """The heads for one dispatch: each filter edits them in place.
 
-    The urgency is the route's priority, and the runner is named so that an
-    address that has passed to another one turns the ask away.
+    The urgency is the route's priority, one less urgent for a prompt so heavy
+    that it lets others go first. The runner is named so that an address that
+    has passed to another one turns the ask away.
     """
     h = ask.heads.copy()
     for edit in (_left, _name, _urge, _resume):
@@ -89,7 +91,7 @@
 
 
 def _urge(h, ask, post, now, last):
-    h[URGENCY] = str(min(9, ask.route.priority))
+    h[URGENCY] = str(min(9, ask.route.priority + ask.yields))
 
 
 def _resume(h, ask, post, now, last):
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -6,7 +6,7 @@
 from absl import logging
 from aiohttp import web
 
-from sparloom.choice import Standing, choose, home
+from sparloom.choice import Standing, choose, heavy, lean
 from sparloom.link import steady
 from sparloom.recover import MAY_HAVE_RUN, NOT_RUN, RAN, GiveUp, Plan, Retry, after, judge_head
 from sparloom.recover.verdict import Head
@@ -44,12 +44,10 @@
         return next(n for n, w in reversed(split) if w > 0)
 
     def _stands(self, posts, now):
-        c, parts = self.know.counts, self.ask.parts
-        nest = home(self.ask.key, [p.id for p in posts])
-        shared = sum(n for _, n in parts[:-1])
+        c, parts, key = self.know.counts, self.ask.parts, self.ask.key
         return [Standing(
             p.id, p.kept.unread(parts), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
-            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone, shared, p.id == nest,
+            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone, p.warm(), lean(key, p.number),
         ) for p in posts]
 
     def _pick(self, service):
@@ -57,12 +55,13 @@
         now = steady()
         posts = {p.id: p for p in self.know.fleet.of(service)}
         pipes = self.know.lines.connections(service)
-        for s in choose(self._stands(posts.values(), now), self.ask.key):
+        for s in choose(self._stands(posts.values(), now), sum(n for _, n in self.ask.parts[:-1])):
             p = posts[s.id]
             if p.id in self.tried or p.open >= pipes[p.id]:
                 continue
             slot = self.know.counts.take(p.id, buckets_for(self.ask.route, p.slots, self.reserved), now, s.unread)
             if slot:
+                self.ask.yields = heavy(s.unread, p.kept.room, p.slots)
                 p.kept.saw(self.ask.parts)
                 self.know.tell.sent(p, self.ask.parts[:-1])
                 self.know.prefixes.sent(p, self.ask.parts[:-1])
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -2,6 +2,7 @@
 import socket
 from datetime import timedelta
 from hashlib import blake2b
+from time import monotonic
 
 import aiohttp
 from attrs import define, field
@@ -79,6 +80,17 @@
             self.session._retry_connection = False
         return self.session
 
+    def warm(self):
+        """Whether an open connection waits unused: no new one is needed.
+
+        >>> Post("i", "s", "h:1", "z", 1, False, False, 0, None).warm()
+        False
+        """
+        if self.session is None or self.session.closed:
+            return False
+        con = self.session.connector
+        return any(c and monotonic() - c[-1][1] < con._keepalive_timeout for c in con._conns.values())
+
     def heed(self, text):
         """Takes the runner's ``Keep-Alive`` to heart: pipes are given up before it does so."""
         for item in text.split(","):
