--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,87 @@
+"""Choosing a runner: order, seeded fleets in simulated time, and what a start loads."""
+import subprocess
+import sys
+import unittest
+
+from sparloom.choice import Standing, Weights, choose, lean
+
+from .choosing import Fleet
+from .rig import Rig
+
+PLAIN = Weights(again=0.6, near=48, warm=0)
+
+
+def order(*stands, shared=0):
+    return [s.id for s in choose(stands, shared)]
+
+
+class Order(unittest.TestCase):
+    def test_a_prefix_waits_where_it_is_kept(self):
+        self.assertEqual(order(Standing("a", 3000, waiting=40_000), Standing("b", 16_000), shared=13_000), ["a", "b"])
+        self.assertEqual(order(Standing("a", 3000, waiting=90_000), Standing("b", 16_000), shared=13_000), ["b", "a"])
+
+    def test_an_unknown_prefix_goes_home(self):
+        self.assertEqual(order(Standing("a", 9000, lean=1, near=True, warm=True), Standing("b", 9000, lean=2), shared=8000), ["b", "a"])
+
+    def test_near_and_warm_runners_win_among_equals_only(self):
+        self.assertEqual(order(Standing("a", 300), Standing("b", 300, warm=True), Standing("c", 300, near=True, warm=True)), ["c", "b", "a"])
+        self.assertEqual(order(Standing("a", 300), Standing("b", 300, waiting=2000, near=True, warm=True)), ["a", "b"])
+
+    def test_full_cold_and_doubted_runners_come_last(self):
+        self.assertEqual(order(Standing("a", 0, doubt=1), Standing("b", 0, calls=4, slots=4), Standing("c", 0, cold=True), Standing("d", 9000)), ["d", "c", "b", "a"])
+
+    def test_homes_are_spread_evenly(self):
+        homes = [max(range(36), key=lambda i: lean(k * 0x9E3779B97F4A7C15 % 2**64, (i + 1) * 0xD1342543DE82EF95 % 2**64)) for k in range(3600)]
+        self.assertLess(max(homes.count(i) for i in range(36)), 150)
+        self.assertGreater(min(homes.count(i) for i in range(36)), 60)
+
+
+class Fleets(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.before = [Fleet(PLAIN, seed, yields=False).run() for seed in (1, 2)]
+        cls.after = [Fleet(seed=seed).run() for seed in (1, 2)]
+
+    def test_shared_parts_are_seldom_read_again(self):
+        self.assertLess(sum(f.again for f in self.after), 0.6 * sum(f.again for f in self.before))
+
+    def test_no_more_requests_are_late(self):
+        for long, aim in ((True, 0.8), (False, 0.4)):
+            now, then = (sum(f.late_share(long, aim) for f in fs) for fs in (self.after, self.before))
+            self.assertLessEqual(now, then)
+
+    def test_fewer_connections_are_opened(self):
+        self.assertLess(sum(f.opened for f in self.after), 0.8 * sum(f.opened for f in self.before))
+
+    def test_load_stays_even(self):
+        for f in self.after:
+            self.assertLess(f.spread(), 1.4)
+
+    def test_late_news_costs_little(self):
+        f = Fleet(seed=1, late=0.5).run()
+        self.assertLess(f.again, self.before[0].again)
+        self.assertLess(f.late_share(True, 0.8), 0.15)
+
+
+class Sending(unittest.IsolatedAsyncioTestCase):
+    async def test_heavy_prompts_yield(self):
+        async with Rig(1) as rig:
+            for n, want in ((1200, "0"), (1300, "1")):
+                await rig.send("/once/x", heads=[f"X-Sparloom-Prompt-Prefix: {n:x}:{n}"])
+                self.assertEqual(rig.runners[0].got[-1].head("X-Sparloom-Request-Urgency"), want)
+
+    async def test_a_runner_is_warm_while_a_connection_rests(self):
+        async with Rig(1) as rig:
+            post = next(iter(rig.know.fleet.posts.values()))
+            self.assertFalse(post.warm())
+            await rig.send("/once/x")
+            self.assertTrue(post.warm())
+            post.session.connector._keepalive_timeout = 0.0
+            self.assertFalse(post.warm())
+
+
+class Start(unittest.TestCase):
+    def test_tls_is_never_loaded(self):
+        code = "from sparloom.early import leave_out; leave_out(); import sys, sparloom.command, sparloom.router.program, sparloom.controller.program; print(sys.modules['ssl'], '_ssl' in sys.modules and sys.modules['_ssl'])"
+        got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+        self.assertEqual((got.stdout.strip(), got.returncode), ("None None", 0), got.stderr)
