--- a/libs/choice/rank.py
+++ b/libs/choice/rank.py
@@ -11,8 +11,9 @@
     ``call``: one more call beside a request. ``even`` and ``spare``: a runner
     with more calls than ``even`` times the mean and ``spare`` more counts them
     twice. ``again``: how much more a token costs that another runner keeps
-    already. ``near``: a runner of the own zone. ``warm``: an open idle
-    connection.
+    already. ``home``: how much a prefix that nobody is known to keep leans to
+    its home, in its own lengths. ``near``: a runner of the own zone. ``warm``:
+    an open idle connection.
 
     >>> Weights().call
     96
@@ -21,7 +22,8 @@
     call: int = 96
     even: float = 1.25
     spare: int = 4
-    again: float = 4.0
+    again: float = 6.0
+    home: float = 1.5
     near: int = 384
     warm: int = 384
 
@@ -101,7 +103,7 @@
     def cost(s):
         work = s.unread + s.waiting + w.call * s.calls + w.again * (s.unread - least)
         if s is home:
-            work -= shared
+            work -= w.home * shared
         if s.calls > most:
             work += w.call * s.calls
         if s.near:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,7 @@
 from .choosing import Fleet
 from .rig import Rig
 
-PLAIN = Weights(again=0.6, near=48, warm=0)
+PLAIN = Weights(again=0.6, home=1.0, near=48, warm=0)
 
 
 def order(*stands, shared=0):
@@ -18,7 +18,7 @@
 class Order(unittest.TestCase):
     def test_a_prefix_waits_where_it_is_kept(self):
         self.assertEqual(order(Standing("a", 3000, waiting=40_000), Standing("b", 16_000), shared=13_000), ["a", "b"])
-        self.assertEqual(order(Standing("a", 3000, waiting=90_000), Standing("b", 16_000), shared=13_000), ["b", "a"])
+        self.assertEqual(order(Standing("a", 3000, waiting=100_000), Standing("b", 16_000), shared=13_000), ["b", "a"])
 
     def test_an_unknown_prefix_goes_home(self):
         self.assertEqual(order(Standing("a", 9000, lean=1, near=True, warm=True), Standing("b", 9000, lean=2), shared=8000), ["b", "a"])
