--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -222,6 +222,15 @@
         self.peers[rec.key] = _Peer(rec.life, rec.seq, now, held, rec.crowd)
         self._until = None
 
+    def called(self, holders, now):
+        """Notes holders (key, life) that work though their words come only in sums.
+
+        >>> c = Counts(timedelta(1)); c.called([("p", 1)], timedelta(0)); c.processes(timedelta(0))
+        2
+        """
+        for h in holders:
+            self.callers[h] = now
+
     def drop(self, key, life=None):
         """A holder is known gone: its slots are free.
 
--- a/sparloom/router/tell.py
+++ b/sparloom/router/tell.py
@@ -59,6 +59,8 @@
         was, self.tiered = self.tiered, k.tier.stands or self.sums.busy
         if not k.tier.stands and (turn % 4 == 0 or self.soon):
             self._directly(turn)
+        if self.tiered and turn % 20 == 0:
+            k.counts.called(self._up().items(), steady())
         if self.tiered or was:
             self._through(was)
             if turn % (2 if self.sums.acting else 4) == 0 or not self.tiered:
--- a/tests/test_tell.py
+++ b/tests/test_tell.py
@@ -31,7 +31,7 @@
 class Routers:
     """Routers that know each other, on a clock that is moved by hand."""
 
-    def __init__(self, n):
+    def __init__(self, n, known=True):
         self.now, self.turn, self.routers = timedelta(seconds=100), 0, {}
         for i in range(n):
             up = from_dict({**STARTUP, "nodeName": f"front-{i}", "ipAddress": f"10.0.0.{i}", "zone": f"z{i % 3}"}).unwrap()
@@ -44,7 +44,7 @@
             self.routers[k.key] = k
         for k in self.routers.values():
             for o in self.routers.values():
-                if o is not k:
+                if known and o is not k:
                     k.swim._learn(o.swim.me)
         self.all = list(self.routers.values())
 
@@ -99,6 +99,23 @@
         self.assertEqual({min(k.tell.crowds().values()) for k in ks}, {36})
         self.assertTrue(all(k.crowd.open for k in ks))
 
+    def test_while_a_fleet_finds_itself_no_call_counts_twice(self):
+        """Each learns of the others one by one: some have a tier when others have none."""
+        self.fleet = Routers(30, known=False)
+        ks, rng = self.fleet.all, random.Random(1)
+        for k in ks:
+            k.counts.take("i-1", OPEN, self.fleet.now)
+        pairs = [(k, o) for k in ks for o in ks if o is not k]
+        rng.shuffle(pairs)
+        while pairs:
+            for k, o in pairs[:40]:
+                k.swim._learn(o.swim.me)
+            del pairs[:40]
+            self.fleet.beat(1)
+            self.assertLessEqual(max(k.counts.count("i-1", self.fleet.now) for k in ks), 30)
+        self.fleet.beat(80)
+        self.assertEqual({k.counts.count("i-1", self.fleet.now) for k in ks}, {30})
+
     def test_a_fleet_that_shrinks_goes_back_to_direct_words(self):
         ks = self.routers(30)
         slots = [k.counts.take("i-1", OPEN, self.fleet.now) for k in ks]
