--- a/sparloom/router/line.py
+++ b/sparloom/router/line.py
@@ -1,5 +1,6 @@
 """The lines in front of the runners: one gate per service, and those that wait at it."""
 import asyncio
+from datetime import timedelta
 from itertools import count
 
 from sparloom.link import steady
@@ -7,6 +8,8 @@
 
 from .tiers import most
 
+TOLD = timedelta(milliseconds=200)
+
 
 class Lines:
     """All gates of this router."""
@@ -14,7 +17,7 @@
     def __init__(self, know):
         self.know, self.gates, self.waits, self.ids = know, {}, {}, count(1)
         self.told, self.members, self.parts, self.owners = None, (), {}, {}
-        self.rooms, self.cons, self.wholes = {}, {}, {}
+        self.rooms, self.cons, self.wholes, self.others = {}, {}, {}, {}
 
     def _parts(self):
         policy = self.know.policy
@@ -93,10 +96,20 @@
         now, k, room = steady(), self.know, self._room(service)
         whole, gate.extra = self.wholes[service], 0
         if gate.tight():
-            used = sum(k.counts.count(p.id, now) for p in k.fleet.of(service))
-            gate.extra = k.crowd.extra(whole, whole * sum(self._parts().values()), used)
+            gate.extra = k.crowd.extra(whole, whole * sum(self._parts().values()), self._in_use(service, now))
         self._heed(gate.tick(now, room, self._parts()))
 
+    def _in_use(self, service, now):
+        """Requests in flight at a service over all routers: this one's as they are, the others' added up anew as often as they tell."""
+        k = self.know
+        posts = k.fleet.of(service)
+        own = sum(k.counts.own.get(p.id, 0) for p in posts)
+        at, told = self.others.get(service, (None, 0))
+        if at is None or now - at >= TOLD:
+            told = sum(k.counts.count(p.id, now) for p in posts) - own
+            self.others[service] = (now, told)
+        return own + told
+
     def _heed(self, acts):
         for a in acts:
             fut = self.waits.get(a.id)
