A meter of records, bytes, dispatches and connections, off unless asked for

Change: libs/meter counts at the sockets (Datagrams, Frames), the runner connections and the choice; sparloom/metering logs the figures and shows them in /-/beliefs. Set by SPARLOOM_METER or -X meter=SECONDS; off by default.

--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from sparloom.early import take
+from sparloom.meter import here
 from sparloom.wire import Broken, pack, unpack
 
 _SIZE = struct.Struct("!I")
@@ -44,7 +45,7 @@
     """Records by datagram; what is no record is dropped."""
 
     def __init__(self, take):
-        self.take, self.transport, self.addrs = take, None, {}
+        self.take, self.transport, self.addrs, self.meter = take, None, {}, here()
 
     @classmethod
     async def open(cls, host, port, take):
@@ -65,6 +66,8 @@
             rec = unpack(data)
         except Broken:
             return
+        if self.meter is not None:
+            self.meter.add(f"datagram in {type(rec).__name__}", len(data))
         self.take(f"{addr[0]}:{addr[1]}", rec)
 
     def error_received(self, exc):
@@ -86,6 +89,8 @@
                 if not host or not port.isdigit():
                     continue
                 addr = self.addrs[t] = (host, int(port))
+            if self.meter is not None:
+                self.meter.add(f"datagram out {type(rec).__name__}", len(raw))
             self.transport.sendto(raw, addr)
 
     def close(self):
@@ -101,7 +106,9 @@
     """Records over a pipe, each with its size ahead."""
 
     def __init__(self, reader, writer):
-        self.reader, self.writer = reader, writer
+        self.reader, self.writer, self.meter = reader, writer, here()
+        if self.meter is not None:
+            self.meter.add("pipe opened")
 
     async def read(self, progress=None):
         """The next record; raises EOFError, OSError or Broken at an end.
@@ -114,7 +121,7 @@
         (n,) = _SIZE.unpack(await self.reader.readexactly(_SIZE.size))
         if n > MOST:
             raise Broken("too long")
-        parts = []
+        size, parts = n + _SIZE.size, []
         while n:
             if progress:
                 progress()
@@ -122,7 +129,10 @@
             if not parts[-1]:
                 raise EOFError("cut short")
             n -= len(parts[-1])
-        return unpack(b"".join(parts))
+        rec = unpack(b"".join(parts))
+        if self.meter is not None:
+            self.meter.add(f"frame in {type(rec).__name__}", size)
+        return rec
 
     async def write(self, rec, patience=None):
         """Writes a record.
@@ -133,6 +143,8 @@
         'write'
         """
         raw = pack(rec)
+        if self.meter is not None:
+            self.meter.add(f"frame out {type(rec).__name__}", len(raw) + _SIZE.size)
         self.writer.write(_SIZE.pack(len(raw)) + raw)
         if patience is None:
             return await self.writer.drain()
@@ -151,6 +163,9 @@
         >>> Frames.close.__name__
         'close'
         """
+        if self.meter is not None:
+            self.meter.add("pipe closed")
+            self.meter = None
         self.writer.transport.abort()
 
 
--- a/sparloom/command.py
+++ b/sparloom/command.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from sparloom import __version__
+from sparloom import __version__, meter
 from sparloom.startup import read, where
 
 
@@ -44,6 +44,7 @@
         _say(f"{name}: {path}: {lack}")
         return 2
     _log()
+    meter.start(meter.interval() is not None)
     if name == "router":
         from sparloom.router.program import serve
     else:
--- a/sparloom/controller/control.py
+++ b/sparloom/controller/control.py
@@ -11,6 +11,7 @@
 from sparloom.feed import POLICY, RUNNERS
 from sparloom.link import bind, steady
 from sparloom.members import ROUTER
+from sparloom.metering import figures
 from sparloom.policy import apply_patch, check, parse
 
 from .state import State, digest
@@ -180,4 +181,5 @@
             "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in self.core.swim.table.values())},
             "view": v and {"epoch": v.epoch, "primary": v.primary, "backups": v.backups, "roster": list(v.ids)},
             "leading": led.leading(), "sureMs": self.shop.sureness(),
+            "meter": figures(),
         })
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -6,6 +6,8 @@
 from mode import Service
 
 from sparloom.link import Watch
+from sparloom.meter import interval
+from sparloom.metering import Metering
 from sparloom.startup import read
 
 from .control import Control
@@ -31,6 +33,8 @@
     async def on_start(self):
         for s in (self.core, self.control, self.poller):
             await self.add_runtime_dependency(s)
+        if interval():
+            await self.add_runtime_dependency(Metering(self.up.node, interval()))
 
     def reread(self):
         """Reads the startup file again; a bad one is logged and changes nothing."""
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -8,6 +8,7 @@
 
 from sparloom.choice import Standing, choose, heavy, lean
 from sparloom.link import steady
+from sparloom.meter import note
 from sparloom.recover import MAY_HAVE_RUN, NOT_RUN, RAN, GiveUp, Plan, Retry, after, judge_head
 from sparloom.recover.verdict import Head
 from sparloom.stream import Splitter, Thread
@@ -55,6 +56,7 @@
         now = steady()
         posts = {p.id: p for p in self.know.fleet.of(service)}
         pipes = self.know.lines.connections(service)
+        note("weighed runners", len(posts))
         for s in choose(self._stands(posts.values(), now), sum(n for _, n in self.ask.parts[:-1])):
             p = posts[s.id]
             if p.id in self.tried or p.open >= pipes[p.id]:
@@ -134,6 +136,7 @@
         if self.dispatches:
             self.know.budget(service).spend(steady())
         self.dispatches += 1
+        note("dispatches")
         watch = Watch(self, post, slot, service)
         sent = Sent()
         try:
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -9,6 +9,7 @@
 
 from sparloom.choice import Kept
 from sparloom.link import tune
+from sparloom.meter import note
 
 from .target import Request
 
@@ -28,6 +29,7 @@
     sock = socket.socket(info[0], info[1], info[2])
     sock.setblocking(False)
     tune(sock)
+    note("opened runner")
     return sock
 
 
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -7,6 +7,7 @@
 
 from sparloom.feed import POLICY, RUNNERS
 from sparloom.link import bind, steady
+from sparloom.metering import figures
 
 from .ask import make
 from .carry import Carry
@@ -56,6 +57,7 @@
             "counts": {id: k.counts.count(id, now) for id in k.fleet.posts},
             "ready": k.ready(), "shares": {f"{s} {m}": f for s, ms in k.lines.figures().items() for m, f in ms.items()}, "divisor": k.crowd.divisor,
             "relays": {r: "relay" for r in k.tier.relays}, "tier": k.serve.told(),
+            "meter": figures(),
         }
 
     async def _handle(self, req):
--- a/sparloom/router/program.py
+++ b/sparloom/router/program.py
@@ -6,6 +6,8 @@
 from mode import Service
 
 from sparloom.link import Watch
+from sparloom.meter import interval
+from sparloom.metering import Metering
 from sparloom.startup import read
 
 from .front import Front
@@ -25,6 +27,8 @@
     async def on_start(self):
         await self.add_runtime_dependency(self.know)
         await self.add_runtime_dependency(self.front)
+        if interval():
+            await self.add_runtime_dependency(Metering(self.up.node, interval()))
 
     def reread(self):
         """Reads the startup file again; a bad one is logged and changes nothing."""
--- /dev/null
+++ b/tests/test_meter.py
@@ -0,0 +1,84 @@
+"""What a process counts of its own records and connections, and what it shows."""
+import asyncio
+import unittest
+from datetime import timedelta
+
+from sparloom import meter
+from sparloom.feed import Follow, Pulse
+from sparloom.link import Datagrams, Frames, dial
+from sparloom.members import ALIVE, ROUTER, Peer, Ping
+from sparloom.metering import Metering, figures
+from sparloom.wire import pack
+
+from .rig import Rig
+
+SECOND = timedelta(seconds=1)
+PING = Ping(1, Peer("127.0.0.1:1", ROUTER, "z", "", 1, 0, ALIVE), [])
+
+
+async def _swap():
+    """A ping by datagram there, a follow and two pulses by pipe."""
+    got, served = asyncio.Event(), asyncio.Event()
+
+    async def serve(reader, writer):
+        f = Frames(reader, writer)
+        await f.read()
+        await f.write(Pulse(1, 2))
+        await f.write(Pulse(1, 3))
+        f.close()
+        f.close()
+        served.set()
+
+    a = await Datagrams.open("127.0.0.1", 0, lambda src, rec: got.set())
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    a.send("127.0.0.1:%d" % a.transport.get_extra_info("sockname")[1], PING)
+    f = await dial("127.0.0.1", server.sockets[0].getsockname()[1], SECOND)
+    await f.write(Follow("r", 0, 0, 0, 0))
+    await f.read(), await f.read()
+    f.close()
+    async with asyncio.timeout(5):
+        await got.wait(), await served.wait()
+    a.close()
+    server.close()
+
+
+class Counted(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        meter.start()
+        self.addCleanup(meter.start, False)
+
+    async def test_records_and_pipes_by_kind(self):
+        await _swap()
+        size, got = len(pack(PING)), meter.here().figures()
+        self.assertEqual(got["datagram out Ping"], [1, size])
+        self.assertEqual(got["datagram in Ping"], [1, size])
+        self.assertEqual(got["frame out Pulse"], [2, 2 * (4 + len(pack(Pulse(1, 2))))])
+        self.assertEqual(got["frame in Pulse"], got["frame out Pulse"])
+        self.assertEqual(got["frame in Follow"][0], 1)
+        self.assertEqual((got["pipe opened"][0], got["pipe closed"][0]), (2, 2))
+
+    async def test_dispatches_choices_and_runner_connections(self):
+        async with Rig(runners=2) as rig:
+            for i in range(3):
+                self.assertEqual((await rig.send("/safe/", id=f"a{i}")).status, 200)
+            got = rig.front.beliefs()["meter"]
+        self.assertEqual(got["dispatches"][0], 3)
+        self.assertEqual(got["weighed runners"][0], 6)
+        self.assertLessEqual(1, got["opened runner"][0])
+        self.assertLess(0, got["memory"])
+
+    async def test_a_line_tells_all(self):
+        meter.note("dispatches")
+        with self.assertLogs("absl", "INFO") as log:
+            Metering("front-1", SECOND).tell()
+        self.assertIn('meter: {"node":"front-1"', log.output[0])
+        self.assertIn('"dispatches":[1,0]', log.output[0])
+
+
+class Off(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_kept_or_shown(self):
+        await _swap()
+        self.assertIsNone(meter.here())
+        self.assertIsNone(figures())
+        async with Rig() as rig:
+            self.assertIsNone(rig.front.beliefs()["meter"])
