--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -16,6 +16,7 @@
 PING = Ping(1, Peer("127.0.0.1:1", ROUTER, "z", "", 1, 0, ALIVE), [])
 
 
+
 async def _swap():
     """A ping by datagram there, a follow and two pulses by pipe."""
     got, served = asyncio.Event(), asyncio.Event()
