--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -13,7 +13,7 @@
 from .rig import Rig
 
 SECOND = timedelta(seconds=1)
-PING = Ping(1, Peer("127.0.0.1:1", ROUTER, "z", "", 1, 0, ALIVE), [])
+PING = Ping(1, Peer("127.0.0.1:1", ROUTER, "z", "", 1, 0, ALIVE), 0, [])
 
 
 
@@ -24,8 +24,8 @@
     async def serve(reader, writer):
         f = Frames(reader, writer)
         await f.read()
-        await f.write(Pulse(1, 2))
-        await f.write(Pulse(1, 3))
+        await f.write(Pulse(1, 2, 0))
+        await f.write(Pulse(1, 3, 0))
         f.close()
         f.close()
         served.set()
@@ -53,7 +53,7 @@
         size, got = len(pack(PING)), meter.here().figures()
         self.assertEqual(got["datagram out Ping"], [1, size])
         self.assertEqual(got["datagram in Ping"], [1, size])
-        self.assertEqual(got["frame out Pulse"], [2, 2 * (4 + len(pack(Pulse(1, 2))))])
+        self.assertEqual(got["frame out Pulse"], [2, 2 * (4 + len(pack(Pulse(1, 2, 0))))])
         self.assertEqual(got["frame in Pulse"], got["frame out Pulse"])
         self.assertEqual(got["frame in Follow"][0], 1)
         self.assertEqual((got["pipe opened"][0], got["pipe closed"][0]), (2, 2))
