--- a/rehearsal/growth.py
+++ b/rehearsal/growth.py
@@ -234,16 +234,25 @@
         asyncio.ensure_future(one())
 
 
+def _luck(rng):
+    """What stands for the routers' own luck, so that a seed plays the same again."""
+    at = "sparloom.router."
+    return (
+        mock.patch(at + "know.random", SimpleNamespace(Random=lambda: random.Random(rng.random())), create=True),
+        mock.patch(at + "tell.os", SimpleNamespace(urandom=rng.randbytes), create=True),
+    )
+
+
 async def _play(routers, runners, rate, seconds, settle, seed, controllers):
     from sparloom.router.know import Know
     rng = random.Random(seed)
     net, loop = Net(rng), asyncio.get_running_loop()
     seeds = [f"10.0.{i}.1" for i in range(controllers)][:3]
     desks = [Desk(startup(f"10.0.{i}.1", f"z{i % 5}", seeds, "controller"), net, news(runners, routers)) for i in range(controllers)]
-    knows = [Know(startup(f"10.{1 + i // 250}.{i % 250}.2", f"z{i % 5}", seeds)) for i in range(routers)]
     with ExitStack() as on:
-        for p in (*net.patches(), mock.patch("sparloom.router.know.random", SimpleNamespace(Random=lambda: random.Random(rng.random())))):
+        for p in (*net.patches(), *_luck(rng)):
             on.enter_context(p)
+        knows = [Know(startup(f"10.{1 + i // 250}.{i % 250}.2", f"z{i % 5}", seeds)) for i in range(routers)]
         for n in (*desks, *knows):
             HOST.set(n.up.ip)
             await n.start()
