The emulator no longer needs the tests: clock, core, net and story player are its own

Cause: rehearsal imported tests/core.py and tests/timeline.py, and the members' net lived in a test. Change: rehearsal/clock.py, core.py, net.py, timeline.py; the tests import them with every assertion kept.

--- a/tests/core.py
+++ b/rehearsal/core.py
@@ -1,5 +1,4 @@
 """A play-ground for ledgers: simulated time, links and disks; seeded luck."""
-import heapq
 import random
 from datetime import timedelta
 from itertools import count
@@ -7,17 +6,23 @@
 from sparloom.ledger import Confirmed, Decided, Ledger, Lost, Member, Save, Send, Spans
 from sparloom.ledger.records import Copy
 
-MS = timedelta(milliseconds=1)
+from .clock import MS, Clock
+
 SPANS = Spans.of(timedelta(seconds=3))
 
 
-class Core:
-    """Some controllers, each with a ledger, a disk and links that can be cut."""
+class Core(Clock):
+    """Some controllers, each with a ledger, a disk and links that can be cut.
+
+    >>> core = Core("abc"); core.run(2500); core.write(5)
+    True
+    """
 
     def __init__(self, names="abc", copies=1, seed=1, loss=0.02, seeds=None):
-        self.rng, self.now, self.tie = random.Random(seed), timedelta(0), count()
+        super().__init__()
+        self.rng = random.Random(seed)
         self.names, self.copies, self.loss = list(names), copies, loss
-        self.todo, self.nodes, self.disks, self.members = [], {}, {}, {}
+        self.nodes, self.disks, self.members = {}, {}, {}
         self.cuts, self.stall, self.off = set(), set(), set()
         self.decided, self.lost, self.confirmed = {}, set(), {}
         self.acked, self.ids, self.lives = [], count(100), count()
@@ -25,10 +30,8 @@
         for n in names:
             self.boot(n, first=True)
 
-    def at(self, delay, fn):
-        heapq.heappush(self.todo, (self.now + delay, next(self.tie), fn))
-
     def boot(self, n, first=False):
+        """Starts a member with what its disk holds."""
         disk = self.disks.get(n)
         if disk is None:
             self.members[n] = Member(next(self.ids), n, 1, "z" + n, n + ":9")
@@ -39,6 +42,7 @@
         self.at(MS, lambda: self._tick(n, life))
 
     def up(self, n, life):
+        """Whether that life of a member still runs."""
         return n not in self.off and self.nodes[n][1] == life
 
     def _tick(self, n, life):
@@ -48,6 +52,7 @@
         self.at(20 * MS, lambda: self._tick(n, life))
 
     def act(self, n, acts):
+        """Carries out a member's actions."""
         led, life = self.nodes[n]
         for a in acts or ():
             if isinstance(a, Save):
@@ -97,30 +102,28 @@
         if self.up(to, life):
             self.act(to, self.nodes[to][0].receive(self.now, rec))
 
-    def run(self, ms):
-        end = self.now + ms * MS
-        while self.todo and self.todo[0][0] <= end:
-            self.now, _, fn = heapq.heappop(self.todo)
-            fn()
-        self.now = end
-
     def leader(self):
+        """The member that leads in the newest epoch, or None."""
         up = [n for n in self.nodes if n not in self.off and self.nodes[n][0].leading()]
         return max(up, key=lambda n: self.nodes[n][0].lead.view.epoch, default=None)
 
     def kill(self, n):
+        """Stops a member; its disk stays."""
         self.off.add(n)
 
     def wipe(self, n):
+        """Stops a member and empties its disk."""
         self.kill(n)
         self.disks.pop(n, None)
 
     def cut(self, n, others=None, way="both"):
+        """Cuts a member from others (all), both ways, or ``in`` or ``out`` only."""
         for o in others or self.nodes:
             if o != n:
                 self.cuts |= {(n, o)} if way == "out" else {(o, n)} if way == "in" else {(n, o), (o, n)}
 
     def heal(self):
+        """Joins all links."""
         self.cuts.clear()
 
     def write(self, rev, n=None, wait=1500):
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -1,8 +1,8 @@
 """The stories, each a timeline with a column per controller."""
 import unittest
 
-from tests.core import Core
-from tests.timeline import play as run
+from .core import Core
+from .timeline import play as run
 
 STORIES = {
     "primary-lost": ("abc", 1, """
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,7 +16,7 @@
 
 class Examples(unittest.TestCase):
     def test_examples(self):
-        for path in _sources("libs", "sparloom"):
+        for path in _sources("libs", "sparloom", "rehearsal"):
             rel = os.path.relpath(path, ROOT)[:-3].replace(os.sep, ".")
             if rel.endswith("__main__"):
                 continue
@@ -26,6 +26,6 @@
                 self.assertEqual(doctest.testmod(mod).failed, 0)
 
     def test_no_file_over_400_lines(self):
-        for path in _sources("libs", "sparloom", "tests"):
+        for path in _sources("libs", "sparloom", "tests", "rehearsal"):
             with self.subTest(path), open(path, encoding="utf-8") as f:
                 self.assertLessEqual(sum(1 for _ in f), 400)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,13 +2,12 @@
 import random
 import unittest
 
+from rehearsal.core import Core
+from rehearsal.timeline import play
 from sparloom.ledger import Store
 from sparloom.ledger.records import Data, Member, Register, View
 from sparloom.ledger.views import carried, choose_backups, reroster
 
-from .core import Core
-from .timeline import play
-
 
 class Timelines(unittest.TestCase):
     def play(self, text, names="abc", seeds=range(8), **kw):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,59 +1,8 @@
 """Membership on a simulated net: a column per node, seeded luck."""
-import heapq
-import random
 import unittest
-from datetime import timedelta
-from itertools import count
 
-from sparloom.members import ALIVE, CONTROLLER, DEAD, ROUTER, Peer, Swim, Times
-
-MS = timedelta(milliseconds=1)
-
-
-class Net:
-    def __init__(self, names, seed=1, loss=0.03):
-        self.rng, self.now, self.tie, self.todo = random.Random(seed), 0 * MS, count(), []
-        self.nodes, self.off, self.cuts, self.loss, self.lives = {}, set(), set(), loss, count(1)
-        self.seeds = tuple(f"{n}:1" for n in names[:3])
-        for n in names:
-            self.boot(n)
-
-    def boot(self, n):
-        life = next(self.lives)
-        role = CONTROLLER if n in "abc" else ROUTER
-        self.nodes[n] = Swim(Peer(f"{n}:1", role, "z", "", life, 0, ALIVE), self.seeds, Times.of(3000 * MS), random.Random(self.rng.random()))
-        self.off.discard(n)
-        self.tick(n, life)
-
-    def tick(self, n, life):
-        s = self.nodes[n]
-        if n in self.off or s.me.life != life:
-            return
-        self.send(n, s.tick(self.now))
-        self.at(50 * MS, lambda: self.tick(n, life))
-
-    def at(self, d, fn):
-        heapq.heappush(self.todo, (self.now + d, next(self.tie), fn))
-
-    def send(self, n, msgs):
-        for m in msgs:
-            to = m.to.split(":")[0]
-            if (n, to) not in self.cuts and self.rng.random() > self.loss:
-                self.at((1 + self.rng.random()) * MS, lambda to=to, m=m: self.arrive(n, to, m.rec))
-
-    def arrive(self, n, to, rec):
-        if to in self.nodes and to not in self.off:
-            self.send(to, self.nodes[to].receive(self.now, f"{n}:1", rec))
-
-    def run(self, ms):
-        end = self.now + ms * MS
-        while self.todo and self.todo[0][0] <= end:
-            self.now, _, fn = heapq.heappop(self.todo)
-            fn()
-        self.now = end
-
-    def sees(self, n):
-        return {p.key.split(":")[0] for p in self.nodes[n].alive()}
+from rehearsal.net import Net
+from sparloom.members import DEAD
 
 
 class Members(unittest.TestCase):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -1,8 +1,19 @@
 """The rehearsal tells what held, and also what did not."""
+import ast
+import os
 import unittest
 
 from rehearsal import play
 
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+def imported(path):
+    """The names of all modules that a file imports."""
+    with open(path, encoding="utf-8") as f:
+        nodes = list(ast.walk(ast.parse(f.read())))
+    return {a.name for n in nodes if isinstance(n, ast.Import) for a in n.names} | {n.module or "" for n in nodes if isinstance(n, ast.ImportFrom)}
+
 
 class Rehearsal(unittest.TestCase):
     def test_every_story_holds(self):
@@ -18,3 +29,10 @@
             self.assertIn("2500 ms", play.play("wrong", 1))
         finally:
             del play.STORIES["wrong"]
+
+    def test_neither_programs_nor_the_emulator_need_the_tests(self):
+        for top in ("rehearsal", "sparloom", "libs", "standins"):
+            for d, _, files in os.walk(os.path.join(ROOT, top)):
+                for f in (f for f in files if f.endswith(".py")):
+                    found = {m for m in imported(os.path.join(d, f)) if m.split(".")[0] == "tests"}
+                    self.assertEqual(found, set(), os.path.join(d, f))
