--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,14 +1,16 @@
-"""The rehearsal's command line."""
+"""The rehearsal's command line: stories by default; point, scale and report by name."""
 import sys
 
 import defopt
+from absl import logging
 
 from sparloom import __version__
 
-from .play import STORIES, play
+from .play import STORIES
+from .play import play as play_one
 
 
-def main(*, seed: int = 1, runs: int = 5, story: str = ""):
+def play(*, seed: int = 1, runs: int = 5, story: str = ""):
     """Play failure timelines of the control state on this machine, in simulated time.
 
     :param seed: the first seed; the same seed plays the same luck
@@ -23,11 +25,58 @@
     bad = 0
     for n in names:
         for s in range(seed, seed + runs):
-            fault = play(n, s)
+            fault = play_one(n, s)
             bad += fault is not None
             print(f"{n}, seed {s}: {'held' if fault is None else 'did not hold: ' + fault}")
     print(f"{len(names) * runs - bad} held, {bad} did not")
     return 1 if bad else 0
 
 
-sys.exit(defopt.run(main, version=f"rehearsal {__version__}"))
+def point(*nodes: int, runners: int = 0, routes: int = 10, zones: int = 5, regions: int = 1, controllers: int = 5, rate: float = 10.0, hold: float = 2.0,
+          long: float = 0.1, changes: int = 5, per_s: float = 0.76, seconds: int = 5, quiet_only: bool = False, seed: int = 1, runs: int = 1, out: str = ""):
+    """Play points of the scale run in simulated time, one process, seeded.
+
+    :param nodes: the sizes to play, in routers
+    :param runners: runners in the list (0: half as many as routers, 36 at least)
+    :param routes: routes of the configuration
+    :param zones: zones
+    :param regions: regions
+    :param controllers: controllers
+    :param rate: made-up calls begun a second at each router
+    :param hold: seconds that each lasts
+    :param long: the share of calls with a long shared part
+    :param changes: changes of the configuration
+    :param per_s: changes a second
+    :param seconds: simulated seconds of the quiet part
+    :param quiet_only: without deaths and a lost zone
+    :param seed: the first seed
+    :param runs: runs of each size, each with the next seed
+    :param out: a JSON file to write; a CSV goes beside it
+    """
+    from .fleet import Size
+    from .hollow import Load
+    from .point import point as play_point
+    from .results import save
+    points = []
+    for n in nodes or (25,):
+        for s in range(seed, seed + runs):
+            size = Size(n, runners or max(36, n // 2), routes, zones, regions, controllers)
+            got = play_point(size, Load(rate, hold, long), s, changes=changes, rate=per_s, seconds=seconds, troubles=not quiet_only)
+            points.append(got)
+            q = got["quiet"]["routers"]
+            print(f"{n} nodes, seed {s}: {q['meanOut']['messages']} messages and {q['meanOut']['bytes']} bytes out a node and second, "
+                  f"busiest {q['mostOut']['messages']} and {q['mostOut']['bytes']}; change in force after {got['change']['delayMs']} ms; {got['emulatorCpuS']} s", flush=True)
+            if out:
+                save(out, {"form": "simulated time", "points": points})
+    return 0
+
+
+def main():
+    """Runs the command that is named, or the stories."""
+    logging.set_verbosity(logging.ERROR)
+    named = {"play": play, "point": point}
+    argv = sys.argv[1:] if sys.argv[1:2] and sys.argv[1] in (*named, "--help", "-h", "--version") else ["play", *sys.argv[1:]]
+    sys.exit(defopt.run(named, argv=argv, version=f"rehearsal {__version__}"))
+
+
+main()
