--- a/rehearsal/net.py
+++ b/rehearsal/net.py
@@ -28,14 +28,15 @@
         role = CONTROLLER if n in "abc" else ROUTER
         self.nodes[n] = Swim(Peer(f"{n}:1", role, "z", "", life, 0, ALIVE), self.seeds, Times.of(3000 * MS), random.Random(self.rng.random()))
         self.off.discard(n)
-        self._tick(n, life)
+        self.tick(n, life)
 
-    def _tick(self, n, life):
+    def tick(self, n, life):
+        """Moves a member on, and again every 50 ms while that life runs."""
         s = self.nodes[n]
         if n in self.off or s.me.life != life:
             return
         self.send(n, s.tick(self.now))
-        self.at(50 * MS, lambda: self._tick(n, life))
+        self.at(50 * MS, lambda: self.tick(n, life))
 
     def send(self, n, msgs):
         """Puts a member's datagrams on the net; some are lost."""
