--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -71,10 +71,46 @@
     return 0
 
 
+def scale(plan: str, *, out: str = "target/scale.json"):
+    """Play a plan over real sockets on loopback: real controllers and routers beside hollow ones.
+
+    It ends by the plan's limitS and leaves no process running. Needs requirements-tools.txt.
+
+    :param plan: the plan, a TOML file
+    :param out: the JSON file to write after each point; a CSV goes beside it
+    """
+    import asyncio
+
+    from .plan import read
+    from .results import save
+    from .scale import run
+    got = read(plan)
+    if got.value_or(None) is None:
+        print(got.failure())
+        return 2
+    done = asyncio.run(run(got.unwrap(), lambda text: print(text, flush=True), lambda d: save(out, d)))
+    print(f"{len(done['points'])} points in {out}, {len(done['notRun'])} not run")
+    return 1 if done["notRun"] else 0
+
+
+def report(*files: str, x: str = "size.nodes", picture: str = ""):
+    """Print and draw the slopes of a run.
+
+    :param files: JSON files of one form, written by point or scale
+    :param x: what to draw over: size.nodes, size.runners, size.routes, change.perS
+    :param picture: the PNG to write
+    """
+    from .report import report as show
+    bad = show(files, x, picture)
+    if bad:
+        print(bad)
+    return 2 if bad else 0
+
+
 def main():
     """Runs the command that is named, or the stories."""
     logging.set_verbosity(logging.ERROR)
-    named = {"play": play, "point": point}
+    named = {"play": play, "point": point, "scale": scale, "report": report}
     argv = sys.argv[1:] if sys.argv[1:2] and sys.argv[1] in (*named, "--help", "-h", "--version") else ["play", *sys.argv[1:]]
     sys.exit(defopt.run(named, argv=argv, version=f"rehearsal {__version__}"))
 
