--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,4 +1,5 @@
 """The rehearsal's command line: stories by default; point, scale and report by name."""
+import os
 import sys
 
 import defopt
@@ -127,9 +128,11 @@
 
 
 def main():
-    """Runs the command that is named, or the stories."""
+    """Runs the command that is named, or the stories; a point's sets keep one order, so that its seed tells all."""
     logging.set_verbosity(logging.ERROR)
     named = {"play": play, "point": point, "scale": scale, "pieces": pieces, "report": report}
+    if sys.argv[1:2] == ["point"] and "PYTHONHASHSEED" not in os.environ:
+        os.execve(sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"})
     argv = sys.argv[1:] if sys.argv[1:2] and sys.argv[1] in (*named, "--help", "-h", "--version") else ["play", *sys.argv[1:]]
     sys.exit(defopt.run(named, argv=argv, version=f"rehearsal {__version__}"))
 
