--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -81,6 +81,7 @@
     :param out: the JSON file to write after each point; a CSV goes beside it
     """
     import asyncio
+    import signal
 
     from .plan import read
     from .results import save
@@ -89,6 +90,7 @@
     if got.value_or(None) is None:
         print(got.failure())
         return 2
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     done = asyncio.run(run(got.unwrap(), lambda text: print(text, flush=True), lambda d: save(out, d)))
     print(f"{len(done['points'])} points in {out}, {len(done['notRun'])} not run")
     return 1 if done["notRun"] else 0
