--- a/rehearsal/tally.py
+++ b/rehearsal/tally.py
@@ -9,10 +9,10 @@
 def kind(raw, at=0):
     """The name of the record that starts at a place in some bytes.
 
-    >>> from sparloom.feed import Pulse
+    >>> from sparloom.timeouts import Read
     >>> from sparloom.wire import pack
-    >>> kind(pack(Pulse(1, 2))), kind(b"GET /")
-    ('Pulse', '?')
+    >>> kind(pack(Read(1, 2, 3))), kind(b"GET /")
+    ('Read', '?')
     """
     cls = _BY_TAG.get(raw[at + 1]) if len(raw) > at + 1 and raw[at] == MAGIC else None
     return cls.__name__ if cls else "?"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,11 +7,11 @@
 import unittest
 from datetime import timedelta
 
+from rehearsal.timeline import rows
 from sparloom.feed import POLICY, Shelf, Tracker
 from sparloom.relay import STALE, Spans, Tier, Upstream, plan
 
 from .relays import CONTACT, MS, Net
-from .timeline import rows
 
 THIRD = CONTACT / 3
 MARGIN = 120 * MS
