--- a/rehearsal/point.py
+++ b/rehearsal/point.py
@@ -116,7 +116,10 @@
             await asyncio.sleep(0.5)
             false.append(f.doubted(self._observers(8)))
         ends = list(f.routers)
+        duty = [ip for ip, r in f.routers.items() if r.tier.relay]
         self.out["quiet"] = {
+            "relayDuty": {"nodes": len(duty), **(rates(tally, duty, self.seconds) if duty else {})},
+            "others": rates(tally, [ip for ip in ends if ip not in duty] or ends, self.seconds),
             "routers": rates(tally, ends, self.seconds), "controllers": rates(tally, list(f.controllers), self.seconds),
             "kinds": {k: {"messages": round(n / self.seconds / len(ends), 2), "bytes": round((b + HEADER * n) / self.seconds / len(ends), 1)} for k, (n, b) in tally.kinds(set(ends)).items()},
             "tooLong": tally.long, "falselySuspected": sum(d.suspect for d in false), "falselyDead": sum(d.dead for d in false),
