--- a/rehearsal/point.py
+++ b/rehearsal/point.py
@@ -90,6 +90,8 @@
         await self._quiet()
         await self._change()
         await self._relist()
+        if self.size.regions > 1:
+            await self._parted()
         if self.troubles:
             await self._deaths()
             await self._zone()
@@ -181,6 +183,29 @@
         await f.kill(gone)
         self.out["deaths"] = {"killed": len(gone), "noticedMs": three(await self._noticed(keys, 8 * self.bounds["contactMs"] / 1000))}
 
+    async def _parted(self, cut_s=20):
+        """The first region loses the others, then finds them again."""
+        f, net, s = self.fleet, self.loop.net, self.size
+        every = [*f.routers, *f.controllers]
+        zones = {ip: (f.routers.get(ip) or f.controllers[ip]).up.zone for ip in every}
+        away = {ip for ip in every if s.region(zones[ip]) == "region-1"}
+        net.cut(away, set(every) - away)
+        await asyncio.sleep(cut_s)
+        net.tally.clear()
+        delays = dict(zip(f.routers, await self._one_change(0), strict=True))
+        sides = {"cutOff": [ip for ip in f.routers if ip in away], "rest": [ip for ip in f.routers if ip not in away]}
+        self.out["parted"] = {"seconds": cut_s, **{k: {
+            "routers": len(v), "controllers": sum(c in away for c in f.controllers) if k == "cutOff" else sum(c not in away for c in f.controllers),
+            "changeMs": three([delays[ip] for ip in v]), "ready": sum(f.routers[ip].ready() for ip in v),
+            "nodesSeen": sorted({f.routers[ip].nodes() for ip in v}), "dividedBy": sorted({f.routers[ip].crowd.divisor for ip in v}),
+        } for k, v in sides.items()}}
+        net.cuts.clear()
+        begun = steady()
+        while (steady() - begun).total_seconds() < 90 and not all(f._has(r, f.revision) and r.nodes() == s.nodes for r in f.routers.values()):
+            await asyncio.sleep(0.1)
+        whole = all(r.nodes() == s.nodes for r in f.routers.values())
+        self.out["parted"]["healedMs"] = round((steady() - begun).total_seconds() * 1000) if whole else None
+
     async def _zone(self):
         f, tally = self.fleet, self.loop.net.tally
         gone = [ip for ip, r in f.routers.items() if r.up.zone == self.size.zone(0)]
