--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -33,7 +33,7 @@
     return 1 if bad else 0
 
 
-def point(*nodes: int, runners: int = 0, routes: int = 10, zones: int = 5, regions: int = 1, controllers: int = 5, rate: float = 10.0, hold: float = 2.0,
+def point(*nodes: int, runners: int = 0, routes: int = 10, zones: int = 5, regions: int = 1, controllers: int = 5, slots: int = 16, rate: float = 10.0, hold: float = 2.0,
           long: float = 0.1, changes: int = 5, per_s: float = 0.76, seconds: int = 5, quiet_only: bool = False, seed: int = 1, runs: int = 1, out: str = ""):
     """Play points of the scale run in simulated time, one process, seeded.
 
@@ -43,6 +43,7 @@
     :param zones: zones
     :param regions: regions
     :param controllers: controllers
+    :param slots: slots of each runner
     :param rate: made-up calls begun a second at each router
     :param hold: seconds that each lasts
     :param long: the share of calls with a long shared part
@@ -61,7 +62,7 @@
     points = []
     for n in nodes or (25,):
         for s in range(seed, seed + runs):
-            size = Size(n, runners or max(36, n // 2), routes, zones, regions, controllers)
+            size = Size(n, runners or max(36, n // 2), routes, zones, regions, controllers, slots)
             got = play_point(size, Load(rate, hold, long), s, changes=changes, rate=per_s, seconds=seconds, troubles=not quiet_only)
             points.append(got)
             q = got["quiet"]["routers"]
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -37,6 +37,7 @@
     zones: int = 5
     regions: int = 1
     controllers: int = 5
+    slots: int = 16
 
     def zone(self, i):
         """The zone of the i-th machine.
@@ -88,7 +89,7 @@
     }
 
 
-def policy(revision, routes):
+def policy(revision, routes, slots=16):
     """A configuration with a number of routes.
 
     >>> len(policy(1, 10)["routes"])
@@ -100,7 +101,7 @@
             "name": f"r-{i}", "hostname": f"tenant-{i // 4}.example", "pathPrefix": f"/p{i}/", "routeKind": "streaming", "timeoutMs": 30000,
             "targetMs": 450, "priority": 0, "service": SERVICE, "maxAttempts": 2, "resumeStreams": True, "gapTargetMs": 56,
         } for i in range(routes)],
-        "services": [{"name": SERVICE, "connectionLimit": 570, "engine": {"slots": 16, "cacheTokens": 378959}}],
+        "services": [{"name": SERVICE, "connectionLimit": 570, "engine": {"slots": slots, "cacheTokens": 378959}}],
     }
 
 
@@ -113,7 +114,7 @@
     return {"revision": revision, "upsert": {"routes": [{**policy(1, route + 1)["routes"][route], "targetMs": target}]}}
 
 
-def entries(runners, zones=5, life=0):
+def entries(runners, zones=5, life=0, slots=16):
     """The platform's list of hollow runners; ``life`` renames the first of them.
 
     >>> entries(2)[1]["runnerId"]
@@ -121,7 +122,7 @@
     """
     return [{
         "runnerId": f"i-{i:05d}-{life if i == 0 else 0}", "service": SERVICE, "address": f"127.4.{i // 250}.{i % 250 + 1}:8080",
-        "zone": f"zone-{i % zones + 1}", "slots": 16, "state": "ready", "coldRemainingMs": 0,
+        "zone": f"zone-{i % zones + 1}", "slots": slots, "state": "ready", "coldRemainingMs": 0,
     } for i in range(runners)]
 
 
@@ -172,11 +173,11 @@
             ip = self.size.controller(i)
             ctl = self.controllers[ip] = Controller(self._up(ip, "controller", i, ip), "")
             ctl.poller = _ListedHere(ctl.up, ctl.core, ctl.shop, ctl.control.routers)
-            ctl.poller.listing = entries(self.size.runners, self.size.zones)
+            ctl.poller.listing = entries(self.size.runners, self.size.zones, 0, self.size.slots)
             await self._on(ip, ctl)
         await asyncio.gather(*(self.boot(i, 2.0 * i / self.size.nodes) for i in range(self.size.nodes)))
         for _ in range(200):
-            if await self.change(policy(1, self.size.routes), "PUT") is not None:
+            if await self.change(policy(1, self.size.routes, self.size.slots), "PUT") is not None:
                 return
             await asyncio.sleep(0.1)
         raise RuntimeError("no configuration was taken")
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -24,7 +24,7 @@
     "points": [{
         "nodes": And(_SOME, lambda v: v <= 2000, error="nodes must be 1 to 2000"),
         Optional("runners", default=36): _SOME, Optional("routes", default=10): _SOME, Optional("zones", default=5): _SOME,
-        Optional("regions", default=1): _SOME, Optional("controllers", default=3): And(_SOME, lambda v: v <= 9, error="controllers must be 1 to 9"),
+        Optional("regions", default=1): _SOME, Optional("slots", default=16): _SOME, Optional("controllers", default=3): And(_SOME, lambda v: v <= 9, error="controllers must be 1 to 9"),
     }],
     Optional("load", default={}): {
         Optional("rate", default=2.0): _FROM0, Optional("hold", default=5.0): _ABOVE0,
--- a/rehearsal/point.py
+++ b/rehearsal/point.py
@@ -154,7 +154,7 @@
         tally.clear()
         new = f"i-00000-{1}"
         for c in f.controllers.values():
-            c.poller.listing = entries(self.size.runners, self.size.zones, 1)
+            c.poller.listing = entries(self.size.runners, self.size.zones, 1, self.size.slots)
         begun = steady()
         while (steady() - begun).total_seconds() < 30 and not all(new in r.fleet.posts for r in f.routers.values()):
             await asyncio.sleep(0.05)
--- a/rehearsal/scale.py
+++ b/rehearsal/scale.py
@@ -95,7 +95,7 @@
             self.place |= {i: self.hosts[-1] for i in mine}
         self.empty = [(await h.ask("figures"), h.used()) for h in self.hosts]
         await asyncio.gather(*(h.ask("start", startups=[self._told(folder, s.router(i), "router", i) for i, at in self.place.items() if at is h], load=asdict(self.plan.load), seed=self.seed + k) for k, h in enumerate(self.hosts)))
-        d = policy(1, s.routes)
+        d = policy(1, s.routes, s.slots)
         d["routes"].append(GIVEN)
         d["services"].append({**d["services"][0], "name": SERVICE})
         for _ in range(100):
--- a/rehearsal/traffic.py
+++ b/rehearsal/traffic.py
@@ -52,7 +52,7 @@
 
     def list(self, life):
         """The list, with the first hollow runner in that life."""
-        self.platform.entries = [*self.real, *entries(self.size.runners, self.size.zones, life)]
+        self.platform.entries = [*self.real, *entries(self.size.runners, self.size.zones, life, self.size.slots)]
 
     def send(self, fronts, rate):
         """Requests a second to each front, until the end."""
