--- a/rehearsal/host.py
+++ b/rehearsal/host.py
@@ -89,7 +89,7 @@
     async def state(self, nodes):
         """How many are ready, and how many of these see all the routers."""
         ready = [r for r in self.routers.values() if r.ready()]
-        return {"ready": len(ready), "whole": sum(r.nodes() == nodes for r in ready), "list": sorted({len(r.fleet.posts) for r in ready})}
+        return {"ready": len(ready), "whole": sum(r.nodes() == nodes for r in ready), "see": sorted({r.nodes() for r in ready}), "list": sorted({len(r.fleet.posts) for r in ready})}
 
     async def kill(self, ips):
         """Routers end without a word; the time of it."""
--- a/rehearsal/scale.py
+++ b/rehearsal/scale.py
@@ -128,7 +128,8 @@
                 self.traffic.send([f"{self.size.router(i)}:8263" for i in range(self.plan["realRouters"])], 2.0)
                 return self.say("settled")
             await asyncio.sleep(0.5)
-        raise Failed(f"not settled after 90 s: {got}")
+        ended = [f"{c.role} ended with {c.proc.returncode}" for c in self.kids.all if c.proc.returncode is not None]
+        raise Failed(f"not settled after 90 s: {got} {ended}")
 
     # -- phases -------------------------------------------------------------
     async def _measured(self, what, seconds):
