--- a/libs/relay/upstream.py
+++ b/libs/relay/upstream.py
@@ -162,7 +162,12 @@
         return best[0] if best else None
 
     def start(self, now, to):
-        """A pipe to ``to`` is being opened."""
+        """A pipe to ``to`` is being opened.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1))
+        >>> u.start(ZERO, "c:1"); u.parent
+        'c:1'
+        """
         self.parent, self.direct = to, to not in self.tier.parents
         if self.direct:
             self.tried = [c for c in self.tried if c != to][-8:] + [to]
@@ -174,7 +179,12 @@
 
     # -- what comes from there -----------------------------------------------
     def pulse(self, now, age, sent=None):
-        """A pulse came: ``age`` in ms since the primary was confirmed, ``sent`` in ms of the sender's clock."""
+        """A pulse came: ``age`` in ms since the primary was confirmed, ``sent`` in ms of the sender's clock.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)); u.start(ZERO, "c:1")
+        >>> u.pulse(ZERO, 20); u.fresh == ZERO
+        True
+        """
         self.tracker.pulse(now, age, sent)
         self.alone = None
         sure = self.tracker.sureness(now)
@@ -183,15 +193,28 @@
             self._patience()
 
     def change(self, now):
-        """A change came."""
+        """A change came.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)); u.change(ZERO)
+        """
         self.tracker.change(now)
 
     def due(self, now):
-        """How long it may wait for the next record before ``leave`` must be asked again."""
+        """How long it may wait for the next record before ``leave`` must be asked again.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)); u.start(ZERO, "c:1")
+        >>> u.due(ZERO)
+        datetime.timedelta(seconds=1, microseconds=1000)
+        """
         return self.tracker.due(now, first=self.spans.dial if not self.direct else None)
 
     def leave(self, now):
-        """Why to leave the one that is followed, or None."""
+        """Why to leave the one that is followed, or None.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)); u.start(ZERO, "c:1")
+        >>> u.leave(ZERO), u.leave(timedelta(seconds=2))
+        (None, 'silent')
+        """
         tr = self.tracker
         if now - tr.heard > tr.silence or not self.direct and not tr.pulses and now - tr.since > self.spans.dial:
             return SILENT
@@ -217,7 +240,12 @@
         return now >= self.odd
 
     def ended(self, now, why):
-        """The pipe has ended, or none came about."""
+        """The pipe has ended, or none came about.
+
+        >>> u = Upstream("r:1", Spans.of(timedelta(seconds=3)), __import__("random").Random(1)); u.start(ZERO, "c:1")
+        >>> u.ended(ZERO, GONE); u.parent is None
+        True
+        """
         key, self.parent = self.parent, None
         if self.direct:
             return
