--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -31,7 +31,7 @@
 MS = timedelta(milliseconds=1)
 ZERO = timedelta(0)
 BEAT, SLACK = 100 * MS, 20 * MS
-GATHER, REST = 10 * MS, 30 * MS
+GATHER, REST = 2 * MS, 30 * MS
 
 
 @define(frozen=True, slots=True)
@@ -189,7 +189,7 @@
     def wait(self, now):
         """How long until ``beat`` should be asked because of long prompts; None without such.
 
-        A relay gathers for 10 ms what comes in, and rests 30 ms between two.
+        A relay gathers for 2 ms what comes in, and rests 30 ms between two.
 
         >>> s = Sums("a", 1, timedelta(seconds=3)); s.urgent = ZERO; s.wait(ZERO)
         datetime.timedelta(0)
