--- a/rehearsal/growth.py
+++ b/rehearsal/growth.py
@@ -142,6 +142,10 @@
 
     close = abort
 
+    def get_write_buffer_size(self):
+        """Nothing waits to be written."""
+        return 0
+
     def get_extra_info(self, name):
         """There is no socket."""
 
