--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -196,7 +196,7 @@
         """
         if self.urgent is None:
             return None
-        return max(ZERO, self.urgent + GATHER - now, self.flushed + REST - now) if self.acting else ZERO
+        return max(ZERO, self.urgent + GATHER - now, self.flushed + REST - now) if self.acting else ZERO if self.parent.key else None
 
     # -- words in -----------------------------------------------------------
     def hear(self, now, rec):
@@ -348,8 +348,9 @@
         to = self.parent.key
         if to and (self._due(now, "up", BEAT, (to, self.seq)) or self.reads):
             out.append(Send((to,), Up(self.key, self.life, self.seq, self.crowd, coded(self.held), some(self.reads))))
-        if not self.reads:
+        if not to or not self.reads:
             self.urgent = None
+            self.reads.clear()
         return out
 
     def _due(self, now, what, span, state):
