--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -196,7 +196,7 @@
         """
         if self.urgent is None:
             return None
-        return max(ZERO, self.urgent + GATHER - now, self.flushed + REST - now) if self.acting else ZERO if self.parent.key else None
+        return max(ZERO, self.urgent + GATHER - now, self.flushed + REST - now) if self.acting else ZERO
 
     # -- words in -----------------------------------------------------------
     def hear(self, now, rec):
@@ -346,16 +346,15 @@
             self.out_seq += 1
             out.append(Send(self.others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [], [])))
         to = self.parent.key
-        if to and (self._due(now, "up", BEAT, (to, self.seq)) or self.reads):
+        if to and self._due(now, "up", BEAT, (to, self.seq), self.reads):
             out.append(Send((to,), Up(self.key, self.life, self.seq, self.crowd, coded(self.held), some(self.reads))))
-        if not to or not self.reads:
+        if not self.reads:
             self.urgent = None
-            self.reads.clear()
         return out
 
-    def _due(self, now, what, span, state):
+    def _due(self, now, what, span, state, hurry):
         at, last = self.sent.get(what, (None, None))
-        if at is not None and now - at < (span if state != last else self.contact / 9) - SLACK:
+        if at is not None and not hurry and now - at < (span if state != last else self.contact / 9) - SLACK:
             return False
         self.sent[what] = (now, state)
         return True
@@ -380,14 +379,12 @@
         hurry = late is not None and late <= ZERO
         state = (self.seq, *(m.piece.seq for m in self.group.values()))
         others = self.others(now)
-        due = self._due(now, "across", BEAT, state)
-        if others and (due or hurry and self.reads):
-            out += [Send(others, rec) for rec in sums(self, now, not due)]
+        if others and self._due(now, "across", BEAT, state, hurry and self.reads):
+            out += [Send(others, rec) for rec in sums(self, now)]
         if self.group and self._sure(now):
             heard = (state, *(p.seq for r in self.relays.values() for p in r.newest))
-            due = self._due(now, "down", BEAT, heard)
-            if due or hurry and self.down:
-                out += [Send(tuple(self.group), rec) for rec in totals(self, now, not due)]
+            if self._due(now, "down", BEAT, heard, hurry and self.down):
+                out += [Send(tuple(self.group), rec) for rec in totals(self, now)]
         if hurry:
             self.flushed = now
             self.urgent = now if self.reads and others or self.down and self.group else None
--- a/libs/sums/told.py
+++ b/libs/sums/told.py
@@ -4,7 +4,7 @@
 from .pieces import add, within
 from .words import ROOM, Cover, Single, Sum, Total, coded, ranges
 
-MOST, FEW = 20, 3
+MOST = 20
 FOLD = 2.5
 
 
@@ -23,17 +23,9 @@
     return ranges(shorts, -(-size // max(300, ROOM - fixed - 16 * len(singles))) or 1)
 
 
-def _alone(reads, brief):
-    """The resources that a brief word is about, as ranges; none when the whole is no longer."""
-    shorts = {r.resource >> 32 for r in reads} if brief else ()
-    return [(s, s) for s in shorts] if len(shorts) <= FEW else None
-
-
-def sums(m, now, brief=False):
+def sums(m, now):
     """The pieces of a machine's sum; the relay itself is one of the group.
 
-    ``brief``: only the resources to which the long prompts went.
-
     >>> sums.__name__
     'sums'
     """
@@ -48,16 +40,16 @@
     m.out_seq += 1
     crowd = min((g[3] for g in group if g[3]), default=0)
     reads = some(m.reads)
-    for lo, hi in _alone(reads, brief) or _ranges(held, 12 * len(old) + 20 * len(reads), [g[4] for g in new]):
+    for lo, hi in _ranges(held, 12 * len(old) + 20 * len(reads), [g[4] for g in new]):
         yield Sum(
             m.key, m.life, m.out_seq, crowd, lo, hi, [Cover(h, q) for h, _, q, _, _ in old], coded(within(held, lo, hi)),
-            [Single(h, q, coded(within(d, lo, hi))) for h, _, q, _, d in new if lo < hi or lo in d], reads,
+            [Single(h, q, coded(within(d, lo, hi))) for h, _, q, _, d in new], reads,
         )
         reads = []
 
 
-def totals(m, now, brief=False):
-    """The pieces of the total of all that a machine knows, its own calls included; ``brief`` as above.
+def totals(m, now):
+    """The pieces of the total of all that a machine knows, its own calls included.
 
     >>> totals.__name__
     'totals'
@@ -68,6 +60,6 @@
     crowd = min([m.crowd, *(c for c in m.crowds(now).values() if c)])
     cover = [Cover(g.holder, got.seqs.get(g.holder, 0)) for g in m.group.values()]
     reads, age = some(m.down), int(m.age(now) / timedelta(milliseconds=1))
-    for lo, hi in _alone(reads, brief) or _ranges(got.held, 12 * len(cover) + 20 * len(reads)):
+    for lo, hi in _ranges(got.held, 12 * len(cover) + 20 * len(reads)):
         yield Total(m.key, m.life, m.out_seq, crowd, age, lo, hi, cover, coded(within(got.held, lo, hi)), reads)
         reads = []
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -164,16 +164,6 @@
         """
         return tuple(self._told(resource, now, part) for part in (3, 4, 5))
 
-    def blamed(self, now):
-        """The resources of which peers tell outcomes, each with their sums: good ends, bad ends, how many saw bad ones.
-
-        >>> Counts(timedelta(1)).blamed(timedelta(0))
-        {}
-        """
-        self._told(None, now, 0)
-        told = self._sum if self.shared is None else self.shared
-        return {r: v[3:6] for r, v in told.items() if v[3] or v[4]}
-
     def take(self, resource, buckets, now, tokens=0):
         """Takes a slot in every bucket, or tells the hook of a refusal and gives None.
 
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -1,7 +1,6 @@
 """Carries one ask: choose a runner, take a slot, dispatch, relay, recover."""
 import asyncio
 from datetime import timedelta
-from time import monotonic
 
 import aiohttp
 from absl import logging
@@ -16,7 +15,6 @@
 
 from . import ask as names
 from .line import Away
-from .pool import LEASE, Lease
 from .target import url_for
 from .tiers import buckets_for
 
@@ -50,7 +48,7 @@
         c, parts, key = self.know.counts, self.ask.parts, self.ask.key
         return [Standing(
             p.id, p.kept.unread(parts), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
-            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * p.out + 8 * (p.id in self.tried), p.zone == self.know.up.zone, p.warm(), lean(key, p.number),
+            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone, p.warm(), lean(key, p.number),
         ) for p in posts]
 
     def _pick(self, service):
@@ -59,11 +57,7 @@
         posts = {p.id: p for p in self.know.fleet.of(service)}
         pipes = self.know.lines.connections(service)
         note("weighed runners", len(posts))
-        order = choose(self._stands(posts.values(), now), sum(n for _, n in self.ask.parts[:-1]))
-        trial = self.know.judge.trial(service) if self.ask.route.repeatable and not self.dispatches else None
-        if trial:
-            order.sort(key=lambda s: s.id != trial)
-        for s in order:
+        for s in choose(self._stands(posts.values(), now), sum(n for _, n in self.ask.parts[:-1])):
             p = posts[s.id]
             if p.id in self.tried or p.open >= pipes[p.id]:
                 continue
@@ -144,33 +138,28 @@
         self.dispatches += 1
         note("dispatches")
         watch = Watch(self, post, slot, service)
-        lease = Lease(self.ask.id, not self.ask.route.repeatable)
-        LEASE.set(lease)
+        sent = Sent()
         try:
             async with asyncio.timeout(max(0.0, self.left().total_seconds())) as watch.limit:
                 watch.arm(slot.grant.timeout)
-                async with self._call(post) as resp:
+                async with self._call(post, sent) as resp:
                     return await self._reply(resp, post, slot, watch)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except aiohttp.ClientConnectorError:
             self.dispatches -= 1
-            watch.judge(False)
             post.strike(steady(), self.know.up.bounds.contact / 3)
             return NOT_RUN
-        except TimeoutError:
-            return MAY_HAVE_RUN
         except (aiohttp.ClientError, OSError, ValueError) as e:
             if self.req.transport is None or self.req.transport.is_closing():
                 raise asyncio.CancelledError from e
-            at_once = not watch.signs and self.know.judge.at_once(self.ask.route, steady() - watch.began)
-            if lease.idle is None or not at_once or not post.rest.reset(lease.idle, monotonic()):
-                watch.judge(False)
             post.strike(steady(), self.know.up.bounds.contact / 6)
-            logging.info("carry: %s broke off (%s, %s).", post.id, type(e).__name__, "fresh" if lease.idle is None else f"after {lease.idle:.2f} s of rest")
+            logging.info("carry: %s broke off (%s).", post.id, type(e).__name__)
+            return MAY_HAVE_RUN
+        except TimeoutError:
             return MAY_HAVE_RUN
         finally:
             watch.stop()
 
-    def _call(self, post):
+    def _call(self, post, sent):
         a = self.ask
         return post.pipes().request(
             a.method, url_for(post.address, a.path), data=a.body or None,
@@ -193,16 +182,9 @@
                 post.strike(steady(), self.know.up.bounds.contact)
             return NOT_RUN
         if not good:
-            watch.judge(False)
             resp.close()
             return MAY_HAVE_RUN
-        if resp.status == 500:
-            watch.judge(False)
-            post.strike(steady(), self.know.up.bounds.contact / 6)
-        else:
-            post.clear()
-        if LEASE.get().idle is not None:
-            post.rest.worked(LEASE.get().idle)
+        post.clear()
         if self.out is not None and resp.status != 200:
             resp.close()
             return MAY_HAVE_RUN
@@ -217,7 +199,6 @@
         split = Splitter()
         if not stream:
             body = await resp.read()
-            watch.heard()
             self._head(resp, str(len(body)))
             await self.out.prepare(self.req)
             await self.out.write(body)
@@ -254,6 +235,10 @@
             out.force_close()
 
 
+class Sent:
+    """Marks how far a dispatch got."""
+
+
 class Watch:
     """The call's timeout: runs out when the runner stays silent.
 
@@ -264,32 +249,17 @@
     def __init__(self, carry, post, slot, service):
         self.carry, self.post, self.slot, self.service = carry, post, slot, service
         self.limit = self.timer = None
-        self.span, self.began, self.signs = ZERO, steady(), 0
-        self.quiet = self.judged = False
-        self.waits = carry.know.counts.tokens(post.id, steady())
+        self.span = ZERO
+        self.quiet = False
 
     def arm(self, span):
         """Starts to wait for a sign."""
         self.span = span
         self.timer = asyncio.get_running_loop().call_later(span.total_seconds(), self._out)
 
-    def judge(self, good):
-        """Tells how this dispatch goes: well at its first sign, badly at most once."""
-        if not self.judged:
-            self.judged = not good
-            self.carry.know.judge.ended(self.post, good)
-
-    def _explained(self, took):
-        return self.carry.know.judge.explains(self.post, self.waits, took)
-
     def heard(self):
         """A sign came: wait for the next."""
         self.stop()
-        self.signs += 1
-        if self.signs == 1:
-            took, judge = steady() - self.began, self.carry.know.judge
-            self.judge(not judge.late(self.carry.ask.route, took) or self._explained(took))
-            judge.read(self.slot.tokens, took)
         if self.quiet:
             self.quiet, self.post.silent = False, self.post.silent - 1
             self.post.clear()
@@ -308,8 +278,6 @@
         self.timer = None
         if not self.quiet:
             self.quiet, self.post.silent = True, self.post.silent + 1
-        if not self._explained(self.span):
-            self.judge(False)
         self.post.strike(steady(), self.carry.know.up.bounds.contact / 6)
         plan = self.carry._plan(self.service, MAY_HAVE_RUN)
         if self.carry.ask.route.repeatable and isinstance(after(plan), Retry):
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -16,7 +16,6 @@
 
 from .fleet import Fleet
 from .follow import Follow
-from .judge import Judge
 from .line import Lines
 from .prefixes import Prefixes
 from .serve import Serve
@@ -38,7 +37,6 @@
         self.counts = Counts(con)
         self.budgets, self.born = {}, steady()
         self.crowd, self.lines = Crowd(con), Lines(self)
-        self.judge = Judge(self)
         self.known = asyncio.Event()
         self.rng, self.tier, self.members = random.Random(), Tier(), None
         self.follow, self.tell, self.prefixes = Follow(self), Tell(self), Prefixes(self)
@@ -125,8 +123,6 @@
             if turn % 4 == 1:
                 self.count()
                 self.see_tier()
-            if turn % 4 == 2:
-                self.judge.weigh()
             self.tell.beat(turn)
             self.prefixes.beat(turn)
             await asyncio.sleep(TICK.total_seconds())
--- a/sparloom/router/tell.py
+++ b/sparloom/router/tell.py
@@ -49,9 +49,9 @@
         k, now = self.know, steady()
         posts = k.fleet.posts
         return [
-            Held(posts[id].number, min(k.counts.own.get(id, 0), 0xFFFF), min(k.counts.weight.get(id, 0), 0xFFFFFFFF), int(posts[id].silent > 0 and posts[id].doubted(now)), *k.judge.said(posts[id]))
-            for id in (*k.counts.own, *k.judge.noted(k.counts.own)) if id in posts
-        ] + [Held(n, 0, 0, 0, asked, 0, 1) for n, asked in k.judge.totals()]
+            Held(posts[id].number, min(n, 0xFFFF), min(k.counts.weight.get(id, 0), 0xFFFFFFFF), int(posts[id].silent > 0 and posts[id].doubted(now)), 0, 0, 0)
+            for id, n in k.counts.own.items() if id in posts
+        ]
 
     def beat(self, turn):
         """Tells what is due; called some twenty times a second."""
@@ -122,8 +122,8 @@
         k = self.know
         if self.fleet is not k.fleet:
             self.fleet, self.shorts = k.fleet, {}
-            for n, id in k.fleet.numbers.items():
-                self.shorts.setdefault(short(n), []).append(id)
+            for p in k.fleet.posts.values():
+                self.shorts.setdefault(short(p.number), []).append(p.id)
         view = self.sums.view(now, [key for key, p in k.counts.peers.items() if now - p.heard <= k.counts.stale])
         k.counts.shared = None if view is None else {id: v for s, v in view.items() for id in self.shorts.get(s, ())}
 
