Tests: the tier's play-ground runs on the emulator's clock

Cause: tests/relays.py wrote anew the clock that rehearsal/clock.py has. Change: its Net is a Clock; no assertion is touched.

--- a/tests/relays.py
+++ b/tests/relays.py
@@ -3,15 +3,12 @@
 Routers run the real plan, Upstream and Shelf. Links can be cut (each way), machines killed (with
 or without word), frozen, slowed. Membership is told with a lag of its own to each router.
 """
-import heapq
 import random
-from datetime import timedelta
-from itertools import count
 
+from rehearsal.clock import MS, Clock
 from sparloom.feed import POLICY, UNSURE, Change, Pulse, Shelf
 from sparloom.relay import GONE, Spans, Tier, Upstream, plan
 
-MS = timedelta(milliseconds=1)
 CONTACT = 4000 * MS
 
 
@@ -49,11 +46,12 @@
         return UNSURE if known is None else int(known / MS)
 
 
-class Net:
+class Net(Clock):
     """Controllers c0.. and routers r0.., dealt over the zones in turn."""
 
     def __init__(self, routers=80, controllers=5, zones=5, seed=1, loss=0.01, flicker=0.0):
-        self.rng, self.now, self.tie, self.todo = random.Random(seed), 0 * MS, count(), []
+        super().__init__()
+        self.rng = random.Random(seed)
         self.cuts, self.loss, self.flicker, self.version = set(), loss, flicker, 0
         self.lone, self.led = (0, set()), 0 * MS
         self.primary, self.most, self.written = "c0", 0, {}
@@ -64,17 +62,7 @@
             self.boot(n)
         self.at(0 * MS, self._core)
 
-    # -- time and links ------------------------------------------------------
-    def at(self, delay, fn):
-        heapq.heappush(self.todo, (self.now + delay, next(self.tie), fn))
-
-    def run(self, ms):
-        end = self.now + ms * MS
-        while self.todo and self.todo[0][0] <= end:
-            self.now, _, fn = heapq.heappop(self.todo)
-            fn()
-        self.now = end
-
+    # -- links ------------------------------------------------------
     def path(self, a, b):
         return (a, b) not in self.cuts
 
