--- a/libs/choice/__init__.py
+++ b/libs/choice/__init__.py
@@ -1,4 +1,5 @@
 """Which runner gets a request: where the prompt's parts are likely kept, within bounds of load."""
+
 from .kept import Kept, parse_parts
 from .rank import Standing, Weights, choose, heavy, lean
 
--- a/libs/choice/kept.py
+++ b/libs/choice/kept.py
@@ -1,4 +1,5 @@
 """What a runner probably keeps, as told by what went to it."""
+
 from collections import OrderedDict
 from hashlib import blake2b
 
--- a/libs/choice/rank.py
+++ b/libs/choice/rank.py
@@ -1,4 +1,5 @@
 """Orders the runners for one request."""
+
 from attrs import define
 
 MASK = (1 << 64) - 1
@@ -74,7 +75,10 @@
     return room > 0 and unread * max(1, slots) > room
 
 
-def choose(stands, shared=0, weights=Weights()):
+WEIGHTS = Weights()
+
+
+def choose(stands, shared=0, weights=WEIGHTS):
     """The runners in the order in which to try them.
 
     Work counts in tokens: those to read for this request, those already waiting
--- a/libs/feed/__init__.py
+++ b/libs/feed/__init__.py
@@ -1,5 +1,6 @@
 """News for the data plane: a numbered feed, followed from a place on."""
+
 from .records import POLICY, RUNNERS, UNSURE, Change, Follow, Pulse
 from .shelf import Item, Shelf, Tracker
 
-__all__ = ["Change", "Follow", "Item", "POLICY", "Pulse", "RUNNERS", "Shelf", "Tracker", "UNSURE"]
+__all__ = ["POLICY", "RUNNERS", "UNSURE", "Change", "Follow", "Item", "Pulse", "Shelf", "Tracker"]
--- a/libs/feed/records.py
+++ b/libs/feed/records.py
@@ -1,4 +1,5 @@
 """The records of the feed, sent over a pipe."""
+
 from sparloom.wire import record
 
 POLICY, RUNNERS = 0, 1
--- a/libs/feed/shelf.py
+++ b/libs/feed/shelf.py
@@ -1,4 +1,5 @@
 """The machines behind the feed: what is held, what a follower lacks, when to move on."""
+
 from datetime import timedelta
 
 from attrs import define, field
@@ -45,7 +46,7 @@
         if size > most:
             break
         n += 1
-    return tuple(steps[len(steps) - n:])
+    return tuple(steps[len(steps) - n :])
 
 
 @define(slots=True)
@@ -82,7 +83,7 @@
         if stamp <= (old.stamp if old else ZERO):
             return False
         size = old.size if callable(blob) and old else 0 if callable(blob) else len(blob)
-        steps = _tail((*old.steps, (old.stamp, stamp, step))[-self.keep:], size) if old and step is not None else ()
+        steps = _tail((*old.steps, (old.stamp, stamp, step))[-self.keep :], size) if old and step is not None else ()
         self.items[topic] = Item(stamp, blob, steps, size)
         return True
 
@@ -199,7 +200,9 @@
         if first is not None and not self.pulses:
             ends.append(self.since + first)
         if self.pulses:
-            ends.append(max(self.since + self.doubt, self.heard + self.doubt - self.age if self.age is not None else self.since))
+            ends.append(
+                max(self.since + self.doubt, self.heard + self.doubt - self.age if self.age is not None else self.since)
+            )
         return max(min(ends) - now, timedelta(0)) + timedelta(milliseconds=1)
 
     def move_on(self, now):
--- a/libs/ledger/actions.py
+++ b/libs/ledger/actions.py
@@ -1,4 +1,5 @@
 """What the ledger asks of its service, and its spans of time."""
+
 from datetime import timedelta
 
 from attrs import define, field
--- a/libs/ledger/lead.py
+++ b/libs/ledger/lead.py
@@ -1,4 +1,5 @@
 """The primary's side of the ledger machine."""
+
 from attrs import define, evolve
 
 from .actions import Confirmed, Decided, Lead, Lost, Send
@@ -98,7 +99,11 @@
 
     def _replace(self, bad):
         self.sick |= {i: self.now for i in bad}
-        up = [i for i in self.lead.view.ids if i != self.me.id and i not in self.sick and not self._late(i, self.spans.patience)]
+        up = [
+            i
+            for i in self.lead.view.ids
+            if i != self.me.id and i not in self.sick and not self._late(i, self.spans.patience)
+        ]
         if len(up) < min(self.copies, len(self.lead.view.roster) - 1):
             return []
         return self._renew(None)
@@ -235,4 +240,5 @@
 
 def _own(me, view, data):
     from .records import Kept
+
     return Kept(me, view.epoch, data.number, True, view.epoch)
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -2,16 +2,33 @@
 
 A member is a follower, a candidate (``cand``) or a primary (``lead``).
 """
+
 from datetime import timedelta
 from functools import singledispatchmethod
 
 from attrs import define, evolve, field
 
 from .actions import Cand, Confirmed, Decided, Lost, Save, Send, Spans
+from .lead import Leading
 from .records import (
-    EMPTY, Beat, BeatAck, Copy, Data, Full, Hello, Join, Kept, Marked, Offer, Register, Seek, Seen, Took, View, Yield,
+    EMPTY,
+    Beat,
+    BeatAck,
+    Copy,
+    Data,
+    Full,
+    Hello,
+    Join,
+    Kept,
+    Marked,
+    Offer,
+    Register,
+    Seek,
+    Seen,
+    Took,
+    View,
+    Yield,
 )
-from .lead import Leading
 from .views import carried, choose_backups, epoch_after, ground, next_view
 
 __all__ = ["Confirmed", "Decided", "Ledger", "Lost", "Save", "Send", "Spans"]
@@ -106,32 +123,20 @@
         return found.values()
 
     def saved(self, now, save):
-        """A save is on disk; gives what was waiting for it.
-
-        >>> Ledger.saved.__name__
-        'saved'
-        """
+        """A save is on disk; gives what was waiting for it."""
         self.now = now
         self.durable = save.reg
         return list(save.then)
 
     def sick_disk(self, now):
-        """This member's own disk hangs or refuses: let another one lead.
-
-        >>> Ledger.sick_disk.__name__
-        'sick_disk'
-        """
+        """This member's own disk hangs or refuses: let another one lead."""
         self.now = now
         self.sick[self.me.id] = now
         self.quiet_till = now + self.spans.patience * 3
         return self.hand_over(now) if self.lead else []
 
     def tick(self, now):
-        """Moves time on; gives the actions that are due.
-
-        >>> Ledger.tick.__name__
-        'tick'
-        """
+        """Moves time on; gives the actions that are due."""
         self.now = now
         self.sick = {k: t for k, t in self.sick.items() if now - t < self.spans.dead * 4}
         if self.lead:
@@ -173,7 +178,11 @@
         return out
 
     def _genesis(self):
-        if not self.genesis or {(m.host, m.port) for m, _ in self.hellos.values()} != self.genesis or len(self.hellos) != len(self.genesis):
+        if (
+            not self.genesis
+            or {(m.host, m.port) for m, _ in self.hellos.values()} != self.genesis
+            or len(self.hellos) != len(self.genesis)
+        ):
             return None
         ros = [self.hellos[i][0] for i in sorted(self.hellos)]
         return View(0, 0, [], ros, [])
@@ -181,7 +190,9 @@
     # -- standing for primary -------------------------------------------------
     def _candidate(self, forced=False, roster=None):
         self.tried += 1
-        self.top = max(self.top, self.reg.promised, *(v.epoch for v in self.reg.accepted), self.view.epoch if self.view else 0)
+        self.top = max(
+            self.top, self.reg.promised, *(v.epoch for v in self.reg.accepted), self.view.epoch if self.view else 0
+        )
         self.lead = None
         self.cand = Cand(epoch_after(self.top, self.me.id), self.now, "seek", forced, roster)
         self.top = self.cand.epoch
@@ -220,11 +231,7 @@
         return []
 
     def receive(self, now, rec):
-        """Takes a record; gives the actions that follow from it.
-
-        >>> Ledger.receive.__name__
-        'receive'
-        """
+        """Takes a record; gives the actions that follow from it."""
         self.now = now
         return self._take(rec)
 
@@ -239,7 +246,11 @@
         if self.newcomer:
             return []
         led = self.lead and self.lead.phase == "on" and self.now - self.lead.confirmed < self.spans.patience * 0.6
-        hears = self.now - self.heard < self.spans.patience * 0.6 and self.beat_epoch == self.reg.promised and self.beat_epoch
+        hears = (
+            self.now - self.heard < self.spans.patience * 0.6
+            and self.beat_epoch == self.reg.promised
+            and self.beat_epoch
+        )
         busy = bool((led or hears) and not rec.forced) and rec.frm != self.me.id
         if busy or rec.epoch < self.reg.promised:
             return self._seen(rec, False, busy)
@@ -252,7 +263,9 @@
     def _seen(self, rec, ok, busy):
         r = self.reg
         host, _, port = rec.back.rpartition(":")
-        to = next((m for m in self._people() if m.id == rec.frm), None) or evolve(self.me, id=rec.frm, host=host, port=int(port))
+        to = next((m for m in self._people() if m.id == rec.frm), None) or evolve(
+            self.me, id=rec.frm, host=host, port=int(port)
+        )
         return [Send(to, Seen(self.me.id, rec.epoch, ok, busy, r.promised, r.accepted, r.active, self.data.number))]
 
     @_take.register
@@ -284,7 +297,9 @@
             self._give_up()
             return self._to(able[0], Yield(self.me.id, c.epoch)) if able else []
         up = set(c.seens) | ({m.id for m, _ in self.joiners.values()} if c.roster else set())
-        back = choose_backups(self.me.id, ros, up & {m.id for m in ros}, set(g.holders) - set(self.sick), self.copies, set(self.sick))
+        back = choose_backups(
+            self.me.id, ros, up & {m.id for m in ros}, set(g.holders) - set(self.sick), self.copies, set(self.sick)
+        )
         if back is None:
             return []
         c.ground, c.phase, c.sent = g, "offer", NEVER
--- a/libs/ledger/records.py
+++ b/libs/ledger/records.py
@@ -1,4 +1,5 @@
 """The records of the ledger: views, votes, copies."""
+
 from sparloom.wire import record
 
 
--- a/libs/ledger/store.py
+++ b/libs/ledger/store.py
@@ -1,4 +1,5 @@
 """The ledger's disk: one SQLite file, synced before anything is promised."""
+
 import os
 import sqlite3
 
@@ -26,7 +27,14 @@
         os.makedirs(folder, exist_ok=True)
         self.path = os.path.join(folder, FILE)
         self.db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
-        for line in ("locking_mode=EXCLUSIVE", "journal_mode=PERSIST", "synchronous=EXTRA", "temp_store=MEMORY", "cache_size=200", "mmap_size=0"):
+        for line in (
+            "locking_mode=EXCLUSIVE",
+            "journal_mode=PERSIST",
+            "synchronous=EXTRA",
+            "temp_store=MEMORY",
+            "cache_size=200",
+            "mmap_size=0",
+        ):
             self.db.execute(f"PRAGMA {line}").fetchall()
         self.db.execute("CREATE TABLE IF NOT EXISTS kept (what TEXT PRIMARY KEY, body BLOB NOT NULL)")
         self._sync_folder(folder)
--- a/libs/ledger/views.py
+++ b/libs/ledger/views.py
@@ -1,4 +1,5 @@
 """Plain sums about views: majorities, backups, rosters."""
+
 from attrs import define
 
 from .records import Roster, View
--- a/libs/link/__init__.py
+++ b/libs/link/__init__.py
@@ -1,4 +1,5 @@
 """Sockets for the project's own records, and the clock that they go by."""
+
 from .clock import steady
 from .files import Watch
 from .sockets import Datagrams, Frames, bind, dial, tune
--- a/libs/link/clock.py
+++ b/libs/link/clock.py
@@ -1,4 +1,5 @@
 """The steady clock, as a timedelta."""
+
 import time
 from datetime import timedelta
 
--- a/libs/link/files.py
+++ b/libs/link/files.py
@@ -1,4 +1,5 @@
 """Notices that a file has changed, with or without a signal."""
+
 import os
 
 from attrs import define
--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -1,4 +1,5 @@
 """Datagrams and framed pipes. A silent peer is noticed: every pipe has a user time-out."""
+
 import asyncio
 import socket
 import struct
--- a/libs/members/records.py
+++ b/libs/members/records.py
@@ -1,4 +1,5 @@
 """The records that members exchange by datagram."""
+
 from hashlib import blake2b
 
 from sparloom.wire import record
@@ -19,7 +20,6 @@
         """
         return (self.inc, self.state) > (o.inc, o.state)
 
-
     def mark(self):
         """64 bits for this belief, 0 for one that is dead; beliefs are compared by their sum.
 
@@ -28,7 +28,9 @@
         """
         if self.state == DEAD:
             return 0
-        return int.from_bytes(blake2b(f"{self.key}|{self.life}|{self.inc}|{self.state}".encode(), digest_size=8).digest())
+        return int.from_bytes(
+            blake2b(f"{self.key}|{self.life}|{self.inc}|{self.state}".encode(), digest_size=8).digest()
+        )
 
 
 @record(2, seq="I", peer=Peer, digest="Q", news=[Peer])
--- a/libs/members/swim.py
+++ b/libs/members/swim.py
@@ -1,4 +1,5 @@
 """The membership machine: messages and time in, datagrams out; no I/O."""
+
 from datetime import timedelta
 from functools import singledispatchmethod
 from math import ceil, log10
--- a/libs/meter/meter.py
+++ b/libs/meter/meter.py
@@ -5,6 +5,7 @@
 is counted, also one added later. A process that isn't asked to count holds
 none, and pays one comparison for each record.
 """
+
 import os
 import sys
 from datetime import timedelta
--- a/libs/platform/__init__.py
+++ b/libs/platform/__init__.py
@@ -1,4 +1,5 @@
 """The platform's list of runners: polled by one duty holder."""
-from .list import Pages, Pace, Runner, RunnerList, RunnerStep, apply_step, read_page, step
+
+from .list import Pace, Pages, Runner, RunnerList, RunnerStep, apply_step, read_page, step
 
 __all__ = ["Pace", "Pages", "Runner", "RunnerList", "RunnerStep", "apply_step", "read_page", "step"]
--- a/libs/platform/list.py
+++ b/libs/platform/list.py
@@ -1,4 +1,5 @@
 """Reads the platform's pages and paces the calls."""
+
 from datetime import timedelta
 
 from attrs import define, evolve, field
@@ -60,8 +61,13 @@
 
 def _runner(d):
     return Runner(
-        d["runnerId"], d["service"], d["address"], d.get("zone", ""), int(d.get("slots", 0)),
-        d.get("state") != "ready", max(0, int(d.get("coldRemainingMs", 0))),
+        d["runnerId"],
+        d["service"],
+        d["address"],
+        d.get("zone", ""),
+        int(d.get("slots", 0)),
+        d.get("state") != "ready",
+        max(0, int(d.get("coldRemainingMs", 0))),
     )
 
 
--- a/libs/policy/check.py
+++ b/libs/policy/check.py
@@ -1,4 +1,5 @@
 """Says whether a policy is sound; a faulty one gets a sentence that names the fault."""
+
 import json
 
 from returns.result import Failure, Result, Success
@@ -10,36 +11,44 @@
 _FROM0 = And(_NUM, lambda v: v >= 0)
 _SPLIT = Schema({"service": _NAME, "weight": _FROM0, Optional(str): object})
 
-ROUTE = Schema({
-    "name": _NAME,
-    "hostname": _NAME,
-    "pathPrefix": And(str, lambda p: p.startswith("/") and p.endswith("/"), error="pathPrefix must begin and end with a slash"),
-    "routeKind": Or("safe", "unsafe", "streaming"),
-    Optional("timeoutMs"): And(_NUM, lambda v: v > 0, error="timeoutMs must be above 0"),
-    Optional("targetMs"): _FROM0,
-    Optional("priority"): And(_WHOLE, lambda v: v >= 0),
-    Optional("weightedServices"): [_SPLIT],
-    Optional("service"): _NAME,
-    Optional("maxAttempts"): And(_WHOLE, lambda v: v >= 1),
-    Optional("stickySessions"): bool,
-    Optional("resumeStreams"): bool,
-    Optional("gapTargetMs"): _FROM0,
-    Optional(str): object,
-})
-SERVICE = Schema({
-    "name": _NAME,
-    Optional("healthPath"): str,
-    Optional("connectionLimit"): And(_WHOLE, lambda v: v > 0),
-    Optional("engine"): Or(None, dict),
-    Optional(str): object,
-})
-LIMITS = Schema({
-    Optional("maxHeaderBytes"): And(_WHOLE, lambda v: v > 0),
-    Optional("maxBodyBytes"): And(_WHOLE, lambda v: v > 0),
-    Optional("headerTimeoutMs"): And(_NUM, lambda v: v > 0),
-    Optional("idleTimeoutMs"): And(_NUM, lambda v: v > 0),
-    Optional(str): object,
-})
+ROUTE = Schema(
+    {
+        "name": _NAME,
+        "hostname": _NAME,
+        "pathPrefix": And(
+            str, lambda p: p.startswith("/") and p.endswith("/"), error="pathPrefix must begin and end with a slash"
+        ),
+        "routeKind": Or("safe", "unsafe", "streaming"),
+        Optional("timeoutMs"): And(_NUM, lambda v: v > 0, error="timeoutMs must be above 0"),
+        Optional("targetMs"): _FROM0,
+        Optional("priority"): And(_WHOLE, lambda v: v >= 0),
+        Optional("weightedServices"): [_SPLIT],
+        Optional("service"): _NAME,
+        Optional("maxAttempts"): And(_WHOLE, lambda v: v >= 1),
+        Optional("stickySessions"): bool,
+        Optional("resumeStreams"): bool,
+        Optional("gapTargetMs"): _FROM0,
+        Optional(str): object,
+    }
+)
+SERVICE = Schema(
+    {
+        "name": _NAME,
+        Optional("healthPath"): str,
+        Optional("connectionLimit"): And(_WHOLE, lambda v: v > 0),
+        Optional("engine"): Or(None, dict),
+        Optional(str): object,
+    }
+)
+LIMITS = Schema(
+    {
+        Optional("maxHeaderBytes"): And(_WHOLE, lambda v: v > 0),
+        Optional("maxBodyBytes"): And(_WHOLE, lambda v: v > 0),
+        Optional("headerTimeoutMs"): And(_NUM, lambda v: v > 0),
+        Optional("idleTimeoutMs"): And(_NUM, lambda v: v > 0),
+        Optional(str): object,
+    }
+)
 
 
 def _is(*kinds):
@@ -73,19 +82,40 @@
 # What a sound item looks like, without the schema library: that takes over a millisecond a route, and a
 # controller that checks thousands of routes beats no heart meanwhile. The schemas alone refuse, and say why.
 _SOUND = {
-    "route": (("name", "hostname", "pathPrefix", "routeKind"), {
-        "name": _named, "hostname": _named, "pathPrefix": _prefix, "routeKind": ("safe", "unsafe", "streaming").__contains__, "timeoutMs": _above0,
-        "targetMs": _from0, "priority": _whole(0), "weightedServices": _splits, "service": _named, "maxAttempts": _whole(1),
-        "stickySessions": _is(bool), "resumeStreams": _is(bool), "gapTargetMs": _from0,
-    }),
-    "service": (("name",), {"name": _named, "healthPath": _is(str), "connectionLimit": _whole(1), "engine": _is(dict, type(None))}),
+    "route": (
+        ("name", "hostname", "pathPrefix", "routeKind"),
+        {
+            "name": _named,
+            "hostname": _named,
+            "pathPrefix": _prefix,
+            "routeKind": ("safe", "unsafe", "streaming").__contains__,
+            "timeoutMs": _above0,
+            "targetMs": _from0,
+            "priority": _whole(0),
+            "weightedServices": _splits,
+            "service": _named,
+            "maxAttempts": _whole(1),
+            "stickySessions": _is(bool),
+            "resumeStreams": _is(bool),
+            "gapTargetMs": _from0,
+        },
+    ),
+    "service": (
+        ("name",),
+        {"name": _named, "healthPath": _is(str), "connectionLimit": _whole(1), "engine": _is(dict, type(None))},
+    ),
 }
 
 
 def _sound(item, what):
     """Whether an item is sound at first sight; if not, its schema judges."""
     need, tests = _SOUND.get(what, ((), {}))
-    return bool(need) and type(item) is dict and all(k in item for k in need) and all(tests[k](v) for k, v in item.items() if k in tests)
+    return (
+        bool(need)
+        and type(item) is dict
+        and all(k in item for k in need)
+        and all(tests[k](v) for k, v in item.items() if k in tests)
+    )
 
 
 def _shape(schema, item, what):
@@ -129,11 +159,15 @@
             yield f"{key} must be a list"
             return
     rs, ss = d.get("routes", []), d.get("services", [])
-    shapes = [f for f in (
-        *(_shape(ROUTE, r, "route") for r in rs),
-        *(_shape(SERVICE, s, "service") for s in ss),
-        _shape(LIMITS, d.get("limits", {}), "limits"),
-    ) if f]
+    shapes = [
+        f
+        for f in (
+            *(_shape(ROUTE, r, "route") for r in rs),
+            *(_shape(SERVICE, s, "service") for s in ss),
+            _shape(LIMITS, d.get("limits", {}), "limits"),
+        )
+        if f
+    ]
     yield from shapes
     if shapes:
         return
--- a/libs/policy/steps.py
+++ b/libs/policy/steps.py
@@ -1,4 +1,5 @@
 """The change from one policy to the next, as a PATCH body that others apply."""
+
 from .check import apply_patch
 
 
--- a/libs/policy/table.py
+++ b/libs/policy/table.py
@@ -1,4 +1,5 @@
 """The policy as routers use it: an immutable snapshot, swapped whole."""
+
 from datetime import timedelta
 
 from attrs import define, field
@@ -79,17 +80,36 @@
 def _route(d):
     timeout = d.get("timeoutMs", 30000)
     target = d.get("targetMs") or timeout / 4
-    split = ((d["service"], 1.0),) if "service" in d else tuple((w["service"], float(w["weight"])) for w in d["weightedServices"])
+    split = (
+        ((d["service"], 1.0),)
+        if "service" in d
+        else tuple((w["service"], float(w["weight"])) for w in d["weightedServices"])
+    )
     return Route(
-        d["name"], d["hostname"].lower(), d["pathPrefix"], d["routeKind"], split,
-        timedelta(milliseconds=timeout), timedelta(milliseconds=target), _ms(d, "gapTargetMs", target / 2),
-        d.get("priority", 5), d.get("maxAttempts", 1), d.get("resumeStreams", False), d.get("stickySessions", False),
+        d["name"],
+        d["hostname"].lower(),
+        d["pathPrefix"],
+        d["routeKind"],
+        split,
+        timedelta(milliseconds=timeout),
+        timedelta(milliseconds=target),
+        _ms(d, "gapTargetMs", target / 2),
+        d.get("priority", 5),
+        d.get("maxAttempts", 1),
+        d.get("resumeStreams", False),
+        d.get("stickySessions", False),
     )
 
 
 def _service(d):
     eng = d.get("engine") or {}
-    return Service(d["name"], d.get("connectionLimit", 64), int(eng.get("slots", 0)), int(eng.get("cacheTokens", 0)), d.get("healthPath", ""))
+    return Service(
+        d["name"],
+        d.get("connectionLimit", 64),
+        int(eng.get("slots", 0)),
+        int(eng.get("cacheTokens", 0)),
+        d.get("healthPath", ""),
+    )
 
 
 def build(d):
@@ -104,10 +124,14 @@
     for r in sorted(rs, key=lambda r: -len(r.prefix)):
         hosts[r.host].append(r)
     return Policy(
-        d["revision"], rs, {s["name"]: _service(s) for s in d.get("services", [])},
+        d["revision"],
+        rs,
+        {s["name"]: _service(s) for s in d.get("services", [])},
         Caps(
-            lim.get("maxHeaderBytes", std.head), lim.get("maxBodyBytes", std.body),
-            _ms(lim, "headerTimeoutMs", 3000), _ms(lim, "idleTimeoutMs", 15000),
+            lim.get("maxHeaderBytes", std.head),
+            lim.get("maxBodyBytes", std.body),
+            _ms(lim, "headerTimeoutMs", 3000),
+            _ms(lim, "idleTimeoutMs", 15000),
         ),
         {h: tuple(v) for h, v in hosts.items()},
     )
--- a/libs/prefixes/memory.py
+++ b/libs/prefixes/memory.py
@@ -1,4 +1,5 @@
 """A memory of long prefixes and the runners that they went to; records to tell it and to ask for it."""
+
 import zlib
 from collections import OrderedDict
 from struct import Struct
@@ -57,7 +58,7 @@
         [0]
         """
         reads = [Read(r, p, n) for (r, p), n in reversed(self.items.items())]
-        return [Reads(reads[i:i + each]) for i in range(0, max(1, len(reads)), each)]
+        return [Reads(reads[i : i + each]) for i in range(0, max(1, len(reads)), each)]
 
     def pack(self):
         """The bytes to keep: a checksum, then the items.
@@ -75,7 +76,7 @@
         >>> Memory.unpack(b"torn").items
         OrderedDict()
         """
-        m, body = Memory(most), raw[_SUM.size:]
+        m, body = Memory(most), raw[_SUM.size :]
         if len(raw) >= _SUM.size and len(body) % _ITEM.size == 0 and _SUM.unpack_from(raw)[0] == zlib.crc32(body):
             m.saw([Read(*i) for i in _ITEM.iter_unpack(body)])
             m.changed = False
--- a/libs/recover/budget.py
+++ b/libs/recover/budget.py
@@ -1,4 +1,5 @@
 """This node's sure share of the fleet's budget for further arrivals."""
+
 from collections import deque
 from datetime import timedelta
 
--- a/libs/recover/plan.py
+++ b/libs/recover/plan.py
@@ -1,9 +1,10 @@
 """What to do after a dispatch has ended badly: a plan, made as data."""
+
 from datetime import timedelta
 
 from attrs import define
 
-from .verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
+from .verdict import NOT_RUN, Verdict
 
 
 @define(frozen=True, slots=True)
@@ -36,6 +37,7 @@
 def after(p):
     """The step after a dispatch that brought no whole reply.
 
+    >>> from sparloom.recover.verdict import MAY_HAVE_RUN
     >>> after(Plan(False, 2, 1, MAY_HAVE_RUN, left=timedelta(1), within_budget=True, others=True))
     GiveUp(status=502, cut=False)
     >>> after(Plan(False, 2, 1, NOT_RUN, left=timedelta(1), within_budget=True, others=True))
--- a/libs/recover/verdict.py
+++ b/libs/recover/verdict.py
@@ -1,4 +1,5 @@
 """The verdict: whether an ask may have run."""
+
 from enum import Enum
 
 from attrs import define
--- a/libs/relay/__init__.py
+++ b/libs/relay/__init__.py
@@ -1,4 +1,5 @@
 """The tier of relays: who passes news on, chosen from membership without a vote."""
+
 from .plan import Tier, plan
 from .upstream import GENTLE, GONE, SILENT, STALE, Spans, Upstream
 
--- a/libs/relay/plan.py
+++ b/libs/relay/plan.py
@@ -4,6 +4,7 @@
 for moments; nothing breaks then: a relay serves whoever follows it, and a
 follower that finds no relay goes on to the next one of its list.
 """
+
 from functools import lru_cache
 from hashlib import blake2b
 from math import ceil, sqrt
@@ -47,7 +48,10 @@
 
 def _relays(zones, group):
     """Per zone the heaviest routers, one for each group begun."""
-    return {z: tuple(sorted(keys, key=lambda k: -_weight(z, k))[:max(1, round(len(keys) / group))]) for z, keys in zones.items()}
+    return {
+        z: tuple(sorted(keys, key=lambda k: -_weight(z, k))[: max(1, round(len(keys) / group))])
+        for z, keys in zones.items()
+    }
 
 
 def plan(me, zone, others):
--- a/libs/relay/upstream.py
+++ b/libs/relay/upstream.py
@@ -6,6 +6,7 @@
 what is wished must have stood for a while, and a random part is added so that
 many do not move at once.
 """
+
 from datetime import timedelta
 
 from attrs import define, field
@@ -15,6 +16,7 @@
 from .plan import Tier
 
 ZERO = timedelta(0)
+NO_TIER = Tier()
 SILENT, STALE, GENTLE, GONE = "silent", "stale", "gentle", "gone"
 
 
@@ -43,7 +45,14 @@
         >>> Spans.of(timedelta(seconds=6)).dial
         datetime.timedelta(microseconds=500000)
         """
-        return cls(contact, (contact / 3, contact / 3), (contact / 5, contact / 4), (contact * 0.3, contact * 0.3), contact / 12, contact / 6)
+        return cls(
+            contact,
+            (contact / 3, contact / 3),
+            (contact / 5, contact / 4),
+            (contact * 0.3, contact * 0.3),
+            contact / 12,
+            contact / 6,
+        )
 
 
 @define(slots=True)
@@ -58,7 +67,7 @@
     me: str
     spans: Spans
     rng: object
-    tier: Tier = Tier()
+    tier: Tier = NO_TIER
     suspects: frozenset = frozenset()
     tracker: Tracker = None
     parent: str | None = None
@@ -96,14 +105,18 @@
         if under != self.under:
             # A relay that others follow leaves last; a new one is wanted soon.
             self.under, self.wished = under, now
-            self.stay = now + (self._some(2, 1) if self.tier.relay else self._some(1, 1) if under else self._some(0.5, 0.5))
+            self.stay = now + (
+                self._some(2, 1) if self.tier.relay else self._some(1, 1) if under else self._some(0.5, 0.5)
+            )
         self.tier = tier
         self._bear()
 
     def _bear(self):
         """What silence and age it bears hangs on its duty."""
         sp = self.spans
-        self.tracker.silence, self.tracker.doubt = sp.follower if not self.direct else sp.relay if self.tier.relay else sp.single
+        self.tracker.silence, self.tracker.doubt = (
+            sp.follower if not self.direct else sp.relay if self.tier.relay else sp.single
+        )
 
     def serves(self):
         """Whether this router may serve followers: only one that follows a controller.
@@ -219,7 +232,13 @@
         if now - tr.heard > tr.silence or not self.direct and not tr.pulses and now - tr.since > self.spans.dial:
             return SILENT
         sure = tr.sureness(now)
-        if not self.direct and tr.pulses and (sure is None or sure > tr.doubt) and self.stales and self.stales <= self.tier.near:
+        if (
+            not self.direct
+            and tr.pulses
+            and (sure is None or sure > tr.doubt)
+            and self.stales
+            and self.stales <= self.tier.near
+        ):
             return STALE
         if tr.move_on(now):
             return STALE
@@ -230,8 +249,12 @@
             return self.under and now >= self.stay and not self._old(now) and bool(self._relays(now))
         if not self.under:
             return now >= self.stay
-        near = self.tier.parents[:self.tier.near]
-        far = bool(near) and self.parent not in near and any(self.avoid.get(k, ZERO) <= now and k not in self.suspects for k in near)
+        near = self.tier.parents[: self.tier.near]
+        far = (
+            bool(near)
+            and self.parent not in near
+            and any(self.avoid.get(k, ZERO) <= now and k not in self.suspects for k in near)
+        )
         if self.parent in self.tier.parents and not far:
             self.odd = None
             return False
--- a/libs/shares/__init__.py
+++ b/libs/shares/__init__.py
@@ -1,4 +1,5 @@
 """Members' reserves: who a member is, what it may always have, and its line."""
+
 from .crowd import Crowd
 from .gate import Away, Gate, Granted, Need, Room, Waits
 from .member import Member, declared, members_of
--- a/libs/shares/crowd.py
+++ b/libs/shares/crowd.py
@@ -1,4 +1,5 @@
 """How many routers the whole is divided by, and when a newcomer may begin."""
+
 from collections import deque
 from datetime import timedelta
 
--- a/libs/shares/gate.py
+++ b/libs/shares/gate.py
@@ -1,4 +1,5 @@
 """The gate of one service at one router: reserves, the common part, and a queue per member."""
+
 from datetime import timedelta
 
 from attrs import define, field
@@ -192,7 +193,13 @@
         out = []
         while any(self.queues.values()):
             heads = [q[0] for q in self.queues.values() if q]
-            heads.sort(key=lambda r: (not self.kept.inside(r.member, self.used.get(r.member, NONE), self.over), r.priority, r.came))
+            heads.sort(
+                key=lambda r: (
+                    not self.kept.inside(r.member, self.used.get(r.member, NONE), self.over),
+                    r.priority,
+                    r.came,
+                )
+            )
             r, fit = next(((h, f) for h in heads if (f := self._fit(h.member, h.need))), (None, None))
             if r is None:
                 break
@@ -227,8 +234,15 @@
         >>> Gate(Room(8), {"a": 0.5}).figures(timedelta(0))["a"]["reserve"]
         4.0
         """
-        return {m or "(others)": {
-            "reserve": round(self.room.slots * self.parts.get(m, 0), 2), "used": self.used.get(m, NONE)[0], "queue": len(self.queues.get(m, ())),
-            "oldestMs": max((int((now - r.came) / timedelta(milliseconds=1)) for r in self.queues.get(m, ())), default=0),
-            "refused": self.refused.get(m, 0),
-        } for m in {**self.parts, **self.used}}
+        return {
+            m or "(others)": {
+                "reserve": round(self.room.slots * self.parts.get(m, 0), 2),
+                "used": self.used.get(m, NONE)[0],
+                "queue": len(self.queues.get(m, ())),
+                "oldestMs": max(
+                    (int((now - r.came) / timedelta(milliseconds=1)) for r in self.queues.get(m, ())), default=0
+                ),
+                "refused": self.refused.get(m, 0),
+            }
+            for m in {**self.parts, **self.used}
+        }
--- a/libs/shares/member.py
+++ b/libs/shares/member.py
@@ -1,4 +1,5 @@
 """Who a member is: a set of routes, declared by the operator or taken from the policy."""
+
 from attrs import define
 from returns.result import Failure, Success
 
@@ -63,11 +64,20 @@
                 return Failure(f"Members {seen[what, v]} and {n} both claim the {what} {v}.")
     total = sum(d.get("reserve", 0) for d in table.values())
     if total > 1:
-        return Failure(f"The reserves of members {', '.join(table)} add up to {round(total, 6):g}, more than the whole.")
-    return Success(tuple(
-        Member(n, float(d.get("reserve", 0)), frozenset(d.get("routes", [])), frozenset(h.lower() for h in d.get("hosts", [])))
-        for n, d in table.items()
-    ))
+        return Failure(
+            f"The reserves of members {', '.join(table)} add up to {round(total, 6):g}, more than the whole."
+        )
+    return Success(
+        tuple(
+            Member(
+                n,
+                float(d.get("reserve", 0)),
+                frozenset(d.get("routes", [])),
+                frozenset(h.lower() for h in d.get("hosts", [])),
+            )
+            for n, d in table.items()
+        )
+    )
 
 
 def members_of(policy, told=()):
--- a/libs/shares/reserve.py
+++ b/libs/shares/reserve.py
@@ -1,4 +1,5 @@
 """Reserves in whole slots: what each member has for itself, fractions included."""
+
 from math import ceil
 
 from attrs import define
--- a/libs/startup/__init__.py
+++ b/libs/startup/__init__.py
@@ -1,4 +1,5 @@
 """The startup (settings) file of a process: read, checked, reread."""
+
 from .checks import Address, Bounds, CloudApi, Limits, Listen, Startup, Tolerated, from_dict, read, where
 
 __all__ = ["Address", "Bounds", "CloudApi", "Limits", "Listen", "Startup", "Tolerated", "from_dict", "read", "where"]
--- a/libs/startup/checks.py
+++ b/libs/startup/checks.py
@@ -1,4 +1,5 @@
 """Reads the startup file and says in one sentence what is wrong with it."""
+
 import os
 import tomllib
 from datetime import timedelta
@@ -103,9 +104,9 @@
     first_start: bool = False
     counted: bool = False
     data: str | None = None
-    limits: Limits = Limits()
-    tolerated: Tolerated = Tolerated()
-    bounds: Bounds = Bounds()
+    limits: Limits = field(factory=Limits)
+    tolerated: Tolerated = field(factory=Tolerated)
+    bounds: Bounds = field(factory=Bounds)
     cloud: CloudApi | None = None
     members: tuple = ()
 
@@ -124,7 +125,14 @@
     """A startup file that can't be used; its text is the sentence to print."""
 
 
-_KINDS = {str: "a text", int: "a whole number", float: "a number", bool: "true or false", list: "a list", dict: "a table"}
+_KINDS = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+    list: "a list",
+    dict: "a table",
+}
 
 
 def _get(d, path, kind, default=None, needed=False):
@@ -188,7 +196,9 @@
 
 def _listen(d):
     raw = _get(d, "listenAddresses", dict, {})
-    return Listen(**{k: _address(raw[k], f"listenAddresses.{k}") for k in ("front", "readiness", "control") if k in raw})
+    return Listen(
+        **{k: _address(raw[k], f"listenAddresses.{k}") for k in ("front", "readiness", "control") if k in raw}
+    )
 
 
 def _members(d):
@@ -233,7 +243,10 @@
         limits=Limits(_count(d, "limits.memoryMb", 256), _count(d, "limits.fileDescriptors", 1024)),
         tolerated=Tolerated(*(_count(d, f"toleratedLosses.{k}", whole=ceil) for k in ("machines", "zones", "regions"))),
         bounds=_bounds(d),
-        cloud=cloud and CloudApi(_address(cloud, "cloudApi.address"), rate, _span(d, "cloudApi.lagMs", "milliseconds", timedelta(0))),
+        cloud=cloud
+        and CloudApi(
+            _address(cloud, "cloudApi.address"), rate, _span(d, "cloudApi.lagMs", "milliseconds", timedelta(0))
+        ),
         members=_members(d),
     )
 
--- a/libs/stream/events.py
+++ b/libs/stream/events.py
@@ -1,4 +1,5 @@
 """Splits a byte stream into events and keeps their thread across runners."""
+
 import re
 
 from attrs import define
@@ -35,7 +36,7 @@
         """
         raw, out, at = self.rest + raw, [], 0
         for m in _END.finditer(raw):
-            out.append(raw[at:m.end()])
+            out.append(raw[at : m.end()])
             at = m.end()
         self.rest = raw[at:]
         return out
--- a/libs/sums/__init__.py
+++ b/libs/sums/__init__.py
@@ -1,4 +1,5 @@
 """In-flight counts through the tier of relays: sums up, across and down, no call counted twice."""
+
 from .machine import Send, Sums
 from .parent import Parent
 from .words import Cover, Single, Sum, Total, Up, coded, decoded, holder, short
--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -18,11 +18,13 @@
 trouble may so stand for as many bounds. A relay that is itself out of touch
 says since when, and its followers go on to another one.
 """
+
 from collections import deque
 from datetime import timedelta
 
 from attrs import define, field
 
+from .neighbours import Member, RelaySums, Send
 from .parent import Parent
 from .pieces import Piece, add, gather, replace, within
 from .told import some, sums, totals
@@ -34,33 +36,6 @@
 GATHER, REST = 2 * MS, 30 * MS
 
 
-@define(frozen=True, slots=True)
-class Send:
-    """A record for some nodes."""
-
-    to: tuple
-    rec: object
-
-
-@define(slots=True)
-class _Member:
-    life: int
-    holder: int
-    since: timedelta
-    crowd: int
-    piece: Piece
-    claims: int = 0
-
-
-@define(slots=True)
-class _Relay:
-    life: int
-    heard: timedelta
-    crowd: int = 0
-    newest: list = field(factory=list)
-    standing: list = field(factory=list)
-
-
 @define(slots=True)
 class Sums:
     """One node's part in the tier.
@@ -211,7 +186,7 @@
         old = self.direct.get(key)
         if old is None or old.life != life or old.piece.seq < seq:
             h = holder(key, life)
-            self.direct[key] = _Member(life, h, now, 0, Piece(seq, now, {h: seq}, held))
+            self.direct[key] = Member(life, h, now, 0, Piece(seq, now, {h: seq}, held))
 
     def _up(self, now, rec):
         h, old = holder(rec.key, rec.life), self.group.get(rec.key)
@@ -222,7 +197,9 @@
         since = old.since if old and old.life == rec.life else now
         if old and old.life != rec.life:
             self.past.append(old.holder)
-        self.group[rec.key] = _Member(rec.life, h, since, rec.crowd, Piece(rec.seq, now, {h: rec.seq}, decoded(rec.held)))
+        self.group[rec.key] = Member(
+            rec.life, h, since, rec.crowd, Piece(rec.seq, now, {h: rec.seq}, decoded(rec.held))
+        )
         self.read(now, rec.reads)
 
     def _claimed(self, h):
@@ -235,9 +212,12 @@
         if r is None or r.life != rec.life:
             if r:
                 self.past.append(holder(rec.key, r.life))
-            r = self.relays[rec.key] = _Relay(rec.life, now)
+            r = self.relays[rec.key] = RelaySums(rec.life, now)
         singles = tuple((s.holder, s.seq, decoded(s.held)) for s in rec.singles)
-        new = replace(r.newest, Piece(rec.seq, now, {c.holder: c.seq for c in rec.cover}, decoded(rec.held), rec.lo, rec.hi, singles))
+        new = replace(
+            r.newest,
+            Piece(rec.seq, now, {c.holder: c.seq for c in rec.cover}, decoded(rec.held), rec.lo, rec.hi, singles),
+        )
         if new is None:
             return
         r.newest, r.heard, r.crowd = new, now, rec.crowd
@@ -361,7 +341,11 @@
 
     def others(self, now):
         """The other relays: those of the plan, and those that were heard as such."""
-        heard = {k for k, r in self.relays.items() if now - r.heard <= self.contact and any(p.cover or p.singles for p in r.newest)}
+        heard = {
+            k
+            for k, r in self.relays.items()
+            if now - r.heard <= self.contact and any(p.cover or p.singles for p in r.newest)
+        }
         return tuple(k for k in {*(self.tier.relays if self.tier else ()), *heard} if k in self.up and k != self.key)
 
     def age(self, now):
@@ -371,7 +355,15 @@
         datetime.timedelta(0)
         """
         others = [k for k in (self.tier.relays if self.tier else ()) if k != self.key]
-        ages = sorted([ZERO, *(now - (self.relays[k].heard if k in self.relays else now if self.since is None else self.since) for k in others)])
+        ages = sorted(
+            [
+                ZERO,
+                *(
+                    now - (self.relays[k].heard if k in self.relays else now if self.since is None else self.since)
+                    for k in others
+                ),
+            ]
+        )
         return ages[-(-len(ages) // 2) - 1]
 
     def _as_relay(self, now):
--- /dev/null
+++ b/libs/sums/neighbours.py
@@ -0,0 +1,38 @@
+"""What a node of the tier keeps of each of its neighbours, and what it sends them."""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from .pieces import Piece
+
+
+@define(frozen=True, slots=True)
+class Send:
+    """A record for some nodes."""
+
+    to: tuple
+    rec: object
+
+
+@define(slots=True)
+class Member:
+    """A node that tells its own counts here, and the newest that it told."""
+
+    life: int
+    holder: int
+    since: timedelta
+    crowd: int
+    piece: Piece
+    claims: int = 0
+
+
+@define(slots=True)
+class RelaySums:
+    """Another relay of the tier, and the sums that it told."""
+
+    life: int
+    heard: timedelta
+    crowd: int = 0
+    newest: list = field(factory=list)
+    standing: list = field(factory=list)
--- a/libs/sums/parent.py
+++ b/libs/sums/parent.py
@@ -1,4 +1,5 @@
 """Which relay a follower tells its words to."""
+
 from datetime import timedelta
 
 from attrs import define, field
--- a/libs/sums/pieces.py
+++ b/libs/sums/pieces.py
@@ -1,4 +1,5 @@
 """Pieces of knowledge, and how they are put together so that no call counts twice."""
+
 from attrs import define, evolve, field
 
 from .words import LAST
@@ -33,7 +34,13 @@
         return [self._cut(a, b) for a, b in ((self.lo, lo - 1), (hi + 1, self.hi)) if a <= b]
 
     def _cut(self, lo, hi):
-        return evolve(self, lo=lo, hi=hi, held=within(self.held, lo, hi), singles=tuple((h, s, within(d, lo, hi)) for h, s, d in self.singles))
+        return evolve(
+            self,
+            lo=lo,
+            hi=hi,
+            held=within(self.held, lo, hi),
+            singles=tuple((h, s, within(d, lo, hi)) for h, s, d in self.singles),
+        )
 
     def meets(self, o):
         """Whether both cover a holder for the same resources.
@@ -62,7 +69,9 @@
     for k, v in held.items():
         a = total.get(k)
         if sign > 0:
-            total[k] = v if a is None else (a[0] + v[0], a[1] + v[1], a[2] + v[2], a[3] + v[3], a[4] + v[4], a[5] + v[5])
+            total[k] = (
+                v if a is None else (a[0] + v[0], a[1] + v[1], a[2] + v[2], a[3] + v[3], a[4] + v[4], a[5] + v[5])
+            )
         elif a is not None:
             total[k] = tuple(max(0, x - y) for x, y in zip(a, v, strict=True))
 
@@ -113,7 +122,10 @@
         for p in sorted(ps, key=lambda p: -p.seq) if len(ps) > 1 else ps:
             if any(lo <= p.lo and p.hi <= hi for lo, hi, _ in spans):
                 continue
-            add(got.held, {k: v for k, v in p.held.items() if not any(lo <= k <= hi for lo, hi, _ in spans)} if spans else p.held)
+            add(
+                got.held,
+                {k: v for k, v in p.held.items() if not any(lo <= k <= hi for lo, hi, _ in spans)} if spans else p.held,
+            )
             spans.append((p.lo, p.hi, p.seq))
     for h, spans in taken.items():
         qs = {q for _, _, q in spans}
--- a/libs/sums/told.py
+++ b/libs/sums/told.py
@@ -1,4 +1,5 @@
 """What a relay tells: its group's sum to the other relays, all it knows to its followers."""
+
 from datetime import timedelta
 
 from .pieces import add, within
@@ -31,7 +32,10 @@
     """
     m.clean(now)
     covered = {h for r in m.relays.values() for p in r.standing for h in p.cover}
-    group = [(m.me, m.since, m.seq, m.crowd, m.held), *((g.holder, g.since, g.piece.seq, g.crowd, g.piece.held) for g in m.group.values())]
+    group = [
+        (m.me, m.since, m.seq, m.crowd, m.held),
+        *((g.holder, g.since, g.piece.seq, g.crowd, g.piece.held) for g in m.group.values()),
+    ]
     old = [g for g in group if now - g[1] >= FOLD * m.contact and g[0] not in covered]
     new = [g for g in group if now - g[1] < FOLD * m.contact or g[0] in covered]
     held = {}
@@ -42,8 +46,16 @@
     reads = some(m.reads)
     for lo, hi in _ranges(held, 12 * len(old) + 20 * len(reads), [g[4] for g in new]):
         yield Sum(
-            m.key, m.life, m.out_seq, crowd, lo, hi, [Cover(h, q) for h, _, q, _, _ in old], coded(within(held, lo, hi)),
-            [Single(h, q, coded(within(d, lo, hi))) for h, _, q, _, d in new], reads,
+            m.key,
+            m.life,
+            m.out_seq,
+            crowd,
+            lo,
+            hi,
+            [Cover(h, q) for h, _, q, _, _ in old],
+            coded(within(held, lo, hi)),
+            [Single(h, q, coded(within(d, lo, hi))) for h, _, q, _, d in new],
+            reads,
         )
         reads = []
 
--- a/libs/sums/words.py
+++ b/libs/sums/words.py
@@ -4,8 +4,10 @@
 them, a count holds for both: that errs towards shorter timeouts. Tokens go in
 units of 32, rounded up.
 """
+
 import struct
 from hashlib import blake2b
+from itertools import pairwise
 
 from sparloom.timeouts import Read
 from sparloom.wire import Broken, record
@@ -31,7 +33,9 @@
     """All that a follower has in flight, to its relay; ``reads``: long parts of prompts that it sent out."""
 
 
-@record(86, key="s", life="Q", seq="I", crowd="H", lo="I", hi="I", cover=[Cover], held="b", singles=[Single], reads=[Read])
+@record(
+    86, key="s", life="Q", seq="I", crowd="H", lo="I", hi="I", cover=[Cover], held="b", singles=[Single], reads=[Read]
+)
 class Sum:
     """A relay's group, to the other relays: whom it covers, their sum, and those told one by one.
 
@@ -142,4 +146,4 @@
     """
     keys = sorted(shorts)
     cuts = [0] + [keys[len(keys) * i // pieces] for i in range(1, pieces)] + [LAST + 1]
-    return [(a, b - 1) for a, b in zip(cuts, cuts[1:], strict=False) if a < b]
+    return [(a, b - 1) for a, b in pairwise(cuts) if a < b]
--- a/libs/timeouts/buckets.py
+++ b/libs/timeouts/buckets.py
@@ -1,4 +1,5 @@
 """Buckets: a timeout and how many calls may use it."""
+
 from datetime import timedelta
 from math import ceil
 
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -8,6 +8,7 @@
 peer can't hold a runner's slots for ever. Where words go through a tier of
 relays, ``sparloom.sums`` says how the same rule holds.
 """
+
 from datetime import timedelta
 from operator import add
 
@@ -218,7 +219,11 @@
         if old and old.life == rec.life and rec.seq <= old.seq:
             return
         self.callers[rec.key, rec.life] = now
-        held = {names[h.resource]: (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held if h.resource in names}
+        held = {
+            names[h.resource]: (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers)
+            for h in rec.held
+            if h.resource in names
+        }
         self.peers[rec.key] = _Peer(rec.life, rec.seq, now, held, rec.crowd)
         self._until = None
 
--- a/libs/wire/records.py
+++ b/libs/wire/records.py
@@ -9,6 +9,7 @@
 >>> unpack(pack(Note(1, "a", [2, 3])))
 Note(n=1, who='a', xs=[2, 3])
 """
+
 import struct
 from operator import attrgetter
 
@@ -71,7 +72,7 @@
         at += size.size
         if at + n > len(raw):
             raise Broken("cut short")
-        v = bytes(raw[at:at + n])
+        v = bytes(raw[at : at + n])
         return (v.decode() if kind == "s" else v), at + n
     (v,) = _FIXED[kind].unpack_from(raw, at)
     return v, at + _FIXED[kind].size
@@ -90,15 +91,23 @@
     >>> record(251, x="B")(type("X", (), {})).tag
     251
     """
+
     def wrap(cls):
         if tag in _BY_TAG and _BY_TAG[tag].__qualname__ != cls.__qualname__:
             raise TypeError(f"tag {tag} is taken by {_BY_TAG[tag].__name__}")
-        body = {k: v for k, v in vars(cls).items() if k not in ("__dict__", "__weakref__", "__module__", "__qualname__")}
-        base = type(cls.__name__ + "Base", (), {**body, **_whole(kinds), "__slots__": (), "tag": tag, "layout": [(k, n) for n, k in kinds.items()]})
+        body = {
+            k: v for k, v in vars(cls).items() if k not in ("__dict__", "__weakref__", "__module__", "__qualname__")
+        }
+        base = type(
+            cls.__name__ + "Base",
+            (),
+            {**body, **_whole(kinds), "__slots__": (), "tag": tag, "layout": [(k, n) for n, k in kinds.items()]},
+        )
         new = make_class(cls.__name__, list(kinds), bases=(base,), slots=True, frozen=True)
         new.__module__, new.__doc__ = cls.__module__, cls.__doc__
         _BY_TAG[tag] = new
         return new
+
     return wrap
 
 
--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,4 +1,5 @@
 """The rehearsal's command line: stories by default; point, scale and report by name."""
+
 import os
 import sys
 
@@ -33,8 +34,25 @@
     return 1 if bad else 0
 
 
-def point(*nodes: int, runners: int = 0, routes: int = 10, zones: int = 5, regions: int = 1, controllers: int = 5, slots: int = 16, rate: float = 10.0, hold: float = 2.0,
-          long: float = 0.1, changes: int = 5, per_s: float = 0.76, seconds: int = 5, quiet_only: bool = False, seed: int = 1, runs: int = 1, out: str = ""):
+def point(
+    *nodes: int,
+    runners: int = 0,
+    routes: int = 10,
+    zones: int = 5,
+    regions: int = 1,
+    controllers: int = 5,
+    slots: int = 16,
+    rate: float = 10.0,
+    hold: float = 2.0,
+    long: float = 0.1,
+    changes: int = 5,
+    per_s: float = 0.76,
+    seconds: int = 5,
+    quiet_only: bool = False,
+    seed: int = 1,
+    runs: int = 1,
+    out: str = "",
+):
     """Play points of the scale run in simulated time, one process, seeded.
 
     :param nodes: the sizes to play, in routers
@@ -59,15 +77,21 @@
     from .hollow import Load
     from .point import point as play_point
     from .results import save
+
     points = []
     for n in nodes or (25,):
         for s in range(seed, seed + runs):
             size = Size(n, runners or max(36, n // 2), routes, zones, regions, controllers, slots)
-            got = play_point(size, Load(rate, hold, long), s, changes=changes, rate=per_s, seconds=seconds, troubles=not quiet_only)
+            got = play_point(
+                size, Load(rate, hold, long), s, changes=changes, rate=per_s, seconds=seconds, troubles=not quiet_only
+            )
             points.append(got)
             q = got["quiet"]["routers"]
-            print(f"{n} nodes, seed {s}: {q['meanOut']['messages']} messages and {q['meanOut']['bytes']} bytes out a node and second, "
-                  f"busiest {q['mostOut']['messages']} and {q['mostOut']['bytes']}; change in force after {got['change']['delayMs']} ms; {got['emulatorCpuS']} s", flush=True)
+            print(
+                f"{n} nodes, seed {s}: {q['meanOut']['messages']} messages and {q['meanOut']['bytes']} bytes out a node and second, "
+                f"busiest {q['mostOut']['messages']} and {q['mostOut']['bytes']}; change in force after {got['change']['delayMs']} ms; {got['emulatorCpuS']} s",
+                flush=True,
+            )
             if out:
                 save(out, {"form": "simulated time", "points": points})
     return 0
@@ -87,6 +111,7 @@
     from .plan import read
     from .results import save
     from .scale import run
+
     got = read(plan)
     if got.value_or(None) is None:
         print(got.failure())
@@ -105,6 +130,7 @@
     import json
 
     from .pieces import ALL
+
     got = {}
     for name, (measure, sizes) in ALL.items():
         got[name] = [measure(n) for n in sizes]
@@ -124,6 +150,7 @@
     :param picture: the PNG to write
     """
     from .report import report as show
+
     bad = show(files, x, picture)
     if bad:
         print(bad)
@@ -135,8 +162,14 @@
     logging.set_verbosity(logging.ERROR)
     named = {"play": play, "point": point, "scale": scale, "pieces": pieces, "report": report}
     if sys.argv[1:2] == ["point"] and "PYTHONHASHSEED" not in os.environ:
-        os.execve(sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"})
-    argv = sys.argv[1:] if sys.argv[1:2] and sys.argv[1] in (*named, "--help", "-h", "--version") else ["play", *sys.argv[1:]]
+        os.execve(
+            sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"}
+        )
+    argv = (
+        sys.argv[1:]
+        if sys.argv[1:2] and sys.argv[1] in (*named, "--help", "-h", "--version")
+        else ["play", *sys.argv[1:]]
+    )
     sys.exit(defopt.run(named, argv=argv, version=f"rehearsal {__version__}"))
 
 
--- a/rehearsal/children.py
+++ b/rehearsal/children.py
@@ -1,4 +1,5 @@
 """The processes that a scale run starts: asked by line, counted, and all ended with it."""
+
 import asyncio
 import ctypes
 import json
@@ -71,11 +72,19 @@
         """Starts ``python -m ARGS``; ``asked``: commands go to it by line."""
         if len(self.all) >= self.most:
             raise RuntimeError(f"more than {self.most} processes")
-        log = open(os.path.join(self.folder, f"{role}-{len(self.all)}.log"), "wb")
+        log = open(os.path.join(self.folder, f"{role}-{len(self.all)}.log"), "wb")  # noqa: ASYNC230, SIM115 - for the child
         pipe = asyncio.subprocess.PIPE if asked else asyncio.subprocess.DEVNULL
         proc = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *args, cwd=ROOT, stdin=pipe, stdout=pipe if asked else log, stderr=log,
-            env={**os.environ, "PYTHONPATH": ROOT, **dict(env)}, preexec_fn=_with_parent, limit=1 << 26,
+            sys.executable,
+            "-m",
+            *args,
+            cwd=ROOT,
+            stdin=pipe,
+            stdout=pipe if asked else log,
+            stderr=log,
+            env={**os.environ, "PYTHONPATH": ROOT, **dict(env)},
+            preexec_fn=_with_parent,
+            limit=1 << 26,
         )
         log.close()
         child = Child(role, proc, nodes, ps=psutil.Process(proc.pid))
--- a/rehearsal/clock.py
+++ b/rehearsal/clock.py
@@ -1,4 +1,5 @@
 """The simulated clock: things to do, in the order of their time."""
+
 import heapq
 from datetime import timedelta
 from itertools import count
--- a/rehearsal/core.py
+++ b/rehearsal/core.py
@@ -1,4 +1,5 @@
 """A play-ground for ledgers: simulated time, links and disks; seeded luck."""
+
 import random
 from datetime import timedelta
 from itertools import count
@@ -35,7 +36,9 @@
         disk = self.disks.get(n)
         if disk is None:
             self.members[n] = Member(next(self.ids), n, 1, "z" + n, n + ":9")
-        led = Ledger.start(self.members[n], disk, first, SPANS, random.Random(self.rng.random()), self.copies, self.seeds, self.now)
+        led = Ledger.start(
+            self.members[n], disk, first, SPANS, random.Random(self.rng.random()), self.copies, self.seeds, self.now
+        )
         life = next(self.lives)
         self.nodes[n] = (led, life)
         self.off.discard(n)
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -1,4 +1,5 @@
 """A whole fleet in simulated time: the real controllers, and hollow routers."""
+
 import asyncio
 import json
 from datetime import timedelta
@@ -13,13 +14,21 @@
 from sparloom.platform import read_page
 from sparloom.startup import from_dict
 
-from .hollow import HollowRouter, Load
+from .hollow import DEFAULT_LOAD, HollowRouter
 from .virtual import HOST
 
 SERVICE = "hollow"
 BOUNDS = {
-    "contactMs": 4000, "acknowledgeMs": 5000, "drainMs": 4000, "configApplyMs": 2500, "retryBudgetRatio": 0.2,
-    "budgetWindowS": 10, "retryBudgetSlack": 186, "graceS": 8, "passMs": 200, "recoveryS": 15,
+    "contactMs": 4000,
+    "acknowledgeMs": 5000,
+    "drainMs": 4000,
+    "configApplyMs": 2500,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "retryBudgetSlack": 186,
+    "graceS": 8,
+    "passMs": 200,
+    "recoveryS": 15,
 }
 
 
@@ -81,11 +90,19 @@
     listen = {"control": f"{ip}:8262"} if role == "controller" else {"front": f"{ip}:8263", "readiness": f"{ip}:8268"}
     more = {"dataDirectory": data} if data else {}
     return {
-        "nodeName": f"{role}-{ip}", "role": role, "ipAddress": ip, "zone": zone, "internalPortRange": [7300, 7315],
-        "seedNodes": [f"{size.controller(i)}:8262" for i in range(min(3, size.controllers))], "firstStart": first,
+        "nodeName": f"{role}-{ip}",
+        "role": role,
+        "ipAddress": ip,
+        "zone": zone,
+        "internalPortRange": [7300, 7315],
+        "seedNodes": [f"{size.controller(i)}:8262" for i in range(min(3, size.controllers))],
+        "firstStart": first,
         "zones": {f"zone-{z + 1}": size.region(f"zone-{z + 1}") for z in range(size.zones)},
-        "listenAddresses": listen, "toleratedLosses": {"machines": copies}, "bounds": dict(bounds),
-        "cloudApi": {"address": api, "ratePerS": rate, "lagMs": 800}, **more,
+        "listenAddresses": listen,
+        "toleratedLosses": {"machines": copies},
+        "bounds": dict(bounds),
+        "cloudApi": {"address": api, "ratePerS": rate, "lagMs": 800},
+        **more,
     }
 
 
@@ -97,10 +114,22 @@
     """
     return {
         "revision": revision,
-        "routes": [{
-            "name": f"r-{i}", "hostname": f"tenant-{i // 4}.example", "pathPrefix": f"/p{i}/", "routeKind": "streaming", "timeoutMs": 30000,
-            "targetMs": 450, "priority": 0, "service": SERVICE, "maxAttempts": 2, "resumeStreams": True, "gapTargetMs": 56,
-        } for i in range(routes)],
+        "routes": [
+            {
+                "name": f"r-{i}",
+                "hostname": f"tenant-{i // 4}.example",
+                "pathPrefix": f"/p{i}/",
+                "routeKind": "streaming",
+                "timeoutMs": 30000,
+                "targetMs": 450,
+                "priority": 0,
+                "service": SERVICE,
+                "maxAttempts": 2,
+                "resumeStreams": True,
+                "gapTargetMs": 56,
+            }
+            for i in range(routes)
+        ],
         "services": [{"name": SERVICE, "connectionLimit": 570, "engine": {"slots": slots, "cacheTokens": 378959}}],
     }
 
@@ -120,10 +149,18 @@
     >>> entries(2)[1]["runnerId"]
     'i-00001-0'
     """
-    return [{
-        "runnerId": f"i-{i:05d}-{life if i == 0 else 0}", "service": SERVICE, "address": f"127.4.{i // 250}.{i % 250 + 1}:8080",
-        "zone": f"zone-{i % zones + 1}", "slots": slots, "state": "ready", "coldRemainingMs": 0,
-    } for i in range(runners)]
+    return [
+        {
+            "runnerId": f"i-{i:05d}-{life if i == 0 else 0}",
+            "service": SERVICE,
+            "address": f"127.4.{i // 250}.{i % 250 + 1}:8080",
+            "zone": f"zone-{i % zones + 1}",
+            "slots": slots,
+            "state": "ready",
+            "coldRemainingMs": 0,
+        }
+        for i in range(runners)
+    ]
 
 
 class _ListedHere(Poller):
@@ -134,7 +171,7 @@
     async def _call(self, cloud, wait):
         at = int(self.pages.token or 0)
         more = at + self.page < len(self.listing)
-        d = {"instances": self.listing[at:at + self.page], "nextPageToken": str(at + self.page) if more else None}
+        d = {"instances": self.listing[at : at + self.page], "nextPageToken": str(at + self.page) if more else None}
         return self._page(read_page(d).value_or(None)), False
 
 
@@ -152,7 +189,7 @@
 class Fleet:
     """The processes of a simulated fleet, by address."""
 
-    def __init__(self, loop, size, load=Load(), bounds=BOUNDS):
+    def __init__(self, loop, size, load=DEFAULT_LOAD, bounds=BOUNDS):
         self.loop, self.size, self.load, self.bounds = loop, size, load, bounds
         self.controllers, self.routers, self.revision, self.born = {}, {}, 0, 0
 
@@ -160,12 +197,15 @@
         async def start():
             HOST.set(host)
             await svc.start()
+
         await asyncio.create_task(start())
         return svc
 
     def _up(self, ip, role, i, data=None):
         s = self.size
-        return from_dict(startup(s, ip, role, s.zone(i), min(2, (s.controllers - 1) // 2), bounds=self.bounds, data=data)).unwrap()
+        return from_dict(
+            startup(s, ip, role, s.zone(i), min(2, (s.controllers - 1) // 2), bounds=self.bounds, data=data)
+        ).unwrap()
 
     async def start(self):
         """Starts all, and gives the first configuration."""
@@ -198,7 +238,9 @@
 
     def leader(self):
         """The primary's controller, or None."""
-        return next((c for ip, c in self.controllers.items() if ip not in self.loop.net.off and c.core.ledger.leading()), None)
+        return next(
+            (c for ip, c in self.controllers.items() if ip not in self.loop.net.off and c.core.ledger.leading()), None
+        )
 
     async def change(self, d, method="PATCH"):
         """Gives a configuration or a change of it; the time of its acknowledgement, or None."""
@@ -228,5 +270,10 @@
 
     def doubted(self, observers):
         """How many of the running routers are suspected, and how many believed dead, by some observers."""
-        states = [r.swim.table[o.key].peer.state for r in observers for o in self.routers.values() if o is not r and o.key in r.swim.table]
+        states = [
+            r.swim.table[o.key].peer.state
+            for r in observers
+            for o in self.routers.values()
+            if o is not r and o.key in r.swim.table
+        ]
         return SimpleNamespace(suspect=sum(s not in (ALIVE, DEAD) for s in states), dead=sum(s == DEAD for s in states))
--- a/rehearsal/growth.py
+++ b/rehearsal/growth.py
@@ -5,6 +5,7 @@
 nodes takes some seconds of one core. Requests are stand-ins: they take slots
 and read prompts at the rate given, and nothing is sent to a runner.
 """
+
 import asyncio
 import contextvars
 import random
@@ -87,9 +88,12 @@
         """What stands for sockets while a fleet plays."""
         at = "sparloom.link.sockets."
         return (
-            mock.patch.object(Datagrams, "open", self.datagrams), mock.patch("asyncio.start_server", self.serve),
-            mock.patch("asyncio.open_connection", self.connect), mock.patch(at + "here", lambda: self.meter(HOST.get())),
-            mock.patch(at + "tune", lambda *_: None), mock.patch(at + "take", lambda host, port: (host, port)),
+            mock.patch.object(Datagrams, "open", self.datagrams),
+            mock.patch("asyncio.start_server", self.serve),
+            mock.patch("asyncio.open_connection", self.connect),
+            mock.patch(at + "here", lambda: self.meter(HOST.get())),
+            mock.patch(at + "tune", lambda *_: None),
+            mock.patch(at + "take", lambda host, port: (host, port)),
         )
 
     @staticmethod
@@ -155,19 +159,31 @@
 
     def __init__(self, up, net, news):
         from sparloom.controller.shop import Shop
+
         self.up, self.net = up, net
         self.key = f"{up.ip}:{up.controller_port}"
         self.shop = Shop(up)
-        self.shop.core = SimpleNamespace(ledger=SimpleNamespace(
-            leading=lambda: True, sure_since=lambda now: now - now, reg=SimpleNamespace(promised=1), primary=lambda: None, me=SimpleNamespace(id=0),
-        ))
+        self.shop.core = SimpleNamespace(
+            ledger=SimpleNamespace(
+                leading=lambda: True,
+                sure_since=lambda now: now - now,
+                reg=SimpleNamespace(promised=1),
+                primary=lambda: None,
+                me=SimpleNamespace(id=0),
+            )
+        )
         for topic, blob in news.items():
             self.shop.put(topic, (1, 1), blob)
 
     async def start(self):
         """Listens."""
         peer = Peer(self.key, CONTROLLER, self.up.zone, "", 1, 0, 0)
-        self.swim = Swim(peer, tuple(f"{s.host}:{self.up.controller_port}" for s in self.up.seeds), Times.of(self.up.bounds.contact), random.Random(self.key))
+        self.swim = Swim(
+            peer,
+            tuple(f"{s.host}:{self.up.controller_port}" for s in self.up.seeds),
+            Times.of(self.up.bounds.contact),
+            random.Random(self.key),
+        )
         self.sock = await self.net.datagrams(self.up.ip, self.up.controller_port, self._arrive)
         await self.net.serve(self._pipe, sock=(self.up.ip, self.up.controller_port))
         self.net.track(self._beat())
@@ -192,11 +208,21 @@
 
 def startup(ip, zone, seeds, role="router"):
     """A node's startup, with the bounds of a grown deployment."""
-    return from_dict({
-        "nodeName": ip, "role": role, "ipAddress": ip, "zone": zone, "internalPortRange": [7300, 7315], "seedNodes": [f"{s}:8262" for s in seeds],
-        "listenAddresses": {"front": f"{ip}:1", "readiness": f"{ip}:2"} if role == "router" else {"control": f"{ip}:8262"},
-        "bounds": {"contactMs": 4000, "retryBudgetSlack": 186}, "toleratedLosses": {"machines": 2},
-    }).unwrap()
+    return from_dict(
+        {
+            "nodeName": ip,
+            "role": role,
+            "ipAddress": ip,
+            "zone": zone,
+            "internalPortRange": [7300, 7315],
+            "seedNodes": [f"{s}:8262" for s in seeds],
+            "listenAddresses": {"front": f"{ip}:1", "readiness": f"{ip}:2"}
+            if role == "router"
+            else {"control": f"{ip}:8262"},
+            "bounds": {"contactMs": 4000, "retryBudgetSlack": 186},
+            "toleratedLosses": {"machines": 2},
+        }
+    ).unwrap()
 
 
 def news(runners, routers):
@@ -206,12 +232,32 @@
 
     from sparloom.platform import Runner, RunnerList
     from sparloom.wire import pack
+
     policy = {
-        "revision": 1, "limits": {},
-        "routes": [{"name": "r", "hostname": "h", "pathPrefix": "/", "routeKind": "safe", "timeoutMs": 4000, "targetMs": 400, "priority": 0, "service": "s", "maxAttempts": 2}],
+        "revision": 1,
+        "limits": {},
+        "routes": [
+            {
+                "name": "r",
+                "hostname": "h",
+                "pathPrefix": "/",
+                "routeKind": "safe",
+                "timeoutMs": 4000,
+                "targetMs": 400,
+                "priority": 0,
+                "service": "s",
+                "maxAttempts": 2,
+            }
+        ],
         "services": [{"name": "s", "connectionLimit": 570, "engine": {"slots": 16, "cacheTokens": 378959}}],
     }
-    listed = RunnerList([Runner(f"i-{n:08x}", "s", f"10.9.{n // 250}.{n % 250}:8080", f"z{n % 5}", 16, False, 0) for n in range(runners)], routers)
+    listed = RunnerList(
+        [
+            Runner(f"i-{n:08x}", "s", f"10.9.{n // 250}.{n % 250}:8080", f"z{n % 5}", 16, False, 0)
+            for n in range(runners)
+        ],
+        routers,
+    )
     return {POLICY: zlib.compress(json.dumps(policy).encode(), 1), RUNNERS: zlib.compress(pack(listed), 1)}
 
 
@@ -249,10 +295,14 @@
 
 async def _play(routers, runners, rate, seconds, settle, seed, controllers):
     from sparloom.router.know import Know
+
     rng = random.Random(seed)
     net, loop = Net(rng), asyncio.get_running_loop()
     seeds = [f"10.0.{i}.1" for i in range(controllers)][:3]
-    desks = [Desk(startup(f"10.0.{i}.1", f"z{i % 5}", seeds, "controller"), net, news(runners, routers)) for i in range(controllers)]
+    desks = [
+        Desk(startup(f"10.0.{i}.1", f"z{i % 5}", seeds, "controller"), net, news(runners, routers))
+        for i in range(controllers)
+    ]
     with ExitStack() as on:
         for p in (*net.patches(), *_luck(rng)):
             on.enter_context(p)
@@ -268,12 +318,22 @@
             if ready is None and all(k.ready() for k in knows):
                 ready = loop.time()
             least = min(k.nodes() for k in knows)
-            seen.update({part: round(loop.time(), 1) for part in (0.5, 0.9, 1.0) if part not in seen and least >= part * routers})
+            seen.update(
+                {
+                    part: round(loop.time(), 1)
+                    for part in (0.5, 0.9, 1.0)
+                    if part not in seen and least >= part * routers
+                }
+            )
         before = {h: m.figures() for h, m in net.meters.items()}
         await asyncio.sleep(seconds)
         out = {
-            "routers": routers, "ready_s": ready, "seen_s": seen, "followers": max(net.followers(d.up.ip) for d in desks),
-            "router": _rates(net, before, [k.up.ip for k in knows], seconds), "controller": _rates(net, before, [d.up.ip for d in desks], seconds),
+            "routers": routers,
+            "ready_s": ready,
+            "seen_s": seen,
+            "followers": max(net.followers(d.up.ip) for d in desks),
+            "router": _rates(net, before, [k.up.ip for k in knows], seconds),
+            "controller": _rates(net, before, [d.up.ip for d in desks], seconds),
         }
         for k in knows:
             k._stopped.set()
@@ -302,7 +362,9 @@
     with mock.patch("sparloom.link.clock.time", SimpleNamespace(monotonic=loop.time)):
         try:
             asyncio.set_event_loop(loop)
-            return loop.run_until_complete(_play(routers, runners or max(2, routers // 2), rate, seconds, settle, seed, controllers))
+            return loop.run_until_complete(
+                _play(routers, runners or max(2, routers // 2), rate, seconds, settle, seed, controllers)
+            )
         finally:
             for t in asyncio.all_tasks(loop):
                 t.cancel()
--- a/rehearsal/hollow.py
+++ b/rehearsal/hollow.py
@@ -4,6 +4,7 @@
 whole, budgets, and whatever tier of relays belongs to it. It has no front, so
 it skips requests, replies, connections to runners and the choice among them.
 """
+
 import asyncio
 import random
 from datetime import timedelta
@@ -34,6 +35,9 @@
     prefixes: int = 100
 
 
+DEFAULT_LOAD = Load()
+
+
 @define(frozen=True, slots=True)
 class Ask:
     """What a line needs to know of a made-up call."""
--- a/rehearsal/host.py
+++ b/rehearsal/host.py
@@ -3,6 +3,7 @@
 It reads a command a line (JSON) from standard input and answers each with a
 line; it ends when its input does.
 """
+
 import asyncio
 import json
 import random
@@ -58,6 +59,7 @@
     def feed_data(self, data):
         tally.received("all", len(data))
         fed(self, data)
+
     Datagrams.connection_made, Datagrams.datagram_received = connection_made, datagram_received
     asyncio.StreamWriter.write, asyncio.StreamReader.feed_data = write, feed_data
 
@@ -89,7 +91,12 @@
     async def state(self, nodes):
         """How many are ready, and how many of these see all the routers."""
         ready = [r for r in self.routers.values() if r.ready()]
-        return {"ready": len(ready), "whole": sum(r.nodes() == nodes for r in ready), "see": sorted({r.nodes() for r in ready}), "list": sorted({len(r.fleet.posts) for r in ready})}
+        return {
+            "ready": len(ready),
+            "whole": sum(r.nodes() == nodes for r in ready),
+            "see": sorted({r.nodes() for r in ready}),
+            "list": sorted({len(r.fleet.posts) for r in ready}),
+        }
 
     async def kill(self, ips):
         """Routers end without a word; the time of it."""
@@ -124,8 +131,10 @@
 
     async def seen(self, revision, since, most):
         """Seconds from a moment until each router here had a revision, or one after it."""
+
         def at(r):
             return min((t.total_seconds() for v, t in r.seen.items() if v >= revision), default=None)
+
         while steady().total_seconds() - since < most and any(at(r) is None for r in self.routers.values()):
             await asyncio.sleep(STEP / 2)
         return [None if at(r) is None else round(max(0.0, at(r) - since), 5) for r in self.routers.values()]
@@ -142,8 +151,14 @@
         """What was sent and taken since the last question, lateness of timers, doubts, calls."""
         _, _, n, b = self.tally.node("all")
         out = {
-            "kinds": self.tally.kinds(), "in": [n, b], "lateMs": round(1000 * max(self.late, default=0.0), 1), "suspect": self.suspect, "dead": self.dead,
-            "calls": sum(r.calls for r in self.routers.values()), "refused": sum(r.refused for r in self.routers.values()), "nodes": len(self.routers),
+            "kinds": self.tally.kinds(),
+            "in": [n, b],
+            "lateMs": round(1000 * max(self.late, default=0.0), 1),
+            "suspect": self.suspect,
+            "dead": self.dead,
+            "calls": sum(r.calls for r in self.routers.values()),
+            "refused": sum(r.refused for r in self.routers.values()),
+            "nodes": len(self.routers),
         }
         self.tally.clear()
         self.late.clear()
@@ -177,9 +192,10 @@
     async def one(id, what, args):
         try:
             ans = {"id": id, "ok": await getattr(host, what)(**args)}
-        except Exception as e:  # told to the scale run, which ends
+        except Exception as e:  # noqa: BLE001 - told to the scale run, which ends
             ans = {"id": id, "bad": f"{type(e).__name__}: {e}"}
         print(json.dumps(ans), flush=True)
+
     tasks = set()
     while line := await reader.readline():
         d = json.loads(line)
--- a/rehearsal/net.py
+++ b/rehearsal/net.py
@@ -1,4 +1,5 @@
 """Members on a simulated net: seeded luck, links that can be cut."""
+
 import random
 from itertools import count
 
@@ -26,7 +27,12 @@
         """Starts a member, with a new life."""
         life = next(self.lives)
         role = CONTROLLER if n in "abc" else ROUTER
-        self.nodes[n] = Swim(Peer(f"{n}:1", role, "z", "", life, 0, ALIVE), self.seeds, Times.of(3000 * MS), random.Random(self.rng.random()))
+        self.nodes[n] = Swim(
+            Peer(f"{n}:1", role, "z", "", life, 0, ALIVE),
+            self.seeds,
+            Times.of(3000 * MS),
+            random.Random(self.rng.random()),
+        )
         self.off.discard(n)
         self.tick(n, life)
 
--- a/rehearsal/pieces.py
+++ b/rehearsal/pieces.py
@@ -1,4 +1,5 @@
 """What single pieces of state cost: bytes, microseconds and memory at rising sizes, measured on the real libraries."""
+
 import json
 import random
 import time
@@ -65,9 +66,14 @@
     counts = Counts(CONTACT)
     counts.hear(Holding("p:1", 1, 1, 1, held, []), timedelta(0), {h.resource: i for i, h in enumerate(held)})
     return {
-        "runners": n, "listBytes": len(pack(listed)), "listCompressed": len(blob), "takeUs": timed(lambda: unpack(zlib.decompress(blob))),
-        "renewUs": timed(lambda: fleet.renew(listed.runners, lambda s: 378959)), "fleetBytes": memory(lambda: Fleet().renew(listed.runners, lambda s: 378959)),
-        "chooseUs": timed(lambda: choose(stands)), "homeUs": timed(lambda: max(lean(7, p.number) for p in fleet.posts.values())),
+        "runners": n,
+        "listBytes": len(pack(listed)),
+        "listCompressed": len(blob),
+        "takeUs": timed(lambda: unpack(zlib.decompress(blob))),
+        "renewUs": timed(lambda: fleet.renew(listed.runners, lambda s: 378959)),
+        "fleetBytes": memory(lambda: Fleet().renew(listed.runners, lambda s: 378959)),
+        "chooseUs": timed(lambda: choose(stands)),
+        "homeUs": timed(lambda: max(lean(7, p.number) for p in fleet.posts.values())),
         "countUs": timed(lambda: [counts.count(i, timedelta(0)) for i in range(len(held))]),
     }
 
@@ -82,9 +88,15 @@
     blob = zlib.compress(json.dumps(d, separators=(",", ":")).encode(), 1)
     hit = build(d)
     return {
-        "routes": n, "jsonBytes": len(json.dumps(d)), "feedCompressed": len(blob), "stateBytes": len(State(d).pack()), "checkUs": timed(lambda: check(d)),
-        "takeUs": timed(lambda: build(json.loads(zlib.decompress(blob)))), "policyBytes": memory(lambda: build(d)),
-        "matchUs": timed(lambda: hit.match(f"tenant-{(n - 1) // 4}.example", f"/p{n - 1}/x")), "packUs": timed(lambda: State(d).pack()),
+        "routes": n,
+        "jsonBytes": len(json.dumps(d)),
+        "feedCompressed": len(blob),
+        "stateBytes": len(State(d).pack()),
+        "checkUs": timed(lambda: check(d)),
+        "takeUs": timed(lambda: build(json.loads(zlib.decompress(blob)))),
+        "policyBytes": memory(lambda: build(d)),
+        "matchUs": timed(lambda: hit.match(f"tenant-{(n - 1) // 4}.example", f"/p{n - 1}/x")),
+        "packUs": timed(lambda: State(d).pack()),
     }
 
 
@@ -94,19 +106,28 @@
     >>> members(10)["members"]
     10
     """
+
     def make():
         s = Swim(Peer("127.2.0.1:7301", ROUTER, "zone-1", "", 1, 0, 0), (), Times.of(CONTACT), random.Random(1))
         for i in range(1, n):
             s._learn(Peer(f"127.2.{i // 250}.{i % 250 + 1}:7301", ROUTER, f"zone-{i % 5}", "", i, 0, 0))
         return s
+
     s, now = make(), [timedelta(seconds=1)]
 
     def tick():
         now[0] += CONTACT / 6
         s.probes.clear()
         return s.tick(now[0])
+
     one = tick()
-    return {"members": n, "tableBytes": memory(make), "probeBytes": max((len(pack(m.rec)) for m in one), default=0), "aliveUs": timed(lambda: s.alive()), "probeUs": timed(tick)}
+    return {
+        "members": n,
+        "tableBytes": memory(make),
+        "probeBytes": max((len(pack(m.rec)) for m in one), default=0),
+        "aliveUs": timed(lambda: s.alive()),
+        "probeUs": timed(tick),
+    }
 
 
 def prefixes(n):
@@ -121,6 +142,7 @@
         k = Kept(1 << 60)
         k.saw([(luck.getrandbits(64), 2000) for _ in range(n)])
         return k
+
     return {"prefixes": n, "keptBytes": memory(make)}
 
 
@@ -137,8 +159,18 @@
     def pass_one():
         g.enter(timedelta(0), -1, "t0", 0, Need(300), timedelta(seconds=30))
         g.leave(timedelta(0), -1)
-    return {"tenants": n, "gateBytes": memory(lambda: Gate(Room(10 * n), {f"t{i}": 0.1 / n for i in range(n)})), "enterLeaveUs": timed(pass_one)}
+
+    return {
+        "tenants": n,
+        "gateBytes": memory(lambda: Gate(Room(10 * n), {f"t{i}": 0.1 / n for i in range(n)})),
+        "enterLeaveUs": timed(pass_one),
+    }
 
 
-ALL = {"runners": (runners, (100, 300, 1000, 3000, 10000)), "routes": (routes, (10, 100, 300, 1000, 3000)), "members": (members, (25, 100, 400, 1600)),
-       "prefixes": (prefixes, (1000, 10000, 63000)), "tenants": (tenants, (10, 100, 1000, 3000))}
+ALL = {
+    "runners": (runners, (100, 300, 1000, 3000, 10000)),
+    "routes": (routes, (10, 100, 300, 1000, 3000)),
+    "members": (members, (25, 100, 400, 1600)),
+    "prefixes": (prefixes, (1000, 10000, 63000)),
+    "tenants": (tenants, (10, 100, 1000, 3000)),
+}
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -1,33 +1,49 @@
 """The stories, each a timeline with a column per controller."""
+
 import unittest
 
 from .core import Core
 from .timeline import play as run
 
 STORIES = {
-    "primary-lost": ("abc", 1, """
+    "primary-lost": (
+        "abc",
+        1,
+        """
         ms    a     b  c  any
         2500  lead  .  .  write=5
         2600  kill  .  .  .
         4600  .     .  .  leads+has=5
         4700  .     .  .  write=7
-    """),
-    "power-lost": ("abc", 1, """
+    """,
+    ),
+    "power-lost": (
+        "abc",
+        1,
+        """
         ms    a     b     c     any
         2500  .     .     .     write=5
         2700  kill  kill  kill  .
         3000  boot  boot  boot  .
         5500  .     .     .     leads+has=5
-    """),
-    "disk-lost": ("abc", 1, """
+    """,
+    ),
+    "disk-lost": (
+        "abc",
+        1,
+        """
         ms    a     b     c     any
         2500  .     .     .     write=5
         2700  wipe  kill  kill  .
         3000  boot  boot  boot  .
         6500  .     .     .     leads+has=5
         8000  member member member .
-    """),
-    "primary-isolated": ("abc", 1, """
+    """,
+    ),
+    "primary-isolated": (
+        "abc",
+        1,
+        """
         ms    a            b  c  any
         2500  lead         .  .  write=5
         2600  cut          .  .  .
@@ -36,14 +52,19 @@
         4900  .            .  .  write=7
         5500  .            .  .  heal
         7500  .            .  .  has=7
-    """),
-    "two-of-five-lost": ("abcde", 2, """
+    """,
+    ),
+    "two-of-five-lost": (
+        "abcde",
+        2,
+        """
         ms    a     b     c  d  e  any
         4500  .     .     .  .  .  write=5
         4700  wipe  kill  .  .  .  .
         7500  .     .     .  .  .  leads+has=5
         7600  .     .     .  .  .  write=7
-    """),
+    """,
+    ),
 }
 
 
--- a/rehearsal/point.py
+++ b/rehearsal/point.py
@@ -1,4 +1,5 @@
 """One point of the scale run in simulated time: a fleet of a size, its messages, delays and judgements."""
+
 import asyncio
 import math
 import random
@@ -10,7 +11,7 @@
 from sparloom.members import DEAD
 
 from .fleet import BOUNDS, Fleet, entries, patch
-from .hollow import SKIPS, Load
+from .hollow import DEFAULT_LOAD, SKIPS
 from .tally import HEADER
 from .virtual import world
 
@@ -32,7 +33,10 @@
     {'median': 1.0, 'p99': 1.0, 'worst': 1.0, 'never': 1, 'of': 2}
     """
     got = [v * 1000 for v in vals if v is not None]
-    fig = {k: None if q is None else round(q, 2) for k, q in (("median", middle(got)), ("p99", middle(got, 0.99)), ("worst", max(got, default=None)))}
+    fig = {
+        k: None if q is None else round(q, 2)
+        for k, q in (("median", middle(got)), ("p99", middle(got, 0.99)), ("worst", max(got, default=None)))
+    }
     return {**fig, "never": len(vals) - len(got), "of": len(vals)}
 
 
@@ -43,6 +47,7 @@
     >>> spans(Size(regions=2))("127.2.0.1", "127.2.0.2"), spans(Size())("127.2.0.1", "127.2.0.6")
     (0.03, 0.0001)
     """
+
     def zone(ip):
         _, _, hi, lo = ip.split(".")
         return size.zone(int(hi) * 250 + int(lo) - 1)
@@ -50,6 +55,7 @@
     def far(a, b):
         za, zb = zone(a), zone(b)
         return 0.0001 if za == zb else 0.0005 if size.region(za) == size.region(zb) else 0.03
+
     return far
 
 
@@ -69,6 +75,7 @@
     def mean(vals):
         vals = list(vals)
         return sum(vals) / len(vals)
+
     return {"meanOut": fig(mean, 0), "meanIn": fig(mean, 2), "mostOut": fig(max, 0), "mostIn": fig(max, 2)}
 
 
@@ -122,10 +129,20 @@
         self.out["quiet"] = {
             "relayDuty": {"nodes": len(duty), **(rates(tally, duty, self.seconds) if duty else {})},
             "others": rates(tally, [ip for ip in ends if ip not in duty] or ends, self.seconds),
-            "routers": rates(tally, ends, self.seconds), "controllers": rates(tally, list(f.controllers), self.seconds),
-            "kinds": {k: {"messages": round(n / self.seconds / len(ends), 2), "bytes": round((b + HEADER * n) / self.seconds / len(ends), 1)} for k, (n, b) in tally.kinds(set(ends)).items()},
-            "tooLong": tally.long, "falselySuspected": sum(d.suspect for d in false), "falselyDead": sum(d.dead for d in false),
-            "calls": sum(r.calls for r in f.routers.values()), "refused": sum(r.refused for r in f.routers.values()),
+            "routers": rates(tally, ends, self.seconds),
+            "controllers": rates(tally, list(f.controllers), self.seconds),
+            "kinds": {
+                k: {
+                    "messages": round(n / self.seconds / len(ends), 2),
+                    "bytes": round((b + HEADER * n) / self.seconds / len(ends), 1),
+                }
+                for k, (n, b) in tally.kinds(set(ends)).items()
+            },
+            "tooLong": tally.long,
+            "falselySuspected": sum(d.suspect for d in false),
+            "falselyDead": sum(d.dead for d in false),
+            "calls": sum(r.calls for r in f.routers.values()),
+            "refused": sum(r.refused for r in f.routers.values()),
         }
 
     async def _change(self):
@@ -137,7 +154,12 @@
             await asyncio.sleep(max(0.0, due))
             all_ms += await self._one_change(i)
         took = (steady() - begun).total_seconds() or 1
-        self.out["change"] = {"delayMs": three(all_ms), "seconds": round(took, 2), "routers": rates(tally, list(f.routers), took), "controllers": rates(tally, list(f.controllers), took)}
+        self.out["change"] = {
+            "delayMs": three(all_ms),
+            "seconds": round(took, 2),
+            "routers": rates(tally, list(f.routers), took),
+            "controllers": rates(tally, list(f.controllers), took),
+        }
 
     async def _one_change(self, i):
         f = self.fleet
@@ -159,7 +181,11 @@
         while (steady() - begun).total_seconds() < 30 and not all(new in r.fleet.posts for r in f.routers.values()):
             await asyncio.sleep(0.05)
         took = (steady() - begun).total_seconds()
-        self.out["list"] = {"lastMs": round(took * 1000), "changeBytes": self._kind_bytes("Change"), "whole": all(new in r.fleet.posts for r in f.routers.values())}
+        self.out["list"] = {
+            "lastMs": round(took * 1000),
+            "changeBytes": self._kind_bytes("Change"),
+            "whole": all(new in r.fleet.posts for r in f.routers.values()),
+        }
 
     def _kind_bytes(self, what):
         return self.loop.net.tally.kinds().get(what, (0, 0))[1]
@@ -181,7 +207,10 @@
         gone = self.rng.sample(list(f.routers), max(1, self.size.nodes // 50))
         keys = [f.routers[ip].key for ip in gone]
         await f.kill(gone)
-        self.out["deaths"] = {"killed": len(gone), "noticedMs": three(await self._noticed(keys, 8 * self.bounds["contactMs"] / 1000))}
+        self.out["deaths"] = {
+            "killed": len(gone),
+            "noticedMs": three(await self._noticed(keys, 8 * self.bounds["contactMs"] / 1000)),
+        }
 
     async def _parted(self, cut_s=20):
         """The first region loses the others, then finds them again."""
@@ -194,14 +223,27 @@
         net.tally.clear()
         delays = dict(zip(f.routers, await self._one_change(0), strict=True))
         sides = {"cutOff": [ip for ip in f.routers if ip in away], "rest": [ip for ip in f.routers if ip not in away]}
-        self.out["parted"] = {"seconds": cut_s, **{k: {
-            "routers": len(v), "controllers": sum(c in away for c in f.controllers) if k == "cutOff" else sum(c not in away for c in f.controllers),
-            "changeMs": three([delays[ip] for ip in v]), "ready": sum(f.routers[ip].ready() for ip in v),
-            "nodesSeen": sorted({f.routers[ip].nodes() for ip in v}), "dividedBy": sorted({f.routers[ip].crowd.divisor for ip in v}),
-        } for k, v in sides.items()}}
+        self.out["parted"] = {
+            "seconds": cut_s,
+            **{
+                k: {
+                    "routers": len(v),
+                    "controllers": sum(c in away for c in f.controllers)
+                    if k == "cutOff"
+                    else sum(c not in away for c in f.controllers),
+                    "changeMs": three([delays[ip] for ip in v]),
+                    "ready": sum(f.routers[ip].ready() for ip in v),
+                    "nodesSeen": sorted({f.routers[ip].nodes() for ip in v}),
+                    "dividedBy": sorted({f.routers[ip].crowd.divisor for ip in v}),
+                }
+                for k, v in sides.items()
+            },
+        }
         net.cuts.clear()
         begun = steady()
-        while (steady() - begun).total_seconds() < 90 and not all(f._has(r, f.revision) and r.nodes() == s.nodes for r in f.routers.values()):
+        while (steady() - begun).total_seconds() < 90 and not all(
+            f._has(r, f.revision) and r.nodes() == s.nodes for r in f.routers.values()
+        ):
             await asyncio.sleep(0.1)
         whole = all(r.nodes() == s.nodes for r in f.routers.values())
         self.out["parted"]["healedMs"] = round((steady() - begun).total_seconds() * 1000) if whole else None
@@ -221,12 +263,15 @@
             now = rates(tally, list(f.routers), 1.0)
             worst = now if worst is None or now["mostOut"]["bytes"] > worst["mostOut"]["bytes"] else worst
         self.out["zone"] = {
-            "lost": len(gone), "noticedMs": three(watch.result()), "changeMs": three(changed.result()), "worstSecond": worst,
+            "lost": len(gone),
+            "noticedMs": three(watch.result()),
+            "changeMs": three(changed.result()),
+            "worstSecond": worst,
             "tookMs": round((steady() - begun).total_seconds() * 1000),
         }
 
 
-def point(size, load=Load(), seed=1, loss=0.0005, **kw):
+def point(size, load=DEFAULT_LOAD, seed=1, loss=0.0005, **kw):
     """Plays one point; the same seed gives the same figures.
 
     >>> from .fleet import Size
--- a/rehearsal/report.py
+++ b/rehearsal/report.py
@@ -1,4 +1,5 @@
 """Draws the slopes of a run: a table on the terminal, a picture, and how straight each curve is."""
+
 import os
 
 import numpy as np
@@ -10,13 +11,31 @@
 STRAIGHT = 0.1
 SHOWN = {
     "simulated time": (
-        "quiet.routers.meanOut.messages", "quiet.routers.meanOut.bytes", "quiet.routers.mostOut.messages", "quiet.routers.mostOut.bytes",
-        "quiet.routers.mostIn.bytes", "quiet.controllers.mostOut.bytes", "change.controllers.mostOut.bytes", "change.delayMs.p99", "deaths.noticedMs.p99", "zone.changeMs.p99",
+        "quiet.routers.meanOut.messages",
+        "quiet.routers.meanOut.bytes",
+        "quiet.routers.mostOut.messages",
+        "quiet.routers.mostOut.bytes",
+        "quiet.routers.mostIn.bytes",
+        "quiet.controllers.mostOut.bytes",
+        "change.controllers.mostOut.bytes",
+        "change.delayMs.p99",
+        "deaths.noticedMs.p99",
+        "zone.changeMs.p99",
     ),
     "real sockets": (
-        "quiet.nodeOut.messages", "quiet.nodeOut.bytes", "quiet.cpu.hollow.coreShare", "quiet.cpu.hollow.memoryMb", "quiet.cpu.controller.coreShare",
-        "quiet.cpu.controller.memoryMb", "quiet.cpu.router.coreShare", "quiet.cpu.router.memoryMb", "change.delayMs.p99", "change.delayMs.worst",
-        "failures.noticedMs.p99", "list.lastS", "streams.firstMs.p99",
+        "quiet.nodeOut.messages",
+        "quiet.nodeOut.bytes",
+        "quiet.cpu.hollow.coreShare",
+        "quiet.cpu.hollow.memoryMb",
+        "quiet.cpu.controller.coreShare",
+        "quiet.cpu.controller.memoryMb",
+        "quiet.cpu.router.coreShare",
+        "quiet.cpu.router.memoryMb",
+        "change.delayMs.p99",
+        "change.delayMs.worst",
+        "failures.noticedMs.p99",
+        "list.lastS",
+        "streams.firstMs.p99",
     ),
 }
 
@@ -84,8 +103,20 @@
             continue
         fit = Fit.of([g[0] for g in got], [g[1] for g in got])
         by = {g[0]: g for g in got}
-        cells = ["" if k not in by else f"{by[k][1]:.4g}" + (f" ({by[k][2]:.4g}-{by[k][3]:.4g})" if by[k][4] > 1 else "") for k in xs]
-        tail = [f"{fit.at0:.4g} + {fit.slope:.4g} x", f"{fit.residual:.2f}", "" if fit.power is None else f"{fit.power:.2f}", "straight" if fit.straight else "not straight"] if fit else [""] * 4
+        cells = [
+            "" if k not in by else f"{by[k][1]:.4g}" + (f" ({by[k][2]:.4g}-{by[k][3]:.4g})" if by[k][4] > 1 else "")
+            for k in xs
+        ]
+        tail = (
+            [
+                f"{fit.at0:.4g} + {fit.slope:.4g} x",
+                f"{fit.residual:.2f}",
+                "" if fit.power is None else f"{fit.power:.2f}",
+                "straight" if fit.straight else "not straight",
+            ]
+            if fit
+            else [""] * 4
+        )
         rows.append([y, *cells, *tail])
     return xs, rows
 
@@ -97,8 +128,10 @@
     'draw'
     """
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     points = [flat(p) for p in run["points"]]
     shown = [(y, medians(points, x, y)) for y in SHOWN[run["form"]]]
     shown = [(y, got) for y, got in shown if got]
@@ -113,7 +146,7 @@
         ax.set_title(y + ("" if not fit or fit.straight else " (not straight)"), fontsize=9)
         ax.set_xlabel(x)
         ax.set_ylim(bottom=0)
-    for ax in list(axes.flat)[len(shown):]:
+    for ax in list(axes.flat)[len(shown) :]:
         ax.axis("off")
     fig.tight_layout()
     fig.savefig(path, dpi=90)
@@ -124,7 +157,11 @@
     runs = [load(f) for f in files]
     if len({r["form"] for r in runs}) > 1:
         return "the files are of different forms; report on each form by itself"
-    run = {**runs[0], "points": [p for r in runs for p in r["points"]], "notRun": [n for r in runs for n in r.get("notRun", [])]}
+    run = {
+        **runs[0],
+        "points": [p for r in runs for p in r["points"]],
+        "notRun": [n for r in runs for n in r.get("notRun", [])],
+    }
     xs, rows = table(run, x)
     print(f"{run['form']}, {len(run['points'])} points; medians (least-most of the runs), by {x}")
     print(tabulate(rows, ["figure", *xs, "line", "residual", "power", "curve"]))
--- a/rehearsal/results.py
+++ b/rehearsal/results.py
@@ -1,4 +1,5 @@
 """What a run measured: kept as JSON, and as a CSV with a line per point."""
+
 import csv
 import json
 import os
@@ -12,7 +13,9 @@
     """
     out = {}
     for k, v in d.items():
-        out |= flat(v, f"{head}{k}.") if isinstance(v, dict) else {head + k: json.dumps(v) if isinstance(v, list) else v}
+        out |= (
+            flat(v, f"{head}{k}.") if isinstance(v, dict) else {head + k: json.dumps(v) if isinstance(v, list) else v}
+        )
     return out
 
 
--- a/rehearsal/scale.py
+++ b/rehearsal/scale.py
@@ -1,4 +1,5 @@
 """The scale run over real sockets: real controllers and routers beside hollow ones, on loopback."""
+
 import asyncio
 import json
 import os
@@ -43,7 +44,13 @@
     def __init__(self, plan, size, seed, say):
         self.plan, self.size, self.seed, self.say = plan, size, seed, say
         self.luck, self.revision, self.hosts, self.place = random.Random(seed), 0, [], {}
-        self.out = {"size": asdict(size), "load": asdict(plan.load), "seed": seed, "skips": SKIPS, "headerBytes": HEADER}
+        self.out = {
+            "size": asdict(size),
+            "load": asdict(plan.load),
+            "seed": seed,
+            "skips": SKIPS,
+            "headerBytes": HEADER,
+        }
 
     async def play(self):
         """The figures of the point; all that was started has ended after it."""
@@ -71,13 +78,26 @@
         s, data = self.size, os.path.join(folder, ip) if role == "controller" else None
         if data:
             os.mkdir(data)
-        return startup(s, ip, role, s.zone(i), min(2, (s.controllers - 1) // 2), True, self.plan.bounds, data, self.api, self.plan["platform"]["ratePerS"])
+        return startup(
+            s,
+            ip,
+            role,
+            s.zone(i),
+            min(2, (s.controllers - 1) // 2),
+            True,
+            self.plan.bounds,
+            data,
+            self.api,
+            self.plan["platform"]["ratePerS"],
+        )
 
     async def _program(self, folder, ip, role, i):
         path = os.path.join(folder, f"{ip}.toml")
-        with open(path, "w", encoding="utf-8") as f:
+        with open(path, "w", encoding="utf-8") as f:  # noqa: ASYNC230 - a small file, once
             f.write(toml(self._told(folder, ip, role, i)))
-        return await self.kids.start(role, [f"sparloom.{role}"], env={"SPARLOOM_CONFIG": path, "SPARLOOM_LOG": "warning"})
+        return await self.kids.start(
+            role, [f"sparloom.{role}"], env={"SPARLOOM_CONFIG": path, "SPARLOOM_LOG": "warning"}
+        )
 
     async def _start(self, folder):
         s, real = self.size, self.plan["realRouters"]
@@ -94,7 +114,17 @@
             self.hosts.append(await self.kids.start("hollow", ["rehearsal.host"], len(mine), asked=True))
             self.place |= {i: self.hosts[-1] for i in mine}
         self.empty = [(await h.ask("figures"), h.used()) for h in self.hosts]
-        await asyncio.gather(*(h.ask("start", startups=[self._told(folder, s.router(i), "router", i) for i, at in self.place.items() if at is h], load=asdict(self.plan.load), seed=self.seed + k) for k, h in enumerate(self.hosts)))
+        await asyncio.gather(
+            *(
+                h.ask(
+                    "start",
+                    startups=[self._told(folder, s.router(i), "router", i) for i, at in self.place.items() if at is h],
+                    load=asdict(self.plan.load),
+                    seed=self.seed + k,
+                )
+                for k, h in enumerate(self.hosts)
+            )
+        )
         d = policy(1, s.routes, s.slots)
         d["routes"].append(GIVEN)
         d["services"].append({**d["services"][0], "name": SERVICE})
@@ -108,7 +138,12 @@
         """The time of the acknowledgement, or None."""
         for i in self.luck.sample(range(self.size.controllers), self.size.controllers):
             try:
-                async with self.session.request(method, f"http://{self.size.controller(i)}:8262/-/configuration", data=json.dumps(d), headers={"If-Match": str(self.revision)}) as r:
+                async with self.session.request(
+                    method,
+                    f"http://{self.size.controller(i)}:8262/-/configuration",
+                    data=json.dumps(d),
+                    headers={"If-Match": str(self.revision)},
+                ) as r:
                     if r.status == 200:
                         self.revision = d["revision"]
                         return steady().total_seconds()
@@ -152,15 +187,34 @@
         base = sum(u[1] for _, u in self.empty)
 
         def rate(vals):
-            return {"messages": round(sum(n for n, _ in vals) / took / nodes, 2), "bytes": round(sum(b for _, b in vals) / took / nodes, 1)}
+            return {
+                "messages": round(sum(n for n, _ in vals) / took / nodes, 2),
+                "bytes": round(sum(b for _, b in vals) / took / nodes, 1),
+            }
+
         self.out[what] = {
-            "seconds": round(took, 2), "nodeOut": rate(kinds.values()), "nodeIn": rate([(g["in"][0], g["in"][1] + HEADER * g["in"][0]) for g in got]),
+            "seconds": round(took, 2),
+            "nodeOut": rate(kinds.values()),
+            "nodeIn": rate([(g["in"][0], g["in"][1] + HEADER * g["in"][0]) for g in got]),
             "kinds": {k: rate([v]) for k, v in sorted(kinds.items())},
-            "cpu": {r: {"coreShare": round((after[r][0] - before[r][0]) / took / after[r][2], 5), "memoryMb": round((after[r][1] - (base if r == "hollow" else 0)) / after[r][2], 2), "nodes": after[r][2]} for r in after if r in before},
-            "latestTimerMs": max(g["lateMs"] for g in got), "falselySuspected": sum(g["suspect"] for g in got), "falselyDead": sum(g["dead"] for g in got),
-            "refused": sum(g["refused"] for g in got), "calls": sum(g["calls"] for g in got),
+            "cpu": {
+                r: {
+                    "coreShare": round((after[r][0] - before[r][0]) / took / after[r][2], 5),
+                    "memoryMb": round((after[r][1] - (base if r == "hollow" else 0)) / after[r][2], 2),
+                    "nodes": after[r][2],
+                }
+                for r in after
+                if r in before
+            },
+            "latestTimerMs": max(g["lateMs"] for g in got),
+            "falselySuspected": sum(g["suspect"] for g in got),
+            "falselyDead": sum(g["dead"] for g in got),
+            "refused": sum(g["refused"] for g in got),
+            "calls": sum(g["calls"] for g in got),
         }
-        self.say(f"{what}: {self.out[what]['nodeOut']} out a node and second, timers late by up to {self.out[what]['latestTimerMs']} ms")
+        self.say(
+            f"{what}: {self.out[what]['nodeOut']} out a node and second, timers late by up to {self.out[what]['latestTimerMs']} ms"
+        )
 
     async def _quiet(self):
         await asyncio.sleep(min(10.0, 2 * self.plan.load.hold))
@@ -171,7 +225,13 @@
         for _ in range(50):
             acked = await self._operator("PATCH", patch(v, i % self.size.routes, 500 + v))
             if acked is not None:
-                return [d for g in await self._all("seen", revision=v, since=acked, most=self.plan.bounds["configApplyMs"] / 250) for d in g]
+                return [
+                    d
+                    for g in await self._all(
+                        "seen", revision=v, since=acked, most=self.plan.bounds["configApplyMs"] / 250
+                    )
+                    for d in g
+                ]
             await asyncio.sleep(0.2)
         return [None]
 
@@ -197,14 +257,24 @@
         return min(max(1, round(mean)), len(self.place) // 5) if per_day else 0
 
     def _split(self, nodes):
-        return [(h, [self.size.router(i) for i in nodes if self.place[i] is h]) for h in self.hosts if any(self.place[i] is h for i in nodes)]
+        return [
+            (h, [self.size.router(i) for i in nodes if self.place[i] is h])
+            for h in self.hosts
+            if any(self.place[i] is h for i in nodes)
+        ]
 
     async def _kill(self, nodes):
         since = max(await asyncio.gather(*(h.ask("kill", ips=ips) for h, ips in self._split(nodes))))
         keys = [f"{self.size.router(i)}:7301" for i in nodes]
         for i in nodes:
             del self.place[i]
-        return [d for g in await self._all("watch", keys=keys[:10], since=since, most=10 * self.plan.bounds["contactMs"] / 1000) for d in g]
+        return [
+            d
+            for g in await self._all(
+                "watch", keys=keys[:10], since=since, most=10 * self.plan.bounds["contactMs"] / 1000
+            )
+            for d in g
+        ]
 
     async def _failures(self):
         f = self.plan["failures"]
@@ -212,7 +282,12 @@
         took = await asyncio.gather(*(h.ask("restart", ips=ips) for h, ips in self._split(again)))
         gone = self.luck.sample(list(self.place), self._some(f["perDay"]))
         noticed = await self._kill(gone) if gone else []
-        self.out["failures"] = {"restarts": len(again), "restartS": [round(t, 2) for t in took], "deaths": len(gone), "noticedMs": three(noticed)}
+        self.out["failures"] = {
+            "restarts": len(again),
+            "restartS": [round(t, 2) for t in took],
+            "deaths": len(gone),
+            "noticedMs": three(noticed),
+        }
         self.say(f"failures: {self.out['failures']}")
 
     async def _zone(self):
@@ -229,17 +304,24 @@
 
 async def run(plan, say, keep):
     """All points, three runs each; ends by the plan's limit. ``keep(run)`` is called after each point."""
-    end, done = time.monotonic() + plan["limitS"], {"form": "real sockets", "plan": plan.told, "points": [], "notRun": []}
+    end, done = (
+        time.monotonic() + plan["limitS"],
+        {"form": "real sockets", "plan": plan.told, "points": [], "notRun": []},
+    )
     todo = [(r, s) for s in plan.sizes for r in range(plan["runs"])]
     for r, size in todo:
         name = f"{size.nodes} nodes, {size.runners} runners, {size.routes} routes, run {r + 1}"
         try:
             async with asyncio.timeout(max(0.0, end - time.monotonic())):
-                done["points"].append(await Real(plan, size, plan["seed"] + r, lambda t: say(f"{name}: {t}")).play())
+                done["points"].append(
+                    await Real(plan, size, plan["seed"] + r, lambda t, name=name: say(f"{name}: {t}")).play()
+                )
         except (Failed, RuntimeError) as e:
             done["notRun"].append(f"{name}: {e}")
         except TimeoutError:
             done["notRun"].append(f"{name}: the run's time was over, or a process gave no answer")
-        say(f"{name}: {'not run, ' + done['notRun'][-1] if done['notRun'] and done['notRun'][-1].startswith(name) else 'done'}")
+        say(
+            f"{name}: {'not run, ' + done['notRun'][-1] if done['notRun'] and done['notRun'][-1].startswith(name) else 'done'}"
+        )
         keep(done)
     return done
--- a/rehearsal/slopes.py
+++ b/rehearsal/slopes.py
@@ -1,4 +1,5 @@
 """Plays fleets of several sizes and tells with which power of the routers each figure grows."""
+
 import math
 import sys
 
@@ -59,7 +60,14 @@
     return [(k, v, fit(list(zip(sizes, v)))) for k, v in lines.items() if any(v)]
 
 
-def main(*, routers: list[int] = [6, 18, 37, 73], rate: float = 3.2, seconds: float = 4.0, settle: float = 12.0, seed: int = 1):
+def main(
+    *,
+    routers: list[int] = [6, 18, 37, 73],  # noqa: B006 - never changed; defopt reads the default
+    rate: float = 3.2,
+    seconds: float = 4.0,
+    settle: float = 12.0,
+    seed: int = 1,
+):
     """Play fleets of routers in simulated time and fit what grows.
 
     :param routers: sizes of the fleets
@@ -73,7 +81,11 @@
     for name, vals, s in rows(plays):
         print(name.ljust(40), *(f"{v:9.1f}" for v in vals), f"{s.power:8.2f} {s.off:7.1%}" if s else "")
     for p in plays:
-        print(f"{p['routers']} routers: all ready at {p['ready_s']} s; the least informed saw half, nine tenths, all of them at", ", ".join(str(p["seen_s"].get(x)) for x in (0.5, 0.9, 1.0)), "s")
+        print(
+            f"{p['routers']} routers: all ready at {p['ready_s']} s; the least informed saw half, nine tenths, all of them at",
+            ", ".join(str(p["seen_s"].get(x)) for x in (0.5, 0.9, 1.0)),
+            "s",
+        )
     return 0
 
 
--- a/rehearsal/tally.py
+++ b/rehearsal/tally.py
@@ -1,4 +1,5 @@
 """Counts messages and bytes, per node and kind of record."""
+
 from attrs import define, field
 
 from sparloom.wire.records import _BY_TAG, MAGIC
--- a/rehearsal/timeline.py
+++ b/rehearsal/timeline.py
@@ -49,9 +49,14 @@
         return
     led = core.nodes[n][0] if n in core.nodes else None
     acts = {
-        "kill": lambda: core.kill(n), "boot": lambda: core.boot(n), "wipe": lambda: core.wipe(n),
-        "cut": lambda: core.cut(n), "cut-in": lambda: core.cut(n, way="in"), "cut-out": lambda: core.cut(n, way="out"),
-        "stall": lambda: core.stall.add(n), "flow": lambda: core.stall.discard(n),
+        "kill": lambda: core.kill(n),
+        "boot": lambda: core.boot(n),
+        "wipe": lambda: core.wipe(n),
+        "cut": lambda: core.cut(n),
+        "cut-in": lambda: core.cut(n, way="in"),
+        "cut-out": lambda: core.cut(n, way="out"),
+        "stall": lambda: core.stall.add(n),
+        "flow": lambda: core.stall.discard(n),
         "leave": lambda: core.act(n, led.hand_over(core.now)),
         "write": lambda: test.assertTrue(core.write(int(arg), n), f"{at}: acknowledged"),
         "unwritten": lambda: test.assertFalse(core.write(int(arg), n, 800), f"{at}: must not acknowledge"),
--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -5,6 +5,7 @@
 luck, disk) is replaced while the loop runs; nothing else of them is. ``HOST``
 names the simulated host that a task runs on; set it before a service starts.
 """
+
 import asyncio
 import os
 import random
@@ -13,6 +14,7 @@
 from contextlib import ExitStack, contextmanager
 from contextvars import ContextVar, copy_context
 from types import SimpleNamespace
+from typing import ClassVar
 
 from sparloom.controller import core
 from sparloom.link import clock, sockets
@@ -272,7 +274,7 @@
 class Disk:
     """A simulated disk: what was put is kept and told 5 ms later."""
 
-    held = {}
+    held: ClassVar[dict] = {}
 
     def __init__(self, folder, loop, done, failed):
         self.folder, self.loop, self.done = folder, loop, done
@@ -328,8 +330,11 @@
     Disk.held = {}
     with ExitStack() as stack:
         for obj, name, val in (
-            (clock, "time", SimpleNamespace(monotonic=loop.time)), (random, "Random", Seeded),
-            (os, "urandom", luck.randbytes), (sockets, "take", _Socket), (core, "Disk", Disk),
+            (clock, "time", SimpleNamespace(monotonic=loop.time)),
+            (random, "Random", Seeded),
+            (os, "urandom", luck.randbytes),
+            (sockets, "take", _Socket),
+            (core, "Disk", Disk),
         ):
             stack.enter_context(_swapped(obj, name, val))
         try:
--- a/sparloom/__init__.py
+++ b/sparloom/__init__.py
@@ -5,6 +5,7 @@
 
 >>> from sparloom.policy import Policy
 """
+
 import os
 
 __version__ = "0.1.0"
--- a/sparloom/command.py
+++ b/sparloom/command.py
@@ -1,4 +1,5 @@
 """The command line that both programs share."""
+
 import asyncio
 import gc
 import json
@@ -13,6 +14,7 @@
 
 def _log():
     from mode import Service
+
     Service.mundane_level = "debug"
     logging.use_absl_handler()
     logging._warn_preinit_stderr = False
@@ -62,6 +64,7 @@
 
 def _check_policy(path):
     from sparloom.policy import check, parse
+
     try:
         with open(path, "rb") as f:
             raw = f.read()
@@ -103,6 +106,7 @@
         :param address: HOST:PORT of its control or readiness address
         """
         from urllib.request import urlopen
+
         try:
             with urlopen(f"http://{address}/-/beliefs", timeout=3) as r:
                 print(json.dumps(json.load(r), indent=2))
@@ -123,4 +127,5 @@
     if len(sys.argv) < 2:
         sys.exit(run(name))
     import defopt
+
     sys.exit(defopt.run(_commands(name), version=f"{name} {__version__}", argv=sys.argv[1:]))
--- a/sparloom/compare/__main__.py
+++ b/sparloom/compare/__main__.py
@@ -1,4 +1,5 @@
 """The comparison's command line."""
+
 import json
 import sys
 
--- a/sparloom/compare/beliefs.py
+++ b/sparloom/compare/beliefs.py
@@ -1,4 +1,5 @@
 """Fetches beliefs and tells where two of them part."""
+
 import json
 from urllib.request import urlopen
 
--- a/sparloom/controller/control.py
+++ b/sparloom/controller/control.py
@@ -1,4 +1,5 @@
 """What the operator calls: PUT, PATCH and GET of the configuration."""
+
 import asyncio
 import json
 
@@ -9,7 +10,7 @@
 from returns.pipeline import is_successful
 
 from sparloom.feed import POLICY, RUNNERS
-from sparloom.link import bind, steady
+from sparloom.link import bind
 from sparloom.members import ROUTER
 from sparloom.metering import figures
 from sparloom.policy import apply_patch, check, parse
@@ -26,7 +27,12 @@
     >>> reply(200, {}).status
     200
     """
-    return web.Response(status=status, body=json.dumps(d, separators=(",", ":")).encode(), content_type="application/json", headers=heads)
+    return web.Response(
+        status=status,
+        body=json.dumps(d, separators=(",", ":")).encode(),
+        content_type="application/json",
+        headers=heads,
+    )
 
 
 def fault(status, text, **heads):
@@ -61,10 +67,12 @@
         super().__init__()
         self.up, self.core, self.shop = up, core, shop
         self.turn = asyncio.Lock()
-        self.tree = Tree({
-            PATH: {"PUT": self._put, "PATCH": self._patch, "GET": self._get},
-            "/-/beliefs": {"GET": self._beliefs},
-        })
+        self.tree = Tree(
+            {
+                PATH: {"PUT": self._put, "PATCH": self._patch, "GET": self._get},
+                "/-/beliefs": {"GET": self._beliefs},
+            }
+        )
         self.runner, self.crowd = None, 0
 
     async def on_start(self):
@@ -171,15 +179,25 @@
         return reply(200, {"revision": new["revision"]})
 
     async def _beliefs(self, req):
-        led, now = self.core.ledger, steady()
+        led = self.core.ledger
         v, policy, listed = led.view, self.shop.held(POLICY), self.shop.held(RUNNERS)
-        return reply(200, {
-            "node": self.up.node, "role": "controller",
-            "key": self.core.key, "policy": list(self.shop.shelf.stamp(POLICY)), "runners": list(self.shop.shelf.stamp(RUNNERS)),
-            "revision": policy["revision"] if policy else 0,
-            "fleet": {r.id: "draining" if r.draining else "ready" for r in listed.runners} if listed else {},
-            "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in self.core.swim.table.values())},
-            "view": v and {"epoch": v.epoch, "primary": v.primary, "backups": v.backups, "roster": list(v.ids)},
-            "leading": led.leading(), "sureMs": self.shop.sureness(),
-            "meter": figures(),
-        })
+        return reply(
+            200,
+            {
+                "node": self.up.node,
+                "role": "controller",
+                "key": self.core.key,
+                "policy": list(self.shop.shelf.stamp(POLICY)),
+                "runners": list(self.shop.shelf.stamp(RUNNERS)),
+                "revision": policy["revision"] if policy else 0,
+                "fleet": {r.id: "draining" if r.draining else "ready" for r in listed.runners} if listed else {},
+                "members": {
+                    p.key: ["alive", "suspect", "dead"][p.state]
+                    for p in (e.peer for e in self.core.swim.table.values())
+                },
+                "view": v and {"epoch": v.epoch, "primary": v.primary, "backups": v.backups, "roster": list(v.ids)},
+                "leading": led.leading(),
+                "sureMs": self.shop.sureness(),
+                "meter": figures(),
+            },
+        )
--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -1,4 +1,5 @@
 """The service around the ledger and the membership: sockets, disk, time."""
+
 import asyncio
 import os
 import random
@@ -8,7 +9,7 @@
 from mode import Service
 
 from sparloom.ledger import Confirmed, Decided, Ledger, Lost, Member, Save, Send, Spans
-from sparloom.ledger.records import Copy, Hello, Join, Kept
+from sparloom.ledger.records import Copy
 from sparloom.link import Datagrams, Frames, bind, dial, steady
 from sparloom.members import CONTROLLER, Ack, Compare, Peer, Ping, Relay, Swim, Times
 from sparloom.startup import Address
@@ -44,7 +45,16 @@
         id = kept[0].id if kept else int.from_bytes(os.urandom(7)) | 1
         control = str(up.listen.control or "")
         me = Member(id, up.ip, self.port, up.zone, control)
-        self.ledger = Ledger.start(me, kept, up.first_start, Spans.of(up.bounds.contact), rng, up.tolerated.copies, {(s.host, self.port) for s in up.seeds}, steady())
+        self.ledger = Ledger.start(
+            me,
+            kept,
+            up.first_start,
+            Spans.of(up.bounds.contact),
+            rng,
+            up.tolerated.copies,
+            {(s.host, self.port) for s in up.seeds},
+            steady(),
+        )
         peer = Peer(self.key, CONTROLLER, up.zone, control, int.from_bytes(os.urandom(7)), 0, 0)
         self.swim = Swim(peer, self.seeds, Times.of(up.bounds.contact), rng)
         self.prefixes = Remember(up.data, lambda to, rec: self.net.send(to, rec), up.bounds.contact.total_seconds() / 2)
--- a/sparloom/controller/disk.py
+++ b/sparloom/controller/disk.py
@@ -1,4 +1,5 @@
 """The task that owns the disk: saves in order, many at a time, never in the loop's way."""
+
 import asyncio
 import queue
 import sqlite3
--- a/sparloom/controller/poller.py
+++ b/sparloom/controller/poller.py
@@ -1,4 +1,5 @@
 """The duty of asking the platform, done by the primary alone."""
+
 import asyncio
 
 import aiohttp
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -1,4 +1,5 @@
 """Starts and stops the controller's services."""
+
 import asyncio
 import signal
 
--- a/sparloom/controller/remember.py
+++ b/sparloom/controller/remember.py
@@ -1,4 +1,5 @@
 """Remembers for the routers which runner keeps which long prefix, also over a loss of all power."""
+
 import asyncio
 import os
 
--- a/sparloom/controller/shop.py
+++ b/sparloom/controller/shop.py
@@ -1,4 +1,5 @@
 """The feed's service: follows the primary, and serves those that follow this controller."""
+
 import asyncio
 
 from absl import logging
--- a/sparloom/controller/state.py
+++ b/sparloom/controller/state.py
@@ -1,4 +1,5 @@
 """The control state's bytes: the policy, and which revisions were taken before."""
+
 import hashlib
 import json
 import zlib
--- a/sparloom/early.py
+++ b/sparloom/early.py
@@ -4,6 +4,7 @@
 address. Its sockets listen within a few ms of the start, so such calls wait
 for the load of the rest in place of being turned away by the machine.
 """
+
 import os
 import socket
 import sys
@@ -32,6 +33,7 @@
     >>> listen(())
     """
     import tomllib
+
     try:
         with open(os.environ.get("SPARLOOM_CONFIG", "/etc/sparloom/node.toml"), "rb") as f:
             addrs = tomllib.load(f)["listenAddresses"]
--- a/sparloom/metering.py
+++ b/sparloom/metering.py
@@ -1,4 +1,5 @@
 """Logs a program's meter, at an interval and at the stop."""
+
 import asyncio
 import json
 import os
@@ -19,7 +20,12 @@
     True
     """
     m = here()
-    return m and {"cpu": round(time.process_time(), 3), "memory": _memory(), "descriptors": _descriptors(), **m.figures()}
+    return m and {
+        "cpu": round(time.process_time(), 3),
+        "memory": _memory(),
+        "descriptors": _descriptors(),
+        **m.figures(),
+    }
 
 
 def _memory():
--- a/sparloom/news.py
+++ b/sparloom/news.py
@@ -1,4 +1,5 @@
 """What the feed carries, as bytes: whole states and the steps between them."""
+
 import json
 import zlib
 
--- a/sparloom/router/__main__.py
+++ b/sparloom/router/__main__.py
@@ -1,11 +1,13 @@
 """The router's command line."""
+
 import sys
 
 if len(sys.argv) < 2:
     from sparloom.early import leave_out, listen
+
     leave_out()
     listen(("front", "readiness"))
 
-from sparloom.command import main  # noqa: E402
+from sparloom.command import main
 
 main("router")
--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -1,4 +1,5 @@
 """An ask as a router takes it, and the heads that go on."""
+
 from datetime import timedelta
 
 from attrs import define
@@ -6,10 +7,21 @@
 
 from sparloom.choice import parse_parts
 
-HOP = frozenset((
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-    "transfer-encoding", "upgrade", "content-length", "expect",
-))
+HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
 ID, LEFT, SEAL = "X-Sparloom-Attempt-Id", "X-Sparloom-Deadline-Remaining", "X-Sparloom-Runner-Seal"
 EXPECT, NOT_RUN, PARTS = "X-Sparloom-Expected-Instance", "X-Sparloom-Not-Run", "X-Sparloom-Prompt-Prefix"
 URGENCY, LAST = "X-Sparloom-Request-Urgency", "Last-Event-Id"
@@ -64,8 +76,16 @@
     """An ask from what the server read."""
     heads = end_to_end(req.raw_headers)
     return Ask(
-        heads.get(ID, ""), req.method, req.raw_path, heads, body, route, policy,
-        now, horizon_of(heads, route, now), parse_parts(heads.get(PARTS)),
+        heads.get(ID, ""),
+        req.method,
+        req.raw_path,
+        heads,
+        body,
+        route,
+        policy,
+        now,
+        horizon_of(heads, route, now),
+        parse_parts(heads.get(PARTS)),
     )
 
 
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -1,4 +1,5 @@
 """Carries one ask: choose a runner, take a slot, dispatch, relay, recover."""
+
 import asyncio
 from datetime import timedelta
 
@@ -46,10 +47,21 @@
 
     def _stands(self, posts, now):
         c, parts, key = self.know.counts, self.ask.parts, self.ask.key
-        return [Standing(
-            p.id, p.kept.unread(parts), c.tokens(p.id, now), c.count(p.id, now), p.slots, p.cold,
-            2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried), p.zone == self.know.up.zone, p.warm(), lean(key, p.number),
-        ) for p in posts]
+        return [
+            Standing(
+                p.id,
+                p.kept.unread(parts),
+                c.tokens(p.id, now),
+                c.count(p.id, now),
+                p.slots,
+                p.cold,
+                2 * p.doubted(now) + (c.silent(p.id, now) > 0) + 4 * (p.id in self.tried),
+                p.zone == self.know.up.zone,
+                p.warm(),
+                lean(key, p.number),
+            )
+            for p in posts
+        ]
 
     def _pick(self, service):
         """The best runner with room, and a slot there."""
@@ -73,7 +85,12 @@
     def _plan(self, service, verdict):
         r = self.ask.route
         return Plan(
-            r.repeatable, r.max_dispatches, self.dispatches, verdict, self.out is not None, self.left(),
+            r.repeatable,
+            r.max_dispatches,
+            self.dispatches,
+            verdict,
+            self.out is not None,
+            self.left(),
             self.dispatches == 0 or self.know.budget(service).allowed(steady(), self.know.nodes()),
             any(p.id not in self.tried for p in self.know.fleet.of(service)),
         )
@@ -162,8 +179,11 @@
     def _call(self, post, sent):
         a = self.ask
         return post.pipes().request(
-            a.method, url_for(post.address, a.path), data=a.body or None,
-            headers=names.onward(a, post, steady(), self.thread.last), allow_redirects=False,
+            a.method,
+            url_for(post.address, a.path),
+            data=a.body or None,
+            headers=names.onward(a, post, steady(), self.thread.last),
+            allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=max(0.05, a.route.target.total_seconds() / 3)),
         )
 
@@ -171,7 +191,9 @@
         h = resp.headers
         length = h.get("Content-Length")
         framed = length is not None or "chunked" in h.get("Transfer-Encoding", "").lower() or resp.status in (204, 304)
-        verdict, good = judge_head(Head(resp.status, names.NOT_RUN in h, names.SEAL in h, h.get(names.ID) == self.ask.id, framed))
+        verdict, good = judge_head(
+            Head(resp.status, names.NOT_RUN in h, names.SEAL in h, h.get(names.ID) == self.ask.id, framed)
+        )
         if "Keep-Alive" in h:
             post.heed(h["Keep-Alive"])
         if verdict is NOT_RUN:
@@ -188,7 +210,12 @@
         if self.out is not None and resp.status != 200:
             resp.close()
             return MAY_HAVE_RUN
-        if resp.status >= 500 and self.ask.route.repeatable and self.out is None and isinstance(after(self._plan(post.service, MAY_HAVE_RUN)), Retry):
+        if (
+            resp.status >= 500
+            and self.ask.route.repeatable
+            and self.out is None
+            and isinstance(after(self._plan(post.service, MAY_HAVE_RUN)), Retry)
+        ):
             resp.close()
             return MAY_HAVE_RUN
         return await self._relay(resp, slot, watch, length)
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -1,4 +1,5 @@
 """The runners as this router knows them: a snapshot, swapped whole."""
+
 import socket
 from datetime import timedelta
 from hashlib import blake2b
@@ -74,10 +75,20 @@
     def pipes(self):
         """The session that holds the pipes to this life of the runner."""
         if self.session is None or self.session.closed:
-            con = aiohttp.TCPConnector(limit=0, ttl_dns_cache=None, keepalive_timeout=self.rest, socket_factory=_socket, enable_cleanup_closed=False)
+            con = aiohttp.TCPConnector(
+                limit=0,
+                ttl_dns_cache=None,
+                keepalive_timeout=self.rest,
+                socket_factory=_socket,
+                enable_cleanup_closed=False,
+            )
             self.session = aiohttp.ClientSession(
-                connector=con, request_class=Request, cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False,
-                timeout=aiohttp.ClientTimeout(total=None), skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+                connector=con,
+                request_class=Request,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                timeout=aiohttp.ClientTimeout(total=None),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             )
             self.session._retry_connection = False
         return self.session
@@ -128,7 +139,17 @@
         for r in runners:
             old = self.posts.get(r.id)
             if old is None or (old.address, old.service) != (r.address, r.service):
-                old = Post(r.id, r.service, r.address, r.zone, r.slots, r.draining, bool(r.cold), number(r.id), Kept(room(r.service)))
+                old = Post(
+                    r.id,
+                    r.service,
+                    r.address,
+                    r.zone,
+                    r.slots,
+                    r.draining,
+                    bool(r.cold),
+                    number(r.id),
+                    Kept(room(r.service)),
+                )
             old.draining, old.cold, old.slots = r.draining, bool(r.cold), r.slots
             old.kept.room = room(r.service)
             posts[r.id] = old
@@ -136,6 +157,7 @@
             p.gone = posts.get(p.id) is not p
         names = {p.service for p in posts.values()}
         return Fleet(
-            posts, {s: tuple(p for p in posts.values() if p.service == s and not p.draining) for s in names},
+            posts,
+            {s: tuple(p for p in posts.values() if p.service == s and not p.draining) for s in names},
             {p.number: p.id for p in posts.values()},
         )
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -1,4 +1,5 @@
 """How a router comes by its news: it follows the numbered feed."""
+
 import asyncio
 from datetime import timedelta
 
@@ -89,7 +90,9 @@
 
     def _sure(self, rec):
         k = self.know
-        k.sure = k.sure or (k.listed is not None and k.policy is not None and rec.age < self.upstream.tracker.doubt / MS)
+        k.sure = k.sure or (
+            k.listed is not None and k.policy is not None and rec.age < self.upstream.tracker.doubt / MS
+        )
 
     def _state(self, topic):
         return self.raw if topic == POLICY else self.know.listed
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -1,4 +1,5 @@
 """The address that requesters call, and the one that the platform asks for readiness."""
+
 import asyncio
 
 from absl import logging
@@ -50,13 +51,20 @@
         """What this router believes, for the comparison."""
         k, now = self.know, steady()
         return {
-            "node": self.up.node, "role": "router", "key": k.key, "policy": list(k.shelf.stamp(POLICY)), "runners": list(k.shelf.stamp(RUNNERS)),
+            "node": self.up.node,
+            "role": "router",
+            "key": k.key,
+            "policy": list(k.shelf.stamp(POLICY)),
+            "runners": list(k.shelf.stamp(RUNNERS)),
             "revision": k.policy.revision if k.policy else 0,
             "members": {p.key: ["alive", "suspect", "dead"][p.state] for p in (e.peer for e in k.swim.table.values())},
             "fleet": {p.id: "draining" if p.draining else "ready" for p in k.fleet.posts.values()},
             "counts": {id: k.counts.count(id, now) for id in k.fleet.posts},
-            "ready": k.ready(), "shares": {f"{s} {m}": f for s, ms in k.lines.figures().items() for m, f in ms.items()}, "divisor": k.crowd.divisor,
-            "relays": {r: "relay" for r in k.tier.relays}, "tier": k.serve.told(),
+            "ready": k.ready(),
+            "shares": {f"{s} {m}": f for s, ms in k.lines.figures().items() for m, f in ms.items()},
+            "divisor": k.crowd.divisor,
+            "relays": {r: "relay" for r in k.tier.relays},
+            "tier": k.serve.told(),
             "meter": figures(),
         }
 
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -1,4 +1,5 @@
 """What a router knows: the snapshots that its other parts read, and who the members are."""
+
 import asyncio
 import random
 from bisect import bisect
@@ -54,7 +55,11 @@
 
     def ready(self):
         """Whether a policy and runners are known, and for sure at the start."""
-        return self.policy is not None and self.listed is not None and (self.sure or steady() - self.born > self.up.bounds.contact * 2)
+        return (
+            self.policy is not None
+            and self.listed is not None
+            and (self.sure or steady() - self.born > self.up.bounds.contact * 2)
+        )
 
     def nodes(self):
         """How many routers the budgets are shared among; one that is cut off doesn't take itself for the only one."""
@@ -101,7 +106,9 @@
     def count(self):
         """Notes by how many routers the whole is divided."""
         up = sorted(p.key for p in self.swim.alive() if p.role == ROUTER)
-        self.crowd.see(steady(), 1 + len(up), self.listed.crowd if self.listed else 0, self.tell.crowds(), bisect(up, self.key))
+        self.crowd.see(
+            steady(), 1 + len(up), self.listed.crowd if self.listed else 0, self.tell.crowds(), bisect(up, self.key)
+        )
 
     def see_tier(self):
         """Plans the tier again when membership has changed; suspects are members still."""
--- a/sparloom/router/line.py
+++ b/sparloom/router/line.py
@@ -1,4 +1,5 @@
 """The lines in front of the runners: one gate per service, and those that wait at it."""
+
 import asyncio
 from datetime import timedelta
 from itertools import count
@@ -25,7 +26,11 @@
             self.told = policy
             self.members = members_of(policy, self.know.up.members)
             self.parts = {m.name: m.reserve for m in self.members}
-            self.owners = {r.name: next((m.name for m in self.members if m.owns(r)), "") for r in policy.routes} if self.know.up.members else {}
+            self.owners = (
+                {r.name: next((m.name for m in self.members if m.owns(r)), "") for r in policy.routes}
+                if self.know.up.members
+                else {}
+            )
         return self.parts
 
     def _room(self, service):
--- a/sparloom/router/prefixes.py
+++ b/sparloom/router/prefixes.py
@@ -1,4 +1,5 @@
 """What controllers remember of long prefixes: told now and then, asked for at a start."""
+
 import asyncio
 
 from sparloom.link import steady
@@ -33,12 +34,16 @@
         """Tells the batch once a second, and asks again those that have not answered yet."""
         k = self.know
         if self.batch and turn % TURNS == 0:
-            near = min((p for p in k.swim.alive() if p.role == CONTROLLER), key=lambda p: (p.zone != k.up.zone, p.key), default=None)
+            near = min(
+                (p for p in k.swim.alive() if p.role == CONTROLLER),
+                key=lambda p: (p.zone != k.up.zone, p.key),
+                default=None,
+            )
             if near:
                 items = list(self.batch.items())
                 self.batch = {}
                 for i in range(0, len(items), 48):
-                    k.net.send(near.key, Reads([Read(r, part, n) for (r, part), n in items[i:i + 48]]))
+                    k.net.send(near.key, Reads([Read(r, part, n) for (r, part), n in items[i : i + 48]]))
         if self.began is not None and turn % 4 == 0:
             if steady() - self.began > k.up.bounds.contact:
                 self.began = None
--- a/sparloom/router/program.py
+++ b/sparloom/router/program.py
@@ -1,4 +1,5 @@
 """Starts and stops the router's services."""
+
 import asyncio
 import signal
 
--- a/sparloom/router/serve.py
+++ b/sparloom/router/serve.py
@@ -1,4 +1,5 @@
 """Passes the feed on to routers that follow this one."""
+
 import asyncio
 
 from mode import Service
@@ -83,7 +84,9 @@
         up, now = self.follow.upstream, steady()
         age = up.tracker.known(now)
         return {
-            "follows": up.parent, "depth": up.depth, "ageMs": None if age is None else int(age / MS),
-            "relay": up.tier.relay, "followers": sorted(self.followers.values()),
+            "follows": up.parent,
+            "depth": up.depth,
+            "ageMs": None if age is None else int(age / MS),
+            "relay": up.tier.relay,
+            "followers": sorted(self.followers.values()),
         }
-
--- a/sparloom/router/target.py
+++ b/sparloom/router/target.py
@@ -1,4 +1,5 @@
 """Sends a request target byte for byte, also where the URL library would tidy it."""
+
 from aiohttp import ClientRequest
 from yarl import URL
 
@@ -34,5 +35,5 @@
         """Sends with the raw target."""
         raw = self.original_url.raw_fragment
         if raw.startswith(MARK):
-            self.url = _Target(self.url, raw[len(MARK):])
+            self.url = _Target(self.url, raw[len(MARK) :])
         return await super().send(conn)
--- a/sparloom/router/tell.py
+++ b/sparloom/router/tell.py
@@ -3,6 +3,7 @@
 In a small fleet each router tells every other. Where a tier of relays stands,
 words go through it (``sparloom.sums``).
 """
+
 import asyncio
 import os
 from functools import singledispatchmethod
@@ -49,8 +50,17 @@
         k, now = self.know, steady()
         posts = k.fleet.posts
         return [
-            Held(posts[id].number, min(n, 0xFFFF), min(k.counts.weight.get(id, 0), 0xFFFFFFFF), int(posts[id].silent > 0 and posts[id].doubted(now)), 0, 0, 0)
-            for id, n in k.counts.own.items() if id in posts
+            Held(
+                posts[id].number,
+                min(n, 0xFFFF),
+                min(k.counts.weight.get(id, 0), 0xFFFFFFFF),
+                int(posts[id].silent > 0 and posts[id].doubted(now)),
+                0,
+                0,
+                0,
+            )
+            for id, n in k.counts.own.items()
+            if id in posts
         ]
 
     def beat(self, turn):
@@ -78,14 +88,24 @@
         k, now, up = self.know, steady(), self._up()
         if not was:
             for key, p in k.counts.peers.items():
-                self.sums.hear_direct(p.heard, key, p.life, p.seq, {short(k.fleet.posts[id].number): v for id, v in p.held.items() if id in k.fleet.posts})
+                self.sums.hear_direct(
+                    p.heard,
+                    key,
+                    p.life,
+                    p.seq,
+                    {short(k.fleet.posts[id].number): v for id, v in p.held.items() if id in k.fleet.posts},
+                )
         self.sums.see(now, k.tier, up, k.follow.upstream.parent)
         self._note(now)
         self._send(now)
         self.soon = False
 
     def _note(self, now):
-        self.sums.note(now, {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in self._held()}, self.know.crowd.divisor)
+        self.sums.note(
+            now,
+            {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in self._held()},
+            self.know.crowd.divisor,
+        )
 
     def _send(self, now):
         for s in self.sums.beat(now):
@@ -153,7 +173,13 @@
             return
         k.counts.hear(rec, now, k.fleet.numbers)
         if self.tiered:
-            self.sums.hear_direct(now, rec.key, rec.life, rec.seq, {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held})
+            self.sums.hear_direct(
+                now,
+                rec.key,
+                rec.life,
+                rec.seq,
+                {short(h.resource): (h.calls, h.tokens, h.silent, h.good, h.bad, h.blamers) for h in rec.held},
+            )
         self._saw(rec.reads)
 
     def gone(self, key, life):
--- a/sparloom/router/tiers.py
+++ b/sparloom/router/tiers.py
@@ -1,4 +1,5 @@
 """The buckets of a runner for one route, computed at each call."""
+
 from functools import lru_cache
 
 from sparloom.timeouts import Bucket
--- a/sparloom/serving.py
+++ b/sparloom/serving.py
@@ -1,4 +1,5 @@
 """Serves the feed to one follower; controllers and relays do it alike."""
+
 import asyncio
 from datetime import timedelta
 
@@ -38,6 +39,7 @@
     whether this one lives and is sure. The one after them tells that it is
     up to date.
     """
+
     async def write(rec):
         await frames.write(rec, src.patience)
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,5 @@
 """A local try-out: a platform and two runners, and the files that the programs need."""
+
 import asyncio
 import json
 import os
@@ -26,7 +27,20 @@
 """
 POLICY = {
     "revision": 1,
-    "routes": [{"name": "talk", "hostname": "try.example", "pathPrefix": "/talk/", "routeKind": "streaming", "timeoutMs": 60000, "targetMs": 800, "service": "talkers", "maxAttempts": 2, "resumeStreams": True, "gapTargetMs": 500}],
+    "routes": [
+        {
+            "name": "talk",
+            "hostname": "try.example",
+            "pathPrefix": "/talk/",
+            "routeKind": "streaming",
+            "timeoutMs": 60000,
+            "targetMs": 800,
+            "service": "talkers",
+            "maxAttempts": 2,
+            "resumeStreams": True,
+            "gapTargetMs": 500,
+        }
+    ],
     "services": [{"name": "talkers", "connectionLimit": 64, "engine": {"slots": 8, "cacheTokens": 100000}}],
 }
 
@@ -35,8 +49,12 @@
     data = os.path.abspath(os.path.join(folder, "data"))
     os.makedirs(data, exist_ok=True)
     files = {
-        "controller.toml": COMMON.format(role="controller", more=f'dataDirectory = "{data}"', listen='control = "127.0.0.1:18262"'),
-        "router.toml": COMMON.format(role="router", more="", listen='front = "127.0.0.1:18263"\nreadiness = "127.0.0.1:18268"'),
+        "controller.toml": COMMON.format(
+            role="controller", more=f'dataDirectory = "{data}"', listen='control = "127.0.0.1:18262"'
+        ),
+        "router.toml": COMMON.format(
+            role="router", more="", listen='front = "127.0.0.1:18263"\nreadiness = "127.0.0.1:18268"'
+        ),
         "policy.json": json.dumps(POLICY, indent=1),
     }
     for name, text in files.items():
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,5 @@
 """A platform that lists runners, in pages."""
+
 from aiohttp import web
 
 
@@ -17,8 +18,16 @@
         'ready'
         """
         return {
-            "runnerId": id, "service": service, "address": address, "zone": zone, "revision": "v1", "slots": slots,
-            "state": state, "coldRemainingMs": 0, "stage": "prefill_and_decode", "models": [],
+            "runnerId": id,
+            "service": service,
+            "address": address,
+            "zone": zone,
+            "revision": "v1",
+            "slots": slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "stage": "prefill_and_decode",
+            "models": [],
         }
 
     async def start(self, host="127.0.0.1", port=0):
@@ -40,4 +49,6 @@
             return web.Response(status=500)
         at = int(req.query.get("pageToken", "p0")[1:])
         more = at + self.page < len(self.entries)
-        return web.json_response({"instances": self.entries[at:at + self.page], "nextPageToken": f"p{at + self.page}" if more else None})
+        return web.json_response(
+            {"instances": self.entries[at : at + self.page], "nextPageToken": f"p{at + self.page}" if more else None}
+        )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,4 +1,5 @@
 """A runner that streams events, and misbehaves when told to."""
+
 import asyncio
 
 from attrs import define, field
@@ -104,7 +105,9 @@
         return True
 
     async def _plain(self, g, w, status, more=()):
-        w.write(f"HTTP/1.1 {status}\r\n{ID}: {g.head(ID)}\r\n{''.join(m + chr(13) + chr(10) for m in more)}Content-Length: 0\r\n\r\n".encode())
+        w.write(
+            f"HTTP/1.1 {status}\r\n{ID}: {g.head(ID)}\r\n{''.join(m + chr(13) + chr(10) for m in more)}Content-Length: 0\r\n\r\n".encode()
+        )
         await w.drain()
         return True
 
@@ -131,6 +134,7 @@
 
     async def _gzip(self, g, w):
         import gzip
+
         raw = gzip.compress(b"id: 1\n\n")
         self._start(g, w, more=["Content-Encoding: gzip", f"Content-Length: {len(raw)}"], chunked=False)
         w.write(raw)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,6 +2,7 @@
 
 Each of its lines holds: test id, cause, issue; parted by commas.
 """
+
 import os
 import sys
 import unittest
--- a/tests/choosing.py
+++ b/tests/choosing.py
@@ -4,6 +4,7 @@
 read in pieces by urgency, parts kept by last use. Figures are of no real
 engine; only the ways of choosing are compared by them.
 """
+
 import heapq
 import random
 from collections import OrderedDict, defaultdict
@@ -11,7 +12,8 @@
 
 from attrs import define, field
 
-from sparloom.choice import Kept, Standing, Weights, choose, heavy, lean
+from sparloom.choice import Kept, Standing, choose, heavy, lean
+from sparloom.choice.rank import WEIGHTS as DEFAULT_WEIGHTS
 
 SLOTS, CHUNK, SPEED, ROOM = 16, 1024, 50.0, 380_000
 
@@ -71,11 +73,26 @@
 class Fleet:
     """The day: Poisson arrivals, uneven routers, counts told every 0.2 s, long parts after ``late`` s."""
 
-    def __init__(self, weights=Weights(), seed=1, routers=30, runners=15, zones=3, prefixes=130, subjects=2500, quick=150, long=18, span=12.0, late=0.1, rest=6.0, yields=True):
+    def __init__(
+        self,
+        weights=DEFAULT_WEIGHTS,
+        seed=1,
+        routers=30,
+        runners=15,
+        zones=3,
+        prefixes=130,
+        subjects=2500,
+        quick=150,
+        long=18,
+        span=12.0,
+        late=0.1,
+        rest=6.0,
+        yields=True,
+    ):
         self.rng, self.weights, self.late, self.rest, self.yields = random.Random(seed), weights, late, rest, yields
         self.zones, self.routers, self.span = zones, routers, span
         self.runners = [Runner(self.rng.getrandbits(64), i % zones) for i in range(runners)]
-        grid = lambda: [[0] * runners for _ in range(routers)]  # noqa: E731
+        grid = lambda: [[0] * runners for _ in range(routers)]
         self.own, self.told, self.tokens, self.told_tokens = grid(), grid(), grid(), grid()
         self.sum, self.sum_tokens = [0] * runners, [0] * runners
         self.heard = [Kept(ROOM) for _ in range(runners)]
@@ -86,7 +103,7 @@
 
     def _arrivals(self, prefixes, subjects, quick, long):
         rng = self.rng
-        size = lambda mean, top: min(top, int(rng.lognormvariate(0, 0.9) * mean / 1.5) + 1)  # noqa: E731
+        size = lambda mean, top: min(top, int(rng.lognormvariate(0, 0.9) * mean / 1.5) + 1)
         heads = [(rng.getrandbits(64), size(13_000, 40_000)) for _ in range(prefixes)]
         roots = [(rng.getrandbits(64), 55) for _ in range(80)]
         leaves = [(rng.getrandbits(64), 37) for _ in range(subjects)]
@@ -95,7 +112,11 @@
         while (t := t + rng.expovariate(quick + long)) < self.span:
             big, last = rng.random() < long / (quick + long), rng.getrandbits(64)
             leaf = rng.randrange(subjects)
-            parts = (rng.choice(heads), (last, size(3700, 50_000))) if big else (roots[leaf % 80], leaves[leaf], (last, size(290, 1800)))
+            parts = (
+                (rng.choice(heads), (last, size(3700, 50_000)))
+                if big
+                else (roots[leaf % 80], leaves[leaf], (last, size(290, 1800)))
+            )
             at = rng.choices(range(self.routers), cum_weights=busy)[0]
             self._at(t, self._send, Request(t, at, big, parts, 120 if big else 45, urgency=int(big)))
         for i in range(self.routers):
@@ -128,11 +149,19 @@
 
     def _send(self, r):
         i = r.router
-        stands = [Standing(
-            j, min(self.mine[i][j].unread(r.parts), self.heard[j].unread(r.parts)),
-            self.sum_tokens[j] - self.told_tokens[i][j] + self.tokens[i][j], self.sum[j] - self.told[i][j] + self.own[i][j],
-            SLOTS, near=u.zone == i % self.zones, warm=self._warm(i, j), lean=lean(r.key, u.number),
-        ) for j, u in enumerate(self.runners)]
+        stands = [
+            Standing(
+                j,
+                min(self.mine[i][j].unread(r.parts), self.heard[j].unread(r.parts)),
+                self.sum_tokens[j] - self.told_tokens[i][j] + self.tokens[i][j],
+                self.sum[j] - self.told[i][j] + self.own[i][j],
+                SLOTS,
+                near=u.zone == i % self.zones,
+                warm=self._warm(i, j),
+                lean=lean(r.key, u.number),
+            )
+            for j, u in enumerate(self.runners)
+        ]
         best = choose(stands, sum(n for _, n in r.parts[:-1]), self.weights)[0]
         r.runner, r.unread = best.id, best.unread
         j = r.runner
--- a/tests/fleet_of_sums.py
+++ b/tests/fleet_of_sums.py
@@ -1,4 +1,5 @@
 """A fleet of the tier's machines on a simulated net: seeded luck, no sleeping."""
+
 import heapq
 import random
 from datetime import timedelta
@@ -11,7 +12,7 @@
 
 MS = timedelta(milliseconds=1)
 CONTACT = 3000 * MS
-SHARED = 10 ** 6
+SHARED = 10**6
 
 
 class Fleet:
@@ -22,8 +23,21 @@
         self.loss, self.twice, self.churn, self.own = loss, twice, churn, private
         self.names = [f"n{i}" for i in range(n)]
         self.zone = {k: f"z{i % zones}" for i, k in enumerate(self.names)}
-        self.nodes, self.lives, self.sent, self.size = {}, count(1), {k: 0 for k in self.names}, {k: 0 for k in self.names}
-        self.off, self.frozen, self.cuts, self.queue, self.plans, self.biggest, self.timers = set(), set(), set(), {}, {}, 0, set()
+        self.nodes, self.lives, self.sent, self.size = (
+            {},
+            count(1),
+            {k: 0 for k in self.names},
+            {k: 0 for k in self.names},
+        )
+        self.off, self.frozen, self.cuts, self.queue, self.plans, self.biggest, self.timers = (
+            set(),
+            set(),
+            set(),
+            {},
+            {},
+            0,
+            set(),
+        )
         self.crowds, self.recorded = {}, n
         self.views, self.held = {}, {}
         for k in self.names:
@@ -83,7 +97,9 @@
             self._churn(k)
             up = {o: life for o, life in self.views[k].items() if o != k}
             s.see(self.now, self.plan(k, up), up)
-            own = ({s.life: (1, 0, 0, 0, 0, 0)} if self.own else {}) | {SHARED + r: (n, 0, 0, 0, 0, 0) for r, n in self.held[k].items() if n}
+            own = ({s.life: (1, 0, 0, 0, 0, 0)} if self.own else {}) | {
+                SHARED + r: (n, 0, 0, 0, 0, 0) for r, n in self.held[k].items() if n
+            }
             c = self.crowds.setdefault(s.life, Crowd(CONTACT))
             told = s.crowds(self.now) if s.view(self.now) is not None else {"": 0}
             c.see(self.now, 1 + len(up), self.recorded, told)
@@ -165,4 +181,10 @@
     def error(self, k, shared):
         """The mean absolute error of a node's counts at the shared resources."""
         got = self.nodes[k].view(self.now) or {}
-        return sum(abs(got.get(SHARED + r, (0,))[0] - sum(self.held[o].get(r, 0) for o in self.names if o != k)) for r in range(shared)) / shared
+        return (
+            sum(
+                abs(got.get(SHARED + r, (0,))[0] - sum(self.held[o].get(r, 0) for o in self.names if o != k))
+                for r in range(shared)
+            )
+            / shared
+        )
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -3,6 +3,7 @@
 Routers run the real plan, Upstream and Shelf. Links can be cut (each way), machines killed (with
 or without word), frozen, slowed. Membership is told with a lag of its own to each router.
 """
+
 import random
 
 from rehearsal.clock import MS, Clock
@@ -16,7 +17,15 @@
     """One follower's connection to the one that it follows."""
 
     def __init__(self, f, s, place):
-        self.f, self.s, self.place, self.open, self.last, self.held, self.greeted = f, s, place, True, 0 * MS, None, False
+        self.f, self.s, self.place, self.open, self.last, self.held, self.greeted = (
+            f,
+            s,
+            place,
+            True,
+            0 * MS,
+            None,
+            False,
+        )
 
 
 class Node:
@@ -42,7 +51,11 @@
         return self.controller or self.up.serves()
 
     def age(self, now):
-        known = (None if self.confirmed is None else now - self.confirmed) if self.controller else self.up.tracker.known(now)
+        known = (
+            (None if self.confirmed is None else now - self.confirmed)
+            if self.controller
+            else self.up.tracker.known(now)
+        )
         return UNSURE if known is None else int(known / MS)
 
 
@@ -109,7 +122,12 @@
             self.led = self.now
             for o in near:
                 o.confirmed = self.now
-                if self.version and o.shelf.put(POLICY, (1, self.version), self.written[self.version].encode(), self.written[self.version][-1:].encode()):
+                if self.version and o.shelf.put(
+                    POLICY,
+                    (1, self.version),
+                    self.written[self.version].encode(),
+                    self.written[self.version][-1:].encode(),
+                ):
                     self._ring(o)
         elif self.now - self.led > CONTACT * 0.4:
             self.primary = next((o.name for o in c if o.on and not o.frozen and o is not head), self.primary)
@@ -303,11 +321,18 @@
 
     def behind(self, but=()):
         """Routers that lack the newest version."""
-        return [r for r in self.routers if self.nodes[r].on and r not in but and self.nodes[r].shelf.stamp(POLICY)[1] < self.version]
+        return [
+            r
+            for r in self.routers
+            if self.nodes[r].on and r not in but and self.nodes[r].shelf.stamp(POLICY)[1] < self.version
+        ]
 
     def relays(self):
         """Routers that serve followers, those with the most first."""
-        return sorted((r for r in self.routers if self.nodes[r].on and any(p.greeted for p in self.nodes[r].served)), key=lambda r: -len(self.nodes[r].served))
+        return sorted(
+            (r for r in self.routers if self.nodes[r].on and any(p.greeted for p in self.nodes[r].served)),
+            key=lambda r: -len(self.nodes[r].served),
+        )
 
     def deep(self):
         """Routers that serve followers though they follow a router: there must be none."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,4 +1,5 @@
 """A router's front on loopback, with a policy and runners given by hand."""
+
 import asyncio
 import random
 from datetime import timedelta
@@ -15,22 +16,42 @@
 from standins.runner import Runner
 
 STARTUP = {
-    "nodeName": "front-1", "role": "router", "ipAddress": "127.0.0.1", "zone": "z1", "internalPortRange": [7300, 7315],
-    "seedNodes": [], "listenAddresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "nodeName": "front-1",
+    "role": "router",
+    "ipAddress": "127.0.0.1",
+    "zone": "z1",
+    "internalPortRange": [7300, 7315],
+    "seedNodes": [],
+    "listenAddresses": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
     "bounds": {"retryBudgetRatio": 1.0, "retryBudgetSlack": 100000},
 }
 
 
 def route(name, prefix, **kw):
-    d = {"name": name, "hostname": "h.example", "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 3000, "targetMs": 400, "priority": 0, "service": "s", "maxAttempts": 2, "resumeStreams": False, "gapTargetMs": 200}
+    d = {
+        "name": name,
+        "hostname": "h.example",
+        "pathPrefix": prefix,
+        "routeKind": "streaming",
+        "timeoutMs": 3000,
+        "targetMs": 400,
+        "priority": 0,
+        "service": "s",
+        "maxAttempts": 2,
+        "resumeStreams": False,
+        "gapTargetMs": 200,
+    }
     return {**d, **kw}
 
 
 POLICY = {
     "revision": 1,
     "routes": [
-        route("once", "/once/"), route("resume", "/resume/", resumeStreams=True), route("safe", "/safe/", routeKind="safe"),
-        route("unsafe", "/unsafe/", routeKind="unsafe"), route("single", "/single/", maxAttempts=1),
+        route("once", "/once/"),
+        route("resume", "/resume/", resumeStreams=True),
+        route("safe", "/safe/", routeKind="safe"),
+        route("unsafe", "/unsafe/", routeKind="unsafe"),
+        route("single", "/single/", maxAttempts=1),
         route("quick", "/quick/", resumeStreams=True, targetMs=50),
         route("brief", "/brief/", timeoutMs=150),
     ],
@@ -79,7 +100,15 @@
     async def send(self, path, body=b"hello", heads=(), method="POST", id="a1", left=2000, raw=None):
         """One request on a pipe of its own; the raw answer till the close."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        lines = [f"{method} {path} HTTP/1.1", "Host: h.example", f"X-Sparloom-Attempt-Id: {id}", f"X-Sparloom-Deadline-Remaining: {left}", f"Content-Length: {len(body)}", "Connection: close", *heads]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: h.example",
+            f"X-Sparloom-Attempt-Id: {id}",
+            f"X-Sparloom-Deadline-Remaining: {left}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+            *heads,
+        ]
         writer.write(raw if raw is not None else ("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         got = await reader.read(-1)
         writer.close()
@@ -114,5 +143,5 @@
             n = int(size, 16)
             if not n:
                 break
-            out, rest = out + rest[:n], rest[n + 2:]
+            out, rest = out + rest[:n], rest[n + 2 :]
         return out
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,4 +1,5 @@
 """Choosing a runner: order, seeded fleets in simulated time, and what a start loads."""
+
 import subprocess
 import sys
 import unittest
@@ -21,17 +22,34 @@
         self.assertEqual(order(Standing("a", 3000, waiting=100_000), Standing("b", 16_000), shared=13_000), ["b", "a"])
 
     def test_an_unknown_prefix_goes_home(self):
-        self.assertEqual(order(Standing("a", 9000, lean=1, near=True, warm=True), Standing("b", 9000, lean=2), shared=8000), ["b", "a"])
+        self.assertEqual(
+            order(Standing("a", 9000, lean=1, near=True, warm=True), Standing("b", 9000, lean=2), shared=8000),
+            ["b", "a"],
+        )
 
     def test_near_and_warm_runners_win_among_equals_only(self):
-        self.assertEqual(order(Standing("a", 300), Standing("b", 300, warm=True), Standing("c", 300, near=True, warm=True)), ["c", "b", "a"])
+        self.assertEqual(
+            order(Standing("a", 300), Standing("b", 300, warm=True), Standing("c", 300, near=True, warm=True)),
+            ["c", "b", "a"],
+        )
         self.assertEqual(order(Standing("a", 300), Standing("b", 300, waiting=2000, near=True, warm=True)), ["a", "b"])
 
     def test_full_cold_and_doubted_runners_come_last(self):
-        self.assertEqual(order(Standing("a", 0, doubt=1), Standing("b", 0, calls=4, slots=4), Standing("c", 0, cold=True), Standing("d", 9000)), ["d", "c", "b", "a"])
+        self.assertEqual(
+            order(
+                Standing("a", 0, doubt=1),
+                Standing("b", 0, calls=4, slots=4),
+                Standing("c", 0, cold=True),
+                Standing("d", 9000),
+            ),
+            ["d", "c", "b", "a"],
+        )
 
     def test_homes_are_spread_evenly(self):
-        homes = [max(range(36), key=lambda i: lean(k * 0x9E3779B97F4A7C15 % 2**64, (i + 1) * 0xD1342543DE82EF95 % 2**64)) for k in range(3600)]
+        homes = [
+            max(range(36), key=lambda i: lean(k * 0x9E3779B97F4A7C15 % 2**64, (i + 1) * 0xD1342543DE82EF95 % 2**64))
+            for k in range(3600)
+        ]
         self.assertLess(max(homes.count(i) for i in range(36)), 150)
         self.assertGreater(min(homes.count(i) for i in range(36)), 60)
 
@@ -83,5 +101,5 @@
 class Start(unittest.TestCase):
     def test_tls_is_never_loaded(self):
         code = "from sparloom.early import leave_out; leave_out(); import sys, sparloom.command, sparloom.router.program, sparloom.controller.program; print(sys.modules['ssl'], '_ssl' in sys.modules and sys.modules['_ssl'])"
-        got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+        got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=False)
         self.assertEqual((got.stdout.strip(), got.returncode), ("None None", 0), got.stderr)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,5 @@
 """A whole controller on loopback: the operator's calls, a stand-in platform, and a router that follows."""
+
 import asyncio
 import json
 import socket
@@ -41,10 +42,30 @@
         self.runner = await Runner(id="i-0").start()
         self.platform = await Platform([Platform.entry("i-0", "s", f"127.0.0.1:{self.runner.port}")]).start()
         inner, control, front, ready = free(4)
-        base = {**STARTUP, "internalPortRange": [inner, inner + 9], "seedNodes": [f"127.0.0.1:{control}"], "bounds": {"contactMs": 600}, "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100}}
-        self.core = from_dict({**base, "nodeName": "core-1", "firstStart": True, "dataDirectory": self.dir.name, "listenAddresses": {"control": f"127.0.0.1:{control}"}}).unwrap()
-        self.edge = from_dict({**base, "listenAddresses": {"front": f"127.0.0.1:{front}", "readiness": f"127.0.0.1:{ready}"}}).unwrap()
-        self.url, self.front, self.ready = f"http://127.0.0.1:{control}/-/configuration", f"127.0.0.1:{front}", f"http://127.0.0.1:{ready}/-/ready"
+        base = {
+            **STARTUP,
+            "internalPortRange": [inner, inner + 9],
+            "seedNodes": [f"127.0.0.1:{control}"],
+            "bounds": {"contactMs": 600},
+            "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100},
+        }
+        self.core = from_dict(
+            {
+                **base,
+                "nodeName": "core-1",
+                "firstStart": True,
+                "dataDirectory": self.dir.name,
+                "listenAddresses": {"control": f"127.0.0.1:{control}"},
+            }
+        ).unwrap()
+        self.edge = from_dict(
+            {**base, "listenAddresses": {"front": f"127.0.0.1:{front}", "readiness": f"127.0.0.1:{ready}"}}
+        ).unwrap()
+        self.url, self.front, self.ready = (
+            f"http://127.0.0.1:{control}/-/configuration",
+            f"127.0.0.1:{front}",
+            f"http://127.0.0.1:{ready}/-/ready",
+        )
         self.ctl = Controller(self.core, "/nowhere")
         await self.ctl.start()
         self.http = aiohttp.ClientSession()
@@ -81,7 +102,12 @@
         self.assertEqual((await self.call("PATCH", patch, 1))[0], 200)
         status, got = await self.call("GET", b"")
         self.assertEqual((status, got["revision"], got["routes"][-1]["name"]), (200, 4, "new"))
-        self.assertEqual((await self.call("PUT", {**POLICY, "revision": 9, "routes": [route("x", "/x/", service="ghost")]}, 4))[1]["error"], "route x: the service ghost is unknown")
+        self.assertEqual(
+            (await self.call("PUT", {**POLICY, "revision": 9, "routes": [route("x", "/x/", service="ghost")]}, 4))[1][
+                "error"
+            ],
+            "route x: the service ghost is unknown",
+        )
 
     async def test_concurrent_changes_on_one_revision_have_one_winner(self):
         await self.call("PUT", POLICY, 0)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,5 @@
 """The examples in the comments of public functions hold, and files stay short."""
+
 import doctest
 import importlib
 import os
@@ -10,7 +11,10 @@
 def _sources(*tops):
     return sorted(
         os.path.join(d, f)
-        for top in tops for d, _, fs in os.walk(os.path.join(ROOT, top)) for f in fs if f.endswith(".py")
+        for top in tops
+        for d, _, fs in os.walk(os.path.join(ROOT, top))
+        for f in fs
+        if f.endswith(".py")
     )
 
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,4 +1,5 @@
 """The feed: a follower's place, steps and snapshots, and when it moves on. Columns: primary, router."""
+
 import random
 import unittest
 from datetime import timedelta
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,5 @@
 """The simulated fleet runs real routers, and the fitted slopes are those of known laws."""
+
 import unittest
 
 from rehearsal.growth import play
@@ -8,7 +9,7 @@
 class Slopes(unittest.TestCase):
     def test_known_laws(self):
         for power in (0, 0.5, 1, 2):
-            s = fit([(n, 7 * n ** power) for n in (6, 18, 37, 73)])
+            s = fit([(n, 7 * n**power) for n in (6, 18, 37, 73)])
             self.assertAlmostEqual(s.power, power)
             self.assertAlmostEqual(s.scale, 7)
             self.assertAlmostEqual(s.off, 0)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,5 @@
 """The ledger under failures; timelines with a column per node, on simulated time."""
+
 import random
 import unittest
 
@@ -46,15 +47,18 @@
     def test_wiped_holder_while_the_others_lose_power(self):
         for wiped in "abc":
             cells = {n: "wipe" if n == wiped else "kill" for n in "abc"}
-            self.play(f"""
+            self.play(
+                f"""
                 ms    a   b   c   any
                 2500  .   .   .   write=5
-                2700  {cells['a']}  {cells['b']}  {cells['c']} .
+                2700  {cells["a"]}  {cells["b"]}  {cells["c"]} .
                 3000  boot  boot  boot  .
                 6500  .   .   .   leads+has=5
                 6600  .   .   .   write=7
                 8000  member member member .
-            """, seeds=range(4))
+            """,
+                seeds=range(4),
+            )
 
     def test_isolated_primary_acknowledges_nothing(self):
         self.play("""
@@ -83,16 +87,19 @@
         for way in ("cut-in", "cut-out"):
             for victim in range(3):
                 cells = [way if i == victim else "." for i in range(3)]
-                self.play(f"""
+                self.play(
+                    f"""
                     ms    a b c any
                     2500  . . . write=5
-                    2600  {' '.join(cells)} .
+                    2600  {" ".join(cells)} .
                     5500  . . . leads+has=5
                     5600  . . . write=7
                     6000  . . . heal
                     8500  . . . has=7
                     8600  . . . write=9
-                """, seeds=range(3))
+                """,
+                    seeds=range(3),
+                )
 
     def test_one_way_cut_of_a_backup_does_not_unseat_the_primary(self):
         for seed in range(6):
@@ -190,14 +197,18 @@
             self.assertEqual(c.nodes[c.leader()][0].data.revision, 5)
 
     def test_five_members_bear_two_losses(self):
-        self.play("""
+        self.play(
+            """
             ms    a     b     c  d  e  any
             4500  .     .     .  .  .  write=5
             4700  wipe  kill  .  .  .  .
             7500  .     .     .  .  .  leads+has=5
             7600  .     .     .  .  .  write=7
-        """, names="abcde", copies=2, seeds=range(4))
-
+        """,
+            names="abcde",
+            copies=2,
+            seeds=range(4),
+        )
 
     def test_core_machines_beyond_the_seeds_join(self):
         for seed in range(6):
@@ -273,6 +284,7 @@
 class Sums(unittest.TestCase):
     def view(self, ids, olds=()):
         from sparloom.ledger.records import Roster
+
         return View(1, ids[0], [], [Member(i, "h", i, "z", "") for i in ids], [Roster(list(o)) for o in olds])
 
     def test_an_unsettled_view_needs_its_older_roster_too(self):
@@ -295,6 +307,7 @@
 class OnDisk(unittest.TestCase):
     def test_what_was_saved_is_read_again(self):
         import tempfile
+
         with tempfile.TemporaryDirectory() as d:
             s = Store(d)
             self.assertIsNone(s.load())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,4 +1,5 @@
 """Membership on a simulated net: a column per node, seeded luck."""
+
 import unittest
 
 from rehearsal.net import Net
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -1,4 +1,5 @@
 """What a process counts of its own records and connections, and what it shows."""
+
 import asyncio
 import unittest
 from datetime import timedelta
@@ -16,7 +17,6 @@
 PING = Ping(1, Peer("127.0.0.1:1", ROUTER, "z", "", 1, 0, ALIVE), 0, [])
 
 
-
 async def _swap():
     """A ping by datagram there, a follow and two pulses by pipe."""
     got, served = asyncio.Event(), asyncio.Event()
@@ -32,7 +32,7 @@
 
     a = await Datagrams.open("127.0.0.1", 0, lambda src, rec: got.set())
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    a.send("127.0.0.1:%d" % a.transport.get_extra_info("sockname")[1], PING)
+    a.send(f"127.0.0.1:{a.transport.get_extra_info('sockname')[1]}", PING)
     f = await dial("127.0.0.1", server.sockets[0].getsockname()[1], SECOND)
     await f.write(Follow("r", 0, 0, 0, 0))
     await f.read(), await f.read()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,4 +1,5 @@
 """The policy: every kind of fault that the protocol lists, patches, and the lookup."""
+
 import copy
 import random
 import unittest
@@ -27,12 +28,22 @@
             (lambda d: d["routes"][0].update(service="ghost"), "route once: the service ghost is unknown"),
             (lambda d: d["routes"].append(route("twin", "/once/")), "two routes share host and prefix"),
             (lambda d: d["routes"].append(route("once", "/other/")), "two routes are named once"),
-            (lambda d: (d["routes"][0].pop("service"), d["routes"][0].update(weightedServices=[{"service": "s", "weight": 0}])), "weights add up to 0"),
+            (
+                lambda d: (
+                    d["routes"][0].pop("service"),
+                    d["routes"][0].update(weightedServices=[{"service": "s", "weight": 0}]),
+                ),
+                "weights add up to 0",
+            ),
             (lambda d: d["routes"][0].update(timeoutMs=0), "timeoutMs must be above 0"),
-            (lambda d: d.update(revision=0), "revision"), (lambda d: d.update(revision="3"), "revision"),
-            (lambda d: d["routes"][0].update(pathPrefix="once"), "pathPrefix"), (lambda d: d["routes"][0].update(routeKind="odd"), "route once"),
-            (lambda d: d.update(routes={}), "routes must be a list"), (lambda d: d["services"][0].update(connectionLimit="9"), "service s"),
-            (lambda d: d["routes"][0].update(maxAttempts=0), "route once"), (lambda d: d["routes"][0].pop("service"), "either service or weightedServices"),
+            (lambda d: d.update(revision=0), "revision"),
+            (lambda d: d.update(revision="3"), "revision"),
+            (lambda d: d["routes"][0].update(pathPrefix="once"), "pathPrefix"),
+            (lambda d: d["routes"][0].update(routeKind="odd"), "route once"),
+            (lambda d: d.update(routes={}), "routes must be a list"),
+            (lambda d: d["services"][0].update(connectionLimit="9"), "service s"),
+            (lambda d: d["routes"][0].update(maxAttempts=0), "route once"),
+            (lambda d: d["routes"][0].pop("service"), "either service or weightedServices"),
         )
         for edit, words in cases:
             with self.subTest(words):
@@ -40,10 +51,38 @@
 
     def test_what_is_sound_at_first_sight_is_sound_by_the_schema(self):
         luck = random.Random(4)
-        odd = ("", "x", "/", "/x/", 0, 1, -1, 0.0, 0.5, -0.5, True, False, None, [], {}, [{"service": "s", "weight": 1}], [{"service": "", "weight": 1}],
-               [{"service": "s", "weight": -1}], [{"service": "s", "weight": True}], [{"weight": 1}], [1], {"slots": 1}, "safe", "streaming", float("nan"))
+        odd = (
+            "",
+            "x",
+            "/",
+            "/x/",
+            0,
+            1,
+            -1,
+            0.0,
+            0.5,
+            -0.5,
+            True,
+            False,
+            None,
+            [],
+            {},
+            [{"service": "s", "weight": 1}],
+            [{"service": "", "weight": 1}],
+            [{"service": "s", "weight": -1}],
+            [{"service": "s", "weight": True}],
+            [{"weight": 1}],
+            [1],
+            {"slots": 1},
+            "safe",
+            "streaming",
+            float("nan"),
+        )
         seen = {True: 0, False: 0}
-        for what, schema, keys in (("route", ROUTE, [*ROUTE_KEYS, "other"]), ("service", SERVICE, ["name", "healthPath", "connectionLimit", "engine", "other"])):
+        for what, schema, keys in (
+            ("route", ROUTE, [*ROUTE_KEYS, "other"]),
+            ("service", SERVICE, ["name", "healthPath", "connectionLimit", "engine", "other"]),
+        ):
             for _ in range(1500):
                 d = copy.deepcopy(POLICY["routes"][0] if what == "route" else POLICY["services"][0])
                 for k in luck.sample(keys, luck.randrange(1, 4)):
@@ -68,29 +107,64 @@
             self.assertFalse(is_successful(parse(raw)))
 
     def test_no_kind_of_junk_gets_through_or_raises(self):
-        for junk in (None, 3, "x", [], {}, {"revision": 1, "routes": [3]}, {"revision": 1, "routes": [{}]}, {"revision": True}, {"revision": 1, "limits": 4}, {"revision": 1, "services": [{"name": 3}]}):
+        for junk in (
+            None,
+            3,
+            "x",
+            [],
+            {},
+            {"revision": 1, "routes": [3]},
+            {"revision": 1, "routes": [{}]},
+            {"revision": True},
+            {"revision": 1, "limits": 4},
+            {"revision": 1, "services": [{"name": 3}]},
+        ):
             self.assertFalse(is_successful(check(junk)), junk)
 
 
 class Patches(unittest.TestCase):
     def test_upsert_and_remove(self):
-        p = {"revision": 2, "upsert": {"routes": [route("once", "/once/", timeoutMs=9), route("new", "/new/")]}, "remove": {"routes": ["safe"]}}
+        p = {
+            "revision": 2,
+            "upsert": {"routes": [route("once", "/once/", timeoutMs=9), route("new", "/new/")]},
+            "remove": {"routes": ["safe"]},
+        }
         d = apply_patch(POLICY, p).bind(check).unwrap()
         names = [r["name"] for r in d["routes"]]
         self.assertEqual((names[0], names[-1], "safe" in names, d["routes"][0]["timeoutMs"]), ("once", "new", False, 9))
         self.assertEqual(POLICY["revision"], 1)
 
     def test_a_patch_may_not_take_away_a_service_in_use(self):
-        self.assertIn("unknown", apply_patch(POLICY, {"revision": 2, "remove": {"services": ["s"]}}).bind(check).failure())
+        self.assertIn(
+            "unknown", apply_patch(POLICY, {"revision": 2, "remove": {"services": ["s"]}}).bind(check).failure()
+        )
 
     def test_ill_formed_patches(self):
-        for p in ([], {"revision": 2, "upsert": []}, {"revision": 2, "upsert": {"routes": [{}]}}, {"revision": 2, "remove": {"routes": [1]}}, {"revision": 2, "upsert": {"odd": []}}, {}):
+        for p in (
+            [],
+            {"revision": 2, "upsert": []},
+            {"revision": 2, "upsert": {"routes": [{}]}},
+            {"revision": 2, "remove": {"routes": [1]}},
+            {"revision": 2, "upsert": {"odd": []}},
+            {},
+        ):
             self.assertFalse(is_successful(apply_patch(POLICY, p).bind(check)), p)
 
 
 class Lookup(unittest.TestCase):
     def test_the_longest_prefix_of_the_host_wins(self):
-        p = build({"revision": 1, "services": [], "routes": [route("a", "/"), route("b", "/x/"), route("c", "/x/y/"), route("d", "/x/", hostname="other")]})
+        p = build(
+            {
+                "revision": 1,
+                "services": [],
+                "routes": [
+                    route("a", "/"),
+                    route("b", "/x/"),
+                    route("c", "/x/y/"),
+                    route("d", "/x/", hostname="other"),
+                ],
+            }
+        )
         for path, want in (("/", "a"), ("/x/", "b"), ("/x", "a"), ("/x/y/z", "c"), ("/x/yy", "b")):
             self.assertEqual(p.match("h.example:80", path).name, want)
         self.assertEqual(p.match("OTHER", "/x/1").name, "d")
--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -1,4 +1,5 @@
 """Long prefixes are remembered by controllers, and recalled by routers that start."""
+
 import asyncio
 import os
 import tempfile
@@ -20,10 +21,16 @@
     """A router that knows two runners and some controllers; gives its memory and what it sends."""
     out = []
     know = SimpleNamespace(
-        key="10.0.9.9:7", seeds=(A, B), known=asyncio.Event(), up=SimpleNamespace(zone="z", bounds=SimpleNamespace(contact=timedelta(seconds=3))),
+        key="10.0.9.9:7",
+        seeds=(A, B),
+        known=asyncio.Event(),
+        up=SimpleNamespace(zone="z", bounds=SimpleNamespace(contact=timedelta(seconds=3))),
         swim=SimpleNamespace(alive=lambda: [SimpleNamespace(role=CONTROLLER, zone="y", key=c) for c in controllers]),
         net=SimpleNamespace(send=lambda to, rec: out.append((to, rec))),
-        fleet=SimpleNamespace(numbers={7: "i7", 8: "i8"}, posts={i: SimpleNamespace(number=n, kept=Kept(9000)) for i, n in (("i7", 7), ("i8", 8))}),
+        fleet=SimpleNamespace(
+            numbers={7: "i7", 8: "i8"},
+            posts={i: SimpleNamespace(number=n, kept=Kept(9000)) for i, n in (("i7", 7), ("i8", 8))},
+        ),
     )
     return Prefixes(know), know, out
 
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -1,4 +1,5 @@
 """Verdicts, plans and the budget."""
+
 import random
 import unittest
 from datetime import timedelta
@@ -34,7 +35,15 @@
 class Plans(unittest.TestCase):
     def every(self):
         for rep, mx, n, v, began, left, fits, others in product(
-                (True, False), (1, 2, 3), (0, 1, 2, 3), (NOT_RUN, MAY_HAVE_RUN, RAN), (True, False), (0 * S, S), (True, False), (True, False)):
+            (True, False),
+            (1, 2, 3),
+            (0, 1, 2, 3),
+            (NOT_RUN, MAY_HAVE_RUN, RAN),
+            (True, False),
+            (0 * S, S),
+            (True, False),
+            (True, False),
+        ):
             yield Plan(rep, mx, n, v, began, left, fits, others)
 
     def test_an_unsafe_ask_that_may_have_run_is_never_sent_again_nor_promised(self):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -1,4 +1,5 @@
 """The rehearsal tells what held, and also what did not."""
+
 import ast
 import os
 import unittest
@@ -12,7 +13,9 @@
     """The names of all modules that a file imports."""
     with open(path, encoding="utf-8") as f:
         nodes = list(ast.walk(ast.parse(f.read())))
-    return {a.name for n in nodes if isinstance(n, ast.Import) for a in n.names} | {n.module or "" for n in nodes if isinstance(n, ast.ImportFrom)}
+    return {a.name for n in nodes if isinstance(n, ast.Import) for a in n.names} | {
+        n.module or "" for n in nodes if isinstance(n, ast.ImportFrom)
+    }
 
 
 class Rehearsal(unittest.TestCase):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,9 +3,9 @@
 Timelines have a column per node: ``relay`` and ``second`` (two relays of one zone), ``mate`` (a
 follower of the first), ``core`` (all controllers), ``all``. Times in ms after the tier has stood.
 """
+
 import random
 import unittest
-from datetime import timedelta
 
 from rehearsal.timeline import rows
 from sparloom.feed import POLICY, Shelf, Tracker
@@ -30,26 +30,35 @@
     def test_all_with_the_same_members_name_the_same_relays(self):
         for sizes in ((17, 15, 13, 14, 14), (21, 21, 21), (40, 1, 39), (4, 4, 4, 4, 4)):
             all = members(*sizes)
-            tiers = {me: plan(me, zone, random.sample([m for m in all if m[0] != me], len(all) - 1)) for me, zone in all}
+            tiers = {
+                me: plan(me, zone, random.sample([m for m in all if m[0] != me], len(all) - 1)) for me, zone in all
+            }
             self.assertEqual(len({t.relays for t in tiers.values()}), 1)
             relays = next(iter(tiers.values())).relays
             self.assertEqual({z for m, z in all if m in relays}, {z for _, z in all})
             for me, zone in all:
                 t = tiers[me]
                 self.assertEqual((t.relay, set(t.parents)), (me in relays, set(relays) - {me}))
-                self.assertEqual({dict(all)[p] for p in t.parents[:t.near]} - {zone}, set())
+                self.assertEqual({dict(all)[p] for p in t.parents[: t.near]} - {zone}, set())
             self.assertLessEqual(2 * (len(relays) + len(all) / len(relays)), len(all) + 1)
 
     def test_one_that_comes_or_goes_changes_few_relays(self):
         for n in range(50, 110):
-            one, more = (set(plan("z0-0", "z0", members(*(n // 5 + (i < n % 5) for i in range(5)))[1:]).relays) for n in (n, n + 1))
-            self.assertLessEqual(len(one ^ more), 6 if int(n ** 0.5) ** 2 == n else 2)
+            one, more = (
+                set(plan("z0-0", "z0", members(*(n // 5 + (i < n % 5) for i in range(5)))[1:]).relays)
+                for n in (n, n + 1)
+            )
+            self.assertLessEqual(len(one ^ more), 6 if int(n**0.5) ** 2 == n else 2)
 
     def test_the_followers_of_a_lost_relay_spread(self):
         all = members(20, 20, 20, 20)
         relays = plan("z0-0", "z0", all[1:]).relays
         lost = relays[0]
-        seconds = [next(p for p in plan(m, z, [o for o in all if o[0] != m]).parents if p != lost) for m, z in all if m not in relays]
+        seconds = [
+            next(p for p in plan(m, z, [o for o in all if o[0] != m]).parents if p != lost)
+            for m, z in all
+            if m not in relays
+        ]
         self.assertLessEqual(max(map(seconds.count, set(seconds))), 0.35 * len(seconds))
 
 
@@ -147,7 +156,9 @@
         u = self.router()
         u.start(2 * CONTACT, "a")
         u.see(2 * CONTACT, Tier(("b", "x", "y"), ("b", "x", "y"), False, 1))
-        left = next(ms for ms in range(0, 30000, 100) if u.pulse(2 * CONTACT + ms * MS, 10) or u.leave(2 * CONTACT + ms * MS))
+        left = next(
+            ms for ms in range(0, 30000, 100) if u.pulse(2 * CONTACT + ms * MS, 10) or u.leave(2 * CONTACT + ms * MS)
+        )
         self.assertTrue(CONTACT <= left * MS <= 2 * CONTACT)
 
 
@@ -163,8 +174,14 @@
             by = net.relays()
             one = next(r for r in by if sum(net.nodes[o].zone == net.nodes[r].zone for o in by) > 1)
             two = next(r for r in by if r != one and net.nodes[r].zone == net.nodes[one].zone)
-            mate = sorted(p.f for p in net.nodes[one].served)[0]
-            who = {"relay": [one], "second": [two], "mate": [mate], "core": [c for c in net.nodes if c[0] == "c"], "all": list(net.routers)}
+            mate = min(p.f for p in net.nodes[one].served)
+            who = {
+                "relay": [one],
+                "second": [two],
+                "mate": [mate],
+                "core": [c for c in net.nodes if c[0] == "c"],
+                "all": list(net.routers),
+            }
             self.limit = len(by) + routers // 8
             net.most, began, self.hurt = 0, net.now, set()
             for ms, cells in lines:
@@ -317,8 +334,12 @@
         """Some seconds of trouble, each with relays in its hand."""
         relays = net.relays() or net.routers[:2]
         for _ in range(12):
-            kind = rng.choice(("kill", "dark", "freeze", "slow", "cut", "cut-in", "cut-out", "off-core", "boot", "heal", "release"))
-            some = rng.sample(relays, min(len(relays), rng.choice((1, 1, 2)))) + rng.sample(net.routers, rng.choice((0, 0, 3, 20)))
+            kind = rng.choice(
+                ("kill", "dark", "freeze", "slow", "cut", "cut-in", "cut-out", "off-core", "boot", "heal", "release")
+            )
+            some = rng.sample(relays, min(len(relays), rng.choice((1, 1, 2)))) + rng.sample(
+                net.routers, rng.choice((0, 0, 3, 20))
+            )
             for r in some:
                 n = net.nodes[r]
                 if kind in ("kill", "dark") and n.on:
--- a/tests/test_relay_loop.py
+++ b/tests/test_relay_loop.py
@@ -1,4 +1,5 @@
 """The tier on loopback: a whole controller, and routers with addresses of their own that follow one another."""
+
 import asyncio
 import os
 import socket
@@ -27,10 +28,26 @@
     async def asyncSetUp(self):
         self.dir = tempfile.TemporaryDirectory()
         self.addCleanup(self.dir.cleanup)
-        self.platform = await Platform([Platform.entry(f"i-{i}", "s", f"127.0.0.1:{9000 + i}") for i in range(30)]).start()
+        self.platform = await Platform(
+            [Platform.entry(f"i-{i}", "s", f"127.0.0.1:{9000 + i}") for i in range(30)]
+        ).start()
         inner, control = free(2)
-        self.base = {**STARTUP, "internalPortRange": [inner, inner + 9], "seedNodes": [f"127.0.0.1:{control}"], "bounds": {"contactMs": BOUND / timedelta(milliseconds=1)}, "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100}}
-        core = from_dict({**self.base, "nodeName": "core-1", "firstStart": True, "dataDirectory": self.dir.name, "listenAddresses": {"control": f"127.0.0.1:{control}"}}).unwrap()
+        self.base = {
+            **STARTUP,
+            "internalPortRange": [inner, inner + 9],
+            "seedNodes": [f"127.0.0.1:{control}"],
+            "bounds": {"contactMs": BOUND / timedelta(milliseconds=1)},
+            "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100},
+        }
+        core = from_dict(
+            {
+                **self.base,
+                "nodeName": "core-1",
+                "firstStart": True,
+                "dataDirectory": self.dir.name,
+                "listenAddresses": {"control": f"127.0.0.1:{control}"},
+            }
+        ).unwrap()
         self.ctl = Controller(core, "/nowhere")
         await self.ctl.start()
         self.knows = []
@@ -48,7 +65,9 @@
                 await asyncio.sleep(0.01)
 
     async def router(self, i):
-        up = from_dict({**self.base, "nodeName": f"front-{i}", "ipAddress": f"127.0.0.{10 + i}", "listenAddresses": {}}).unwrap()
+        up = from_dict(
+            {**self.base, "nodeName": f"front-{i}", "ipAddress": f"127.0.0.{10 + i}", "listenAddresses": {}}
+        ).unwrap()
         k = Know(up)
         self.knows.append(k)
         await k.start()
@@ -58,7 +77,9 @@
         """Gives the routers a tier by hand, whatever their number; no waiting for it to settle."""
         for k in (relay, *followers):
             k.see_tier = lambda: None
-            k.follow.upstream.see(timedelta(0), Tier((relay.key, "127.0.0.250:1"), () if k is relay else (relay.key,), k is relay, 1))
+            k.follow.upstream.see(
+                timedelta(0), Tier((relay.key, "127.0.0.250:1"), () if k is relay else (relay.key,), k is relay, 1)
+            )
 
     async def put(self, policy, base=0):
         st = self.ctl.core.ledger.data
@@ -79,7 +100,9 @@
         await self.until(lambda: all(k.policy.revision == 2 for k in self.knows))
         self.platform.entries[3]["state"] = "draining"
         del self.platform.entries[7]
-        await self.until(lambda: all(len(k.listed.runners) == 29 and any(r.draining for r in k.listed.runners) for k in self.knows))
+        await self.until(
+            lambda: all(len(k.listed.runners) == 29 and any(r.draining for r in k.listed.runners) for k in self.knows)
+        )
         self.assertTrue({POLICY, RUNNERS} <= {c.topic for c in got})
         for c in got:
             self.assertNotEqual(c.base, (0, 0))
@@ -112,7 +135,9 @@
         got = bytearray()
         sips = asyncio.ensure_future(self.sip(reader, got))
         await self.until(lambda: {"deaf", "slow"} <= set(relay.serve.told()["followers"]))
-        await self.put({**ROUTES, "revision": 2, "routes": [route(f"r{i}", f"/{i}/{os.urandom(800).hex()}") for i in range(400)]})
+        await self.put(
+            {**ROUTES, "revision": 2, "routes": [route(f"r{i}", f"/{i}/{os.urandom(800).hex()}") for i in range(400)]}
+        )
         await self.until(lambda: a.policy.revision == 2)
         await self.until(lambda: relay.serve.told()["followers"] == ["front-1", "slow"])
         await self.until(lambda: len(got) > 200_000)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,4 +1,5 @@
 """A router's front against stand-in runners, over loopback."""
+
 import asyncio
 import unittest
 
@@ -32,7 +33,16 @@
         self.assertEqual(a.heads["x-sparloom-attempt-id"], "a1")
 
     async def test_raw_paths_arrive_as_sent(self):
-        for path in ("/once/a%20b/%7Ec?q=%2F&r=a+b", "/once/../x//y;z=1", "/once/%e4?x", "/once/a?", "/once/q?a=b?c&d='\"[]|", "/once/%2e%2E/", "/once/a#b", "/once/?"):
+        for path in (
+            "/once/a%20b/%7Ec?q=%2F&r=a+b",
+            "/once/../x//y;z=1",
+            "/once/%e4?x",
+            "/once/a?",
+            "/once/q?a=b?c&d='\"[]|",
+            "/once/%2e%2E/",
+            "/once/a#b",
+            "/once/?",
+        ):
             await self.rig.send(path)
             self.assertIn(f"POST {path} HTTP/1.1", [g.line for g in self.got])
         self.assertEqual(len(self.got), 8)
@@ -50,17 +60,40 @@
         self.assertEqual((a.status, self.got[0].body), (200, b"hello world"))
 
     async def test_end_to_end_heads_go_along_and_others_do_not(self):
-        await self.rig.send("/once/h", heads=["X-Mine: 1", "X-Mine: 2", "Te: trailers", "X-Hop: no", "Connection: x-hop", "Accept-Encoding: identity", "User-Agent: me"])
+        await self.rig.send(
+            "/once/h",
+            heads=[
+                "X-Mine: 1",
+                "X-Mine: 2",
+                "Te: trailers",
+                "X-Hop: no",
+                "Connection: x-hop",
+                "Accept-Encoding: identity",
+                "User-Agent: me",
+            ],
+        )
         g = self.got[0]
         self.assertEqual([v for k, v in g.heads if k == "X-Mine"], ["1", "2"])
-        self.assertEqual((g.head("User-Agent"), g.head("Accept-Encoding"), g.head("Host")), ("me", "identity", "h.example"))
+        self.assertEqual(
+            (g.head("User-Agent"), g.head("Accept-Encoding"), g.head("Host")), ("me", "identity", "h.example")
+        )
         self.assertIsNone(g.head("Te"))
         self.assertIsNone(g.head("X-Hop"))
 
     async def test_nothing_is_added_but_what_the_protocol_names(self):
         await self.rig.send("/once/h")
         names = {k.lower() for k, _ in self.got[0].heads}
-        self.assertEqual(names, {"host", "x-sparloom-attempt-id", "x-sparloom-deadline-remaining", "x-sparloom-expected-instance", "x-sparloom-request-urgency", "content-length"})
+        self.assertEqual(
+            names,
+            {
+                "host",
+                "x-sparloom-attempt-id",
+                "x-sparloom-deadline-remaining",
+                "x-sparloom-expected-instance",
+                "x-sparloom-request-urgency",
+                "content-length",
+            },
+        )
 
     async def test_the_runner_is_named_and_the_time_left_shrinks(self):
         await self.rig.send("/once/h", left=1500)
@@ -109,7 +142,7 @@
     async def test_past_the_last_bucket_nothing_is_sent(self):
         k = self.rig.know
         for p in k.fleet.posts.values():
-            k.counts.own[p.id] = 10 ** 4
+            k.counts.own[p.id] = 10**4
         a = await self.rig.send("/once/x")
         self.assertEqual((a.status, self.got), (503, []))
         self.assertIn("retry-after", a.heads)
@@ -205,8 +238,10 @@
 
     async def test_a_requester_that_goes_frees_its_slot_and_its_runner(self):
         self.script("hang")
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.rig.port)
-        writer.write(b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: g\r\nContent-Length: 0\r\n\r\n")
+        _, writer = await asyncio.open_connection("127.0.0.1", self.rig.port)
+        writer.write(
+            b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: g\r\nContent-Length: 0\r\n\r\n"
+        )
         while not self.got:
             await asyncio.sleep(0)
         self.assertEqual(sum(self.rig.know.counts.own.values()), 1)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,4 +1,5 @@
 """The emulator's own parts, and a quick point of the scale run against the page's bound."""
+
 import asyncio
 import os
 import random
@@ -13,10 +14,14 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
+
 def bound():
     """The bound that docs/CAPACITY.md states for the quick point: mean and busiest, messages and bytes."""
     with open(os.path.join(ROOT, "docs", "CAPACITY.md"), encoding="utf-8") as f:
-        got = re.search(r"bound of the quick point: ([\d,]+) messages and ([\d,]+) bytes .* mean, ([\d,]+) and ([\d,]+) .* busiest", f.read())
+        got = re.search(
+            r"bound of the quick point: ([\d,]+) messages and ([\d,]+) bytes .* mean, ([\d,]+) and ([\d,]+) .* busiest",
+            f.read(),
+        )
     return [int(g.replace(",", "")) for g in got.groups()]
 
 
@@ -33,7 +38,9 @@
         self.assertGreater(p["quiet"]["calls"], 0)
 
     def test_the_same_seed_gives_the_same_figures(self):
-        some = [point(Size(nodes=4, runners=4, controllers=3, zones=2), seed=s, seconds=1, changes=1) for s in (3, 3, 4)]
+        some = [
+            point(Size(nodes=4, runners=4, controllers=3, zones=2), seed=s, seconds=1, changes=1) for s in (3, 3, 4)
+        ]
         for p in some:
             del p["emulatorCpuS"]
         self.assertEqual(some[0], some[1])
@@ -61,6 +68,7 @@
         async def go():
             HOST.set(host)
             return await coro
+
         return self.loop.run_until_complete(self.loop.create_task(go()))
 
     def open(self, host, got):
@@ -89,6 +97,7 @@
         async def echo(reader, writer):
             while data := await reader.read(100):
                 writer.write(data)
+
         return self.run_on(host, asyncio.start_server(echo, host, port))
 
     def test_a_connection_carries_bytes_in_order_and_ends(self):
@@ -101,6 +110,7 @@
             got = await reader.readexactly(50)
             writer.close()
             return got, await reader.read()
+
         got, rest = self.run_on("a", talk())
         self.assertEqual((got, rest), (bytes(range(50)), b""))
 
@@ -122,6 +132,7 @@
                 await reader.read()
             except ConnectionResetError:
                 return self.loop.time() - START
+
         self.assertLess(self.run_on("a", talk()), 3)
 
     def test_waiting_for_nothing_is_told(self):
@@ -144,6 +155,7 @@
 
     def test_every_plan_of_the_repository_is_sound(self):
         import tomllib
+
         folder = os.path.join(ROOT, "rehearsal", "plans")
         for name in sorted(os.listdir(folder)):
             with self.subTest(name), open(os.path.join(folder, name), "rb") as f:
@@ -159,6 +171,7 @@
 class Tools(unittest.TestCase):
     def test_a_bent_curve_is_called_so(self):
         from rehearsal.report import Fit
+
         self.assertTrue(Fit.of([25, 50, 100], [30, 55, 104]).straight)
         self.assertFalse(Fit.of([25, 50, 100, 200], [25, 100, 400, 1600]).straight)
         self.assertFalse(Fit.of([25, 50], [1, 2]).straight, "two sizes show no line")
@@ -183,6 +196,7 @@
             pids = [host.proc.pid, other.proc.pid]
             await kids.end()
             return pids
+
         with tempfile.TemporaryDirectory() as folder:
             pids = asyncio.run(go(folder))
         self.assertFalse(any(psutil.pid_exists(p) for p in pids))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,4 +1,5 @@
 """Members' reserves: a flood crosses every router; columns are routers."""
+
 import random
 import unittest
 from datetime import timedelta
@@ -19,10 +20,16 @@
     def test_faults_name_the_members(self):
         for table, words in (
             ({"a": {"hosts": ["x"], "reserve": -0.1}}, "members.a.reserve must not be negative"),
-            ({"a": {}}, "members.a names neither"), ({"a": 3}, "members.a must be a table"), ([], "members must be a table"),
-            ({"a": {"routes": "r"}}, "members.a.routes"), ({"a": {"hosts": ["x"], "reserve": "1"}}, "members.a.reserve must be a number"),
+            ({"a": {}}, "members.a names neither"),
+            ({"a": 3}, "members.a must be a table"),
+            ([], "members must be a table"),
+            ({"a": {"routes": "r"}}, "members.a.routes"),
+            ({"a": {"hosts": ["x"], "reserve": "1"}}, "members.a.reserve must be a number"),
             ({"a": {"routes": ["r"]}, "b": {"routes": ["r"]}}, "Members a and b both claim the route r"),
-            ({"a": {"hosts": ["x"], "reserve": 0.7}, "b": {"hosts": ["y"], "reserve": 0.7}}, "members a, b add up to 1.4"),
+            (
+                {"a": {"hosts": ["x"], "reserve": 0.7}, "b": {"hosts": ["y"], "reserve": 0.7}},
+                "members a, b add up to 1.4",
+            ),
         ):
             res = declared(table)
             self.assertFalse(is_successful(res))
@@ -49,7 +56,7 @@
         self.assertEqual(self.enter(g, 9, "a", tokens=300), Granted)
 
     def test_an_ask_larger_than_its_share_is_not_stuck_for_ever(self):
-        self.assertEqual(self.enter(self.gate(), 1, "a", tokens=10 ** 6), Granted)
+        self.assertEqual(self.enter(self.gate(), 1, "a", tokens=10**6), Granted)
 
     def test_the_line_goes_by_priority_then_age_and_stays_in_its_share(self):
         g = self.gate()
@@ -132,7 +139,11 @@
                 elif g.held:
                     g.leave(now, rng.choice(sorted(g.held)))
                 if rng.random() < 0.05:
-                    g.tick(now, Room(rng.randrange(14), rng.randrange(1, 900)), rng.choice(({"a": 0.5}, {"a": 0.13, "b": 0.3, "c": 0.02})))
+                    g.tick(
+                        now,
+                        Room(rng.randrange(14), rng.randrange(1, 900)),
+                        rng.choice(({"a": 0.5}, {"a": 0.13, "b": 0.3, "c": 0.02})),
+                    )
                 g.tick(now)
                 overs = [g.kept.over(m, u) for m, u in g.used.items()]
                 self.assertEqual(g.over, tuple(map(sum, zip((0, 0, 0), *overs))))
@@ -181,7 +192,7 @@
     def test_nothing_is_lost_by_rounding_nor_held_twice_with_more_routers_than_things(self):
         for routers in (63, 73, 1600):
             crowds = [Crowd(3 * S, divisor=routers, index=i) for i in range(routers)]
-            for salt in (0, 5, 2 ** 63 + 11):
+            for salt in (0, 5, 2**63 + 11):
                 self.assertEqual(sum(c.pieces(510, salt) for c in crowds), 446)
             some = [c.pieces(510, salt=7 * r) for c in crowds[:1] for r in range(routers)]
             self.assertGreater(sum(some), 0)
@@ -225,6 +236,7 @@
         for seed in range(2):
             self.through_a_tier(seed, 7, 960, step)
 
+
 class Wall(unittest.TestCase):
     """Member b floods all routers in one moment, when all look empty; a's few requests come at every router.
 
@@ -248,7 +260,10 @@
             ends = [e for e in ends if e[0] > now]
             told = [list(o) for o in own] if step % 4 == 0 else told
             for i, g in enumerate(gates):
-                known = [sum(told[j][r] for j in range(len(gates)) if j != i and i != deaf) + own[i][r] for r in range(self.RUNNERS)]
+                known = [
+                    sum(told[j][r] for j in range(len(gates)) if j != i and i != deaf) + own[i][r]
+                    for r in range(self.RUNNERS)
+                ]
                 for m in ["b"] * (250 if step == 5 else step > 5 and rng.choice((0, 5, 30))) + ["a"] * rng.randrange(2):
                     ids, g.extra = ids + 1, crowds[i].extra(whole, whole * 0.3, sum(known)) if g.tight() else 0
                     before = g.used.get("a", (0, 0))[0]
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1,4 +1,5 @@
 """Events: whole, in order, once."""
+
 import random
 import unittest
 
@@ -17,7 +18,7 @@
             rng, s, out, at = random.Random(seed), Splitter(), [], 0
             while at < len(raw):
                 n = rng.randrange(1, 30)
-                out += s.feed(raw[at:at + n])
+                out += s.feed(raw[at : at + n])
                 at += n
             self.assertEqual((out, s.rest), (evs, b""))
 
