--- a/libs/ledger/__init__.py
+++ b/libs/ledger/__init__.py
@@ -1,15 +1,19 @@
 """The control state: a primary, its backups, and witnesses that keep epochs only."""
 
-from .machine import Confirmed, Decided, Ledger, Lost, Save, Send, Spans
+from .actions import CONTROLLERS, SEEDS, Confirmed, Decided, Left, Lost, Save, Send, Spans
+from .machine import Ledger
 from .records import EMPTY, Data, Member, Register, View
 from .store import Store
 
 __all__ = [
+    "CONTROLLERS",
     "EMPTY",
+    "SEEDS",
     "Confirmed",
     "Data",
     "Decided",
     "Ledger",
+    "Left",
     "Lost",
     "Member",
     "Register",
--- a/libs/ledger/actions.py
+++ b/libs/ledger/actions.py
@@ -2,14 +2,21 @@
 
 from datetime import timedelta
 
-from attrs import define, field
+from attrs import define
+
+NEVER = timedelta(days=-1)
 
 
 @define(frozen=True, slots=True)
 class Spans:
-    """Spans of the ledger, all derived from the contact bound."""
+    """Spans of the ledger, all derived from the contact bound.
+
+    ``patience``: silence after which a member is passed over. ``dead``:
+    silence after which its seat may go to another one. ``stuck``: how long an
+    election may take.
+    """
 
-    beat: timedelta
+    heartbeat: timedelta
     patience: timedelta
     resend: timedelta
     stuck: timedelta
@@ -27,17 +34,28 @@
 
 @define(frozen=True, slots=True)
 class Send:
-    """A record for a member; copies go by pipe, the rest by datagram."""
+    """A record for a member; copies go over a connection, the rest by datagram.
+
+    ``to``: a Member, ``SEEDS``, or ``CONTROLLERS`` (all that membership knows).
+    """
 
     to: object
-    rec: object
+    record: object
+
+
+SEEDS, CONTROLLERS = "seeds", "controllers"
 
 
 @define(frozen=True, slots=True)
 class Save:
-    """Put the register (and data) on disk; then carry out ``then``."""
+    """Put the register, and the data if there is any, on disk; then carry out ``then``.
+
+    Saves are carried out in order. One that fails is tried again, together
+    with those behind it: a later register must never reach the disk without
+    the data of an earlier save.
+    """
 
-    reg: object
+    register: object
     data: object
     mark: int
     then: tuple = ()
@@ -45,7 +63,7 @@
 
 @define(frozen=True, slots=True)
 class Decided:
-    """A write is on every copy."""
+    """A write is on the disk of every holder; id 0: what a new primary begins with."""
 
     id: int
     data: object
@@ -53,53 +71,19 @@
 
 @define(frozen=True, slots=True)
 class Lost:
-    """A write or a read can't be answered here any more."""
+    """A write or a read can't be answered here any more; a write may still take effect."""
 
     id: int
 
 
 @define(frozen=True, slots=True)
 class Confirmed:
-    """This member was still the primary after the read began."""
+    """This member was still the primary after the read began; ``data`` is decided."""
 
     id: int
+    data: object
 
 
-@define(slots=True)
-class Cand:
-    """A candidacy in progress."""
-
-    epoch: int
-    began: timedelta
-    phase: str
-    forced: bool = False
-    roster: object = None
-    sent: timedelta = timedelta(days=-1)
-    seens: dict = field(factory=dict)
-    refused: int = 0
-    took: set = field(factory=set)
-    view: object = None
-    ground: object = None
-
-
-@define(slots=True)
-class Lead:
-    """A primary's own state in its epoch."""
-
-    view: object
-    olds: list
-    began: timedelta
-    phase: str = "copy"
-    seq: int = 0
-    beat_at: timedelta = timedelta(days=-1)
-    sent: dict = field(factory=dict)
-    acks: dict = field(factory=dict)
-    heard: dict = field(factory=dict)
-    confirmed: timedelta = timedelta(days=-1)
-    confirmed_seq: int = 0
-    kept: dict = field(factory=dict)
-    marked: set = field(factory=set)
-    retry: timedelta = timedelta(days=-1)
-    write: int | None = None
-    write_at: timedelta = timedelta(0)
-    reads: dict = field(factory=dict)
+@define(frozen=True, slots=True)
+class Left:
+    """A planned leave is complete: nothing rests on this member any more."""
--- /dev/null
+++ b/libs/ledger/election.py
@@ -0,0 +1,131 @@
+"""A candidate's side: an epoch of its own, promises of a quorum, a view to lead.
+
+A candidate first has its own epoch on disk, so that no epoch is ever used
+twice. It then collects promises until a majority of each roster that has a say
+has promised. Only a member that holds the data of the view on which it builds
+may lead; another one asks such a holder to stand instead.
+"""
+
+from datetime import timedelta
+
+from attrs import define, field
+
+from .actions import NEVER, Send
+from .records import Seek, Yield
+from .views import choose_backups, find_basis, next_view, quorum
+
+
+@define(frozen=True, slots=True)
+class RosterPlan:
+    """A change of the roster, made upon the view of one epoch."""
+
+    base_epoch: int
+    roster: tuple
+
+
+@define(slots=True, eq=False)
+class Election:
+    """One candidacy. ``forced``: members that hear a primary are asked as well."""
+
+    ledger: object
+    epoch: int
+    began: timedelta
+    forced: bool = False
+    plan: RosterPlan | None = None
+    sent_at: timedelta = NEVER
+    promises: dict = field(factory=dict)
+
+    @property
+    def prepared(self):
+        """Whether this member's own promise of the epoch is on disk."""
+        durable = self.ledger.durable
+        return durable is not None and durable.promised >= self.epoch
+
+    def targets(self):
+        """The members whose promise may be needed."""
+        ledger = self.ledger
+        first = None if ledger.view else ledger.genesis_view()
+        views = [ledger.view, first, *(p.view for p in self.promises.values())]
+        known = {member.id: member for view in views if view for member in view.members}
+        known |= {member.id: member for member in (self.plan.roster if self.plan else ())}
+        return [member for member in known.values() if member.id != ledger.member.id]
+
+    def tick(self):
+        """Asks again for the promises that lack; gives up once it takes too long."""
+        ledger = self.ledger
+        if ledger.now - self.began > ledger.spans.stuck:
+            return ledger.give_up()
+        if not self.prepared:
+            return []
+        actions = []
+        if ledger.now - self.sent_at >= ledger.spans.resend:
+            self.sent_at = ledger.now
+            seek = Seek(ledger.member, self.epoch, self.forced)
+            actions = [Send(member, seek) for member in self.targets() if member.id not in self.promises]
+        return actions + self._conclude()
+
+    def on_promise(self, promise):
+        """Takes a promise, or its refusal."""
+        if promise.epoch != self.epoch or not self.prepared:
+            return []
+        if not promise.granted:
+            return self.ledger.give_up()
+        self.promises[promise.sender] = promise
+        return self._conclude()
+
+    def _conclude(self):
+        """Leads, or asks a holder to, once a quorum has promised and nobody is worth waiting for."""
+        ledger = self.ledger
+        promises = self.promises | {ledger.member.id: ledger.replica.own_promise(self.epoch)}
+        basis = find_basis(promises.values(), ledger.genesis_view())
+        if basis is None or not quorum(promises, basis.rosters):
+            return []
+        waited = ledger.now - self.began >= ledger.spans.resend * 1.5
+        if not waited and self._awaited(basis) - set(promises):
+            return []
+        if not self._holds(basis, promises[ledger.member.id]):
+            return self._yield_to_holder(basis, promises)
+        roster = self._roster(basis, promises, waited)
+        if roster is None:
+            return []
+        backups = self._backups(basis, promises, roster)
+        if backups is None:
+            return []
+        view = next_view(self.epoch, ledger.member.id, backups, roster, basis)
+        return ledger.elected(view)
+
+    def _awaited(self, basis):
+        """The members that are worth a short wait: all but suspected ones and, unasked, the old primary."""
+        awaited = set(basis.view.ids) - set(self.ledger.membership.suspected)
+        awaited |= {member.id for member in (self.plan.roster if self.plan else ())}
+        return awaited if self.forced else awaited - {basis.view.primary}
+
+    @staticmethod
+    def _holds(basis, promise):
+        if basis.view.epoch == 0:
+            return promise.sender in basis.view.ids
+        return promise.sender in basis.view.holders and promise.kept >= basis.view.epoch
+
+    def _yield_to_holder(self, basis, promises):
+        ledger = self.ledger
+        able = [p.sender for p in promises.values() if self._holds(basis, p)]
+        ledger.give_up()
+        able.sort(key=lambda member_id: member_id in ledger.membership.suspected)
+        return ledger.send_to(able[0], Yield(ledger.member.id, self.epoch, False)) if able else []
+
+    def _roster(self, basis, promises, waited):
+        """The planned roster if it still fits and can vote, else the one there is; None: wait."""
+        kept = list(basis.view.roster)
+        if self.plan is None or self.plan.base_epoch != basis.view.epoch:
+            return kept
+        planned = list(self.plan.roster)
+        added = {member.id for member in planned} - set(basis.view.ids)
+        if added <= set(promises) and quorum(promises, [[member.id for member in planned]]):
+            return planned
+        return kept if waited else None
+
+    def _backups(self, basis, promises, roster):
+        ledger = self.ledger
+        avoided = set(ledger.membership.suspected) | ledger.leaving_members()
+        prefer = set(basis.view.holders) - avoided
+        return choose_backups(ledger.member.id, roster, set(promises), prefer, ledger.replicas, avoided)
--- /dev/null
+++ b/libs/ledger/leadership.py
@@ -0,0 +1,323 @@
+"""The primary's side: copy the data, activate the view, serve, and keep both in repair.
+
+Nothing is answered before the view is active: each holder has the data on
+disk and a majority of each roster has marked the view. Whoever leads later
+must hear of it, since its own quorum meets those majorities.
+"""
+
+from datetime import timedelta
+from enum import Enum
+
+from attrs import define, field
+
+from .actions import NEVER, Confirmed, Decided, Lost, Send
+from .election import RosterPlan
+from .records import Activate, Copy, Data, Heartbeat, Kept
+from .views import majority, next_roster, quorum
+
+SENT_HEARTBEATS = 30
+
+
+class Phase(Enum):
+    """How far a primary has come in its epoch."""
+
+    COPYING = 0
+    ACTIVATING = 1
+    SERVING = 2
+
+
+@define(slots=True, eq=False)
+class Leadership:
+    """A primary's state in its epoch."""
+
+    ledger: object
+    view: object
+    began: timedelta
+    phase: Phase = Phase.COPYING
+    settled: bool = False
+    sequence: int = 0
+    heartbeat_at: timedelta = NEVER
+    sent: dict = field(factory=dict)
+    acks: dict = field(factory=dict)
+    heard: dict = field(factory=dict)
+    confirmed: timedelta = NEVER
+    confirmed_sequence: int = 0
+    kept: dict = field(factory=dict)
+    activated: set = field(factory=set)
+    settled_by: set = field(factory=set)
+    resent_at: timedelta = NEVER
+    write: int | None = None
+    write_at: timedelta = timedelta(0)
+    reads: dict = field(factory=dict)
+    decided: Data | None = None
+    change_since: timedelta | None = None
+
+    @property
+    def epoch(self):
+        """The epoch in which it leads."""
+        return self.view.epoch
+
+    @property
+    def me(self):
+        """The primary's own id."""
+        return self.ledger.member.id
+
+    @property
+    def serving(self):
+        """Whether the view is active, so that calls may be answered."""
+        return self.phase is Phase.SERVING
+
+    def late(self, member_id, span):
+        """Whether a member has been silent for longer than a span."""
+        if member_id == self.me:
+            return False
+        return self.ledger.now - self.heard.get(member_id, self.began) > span
+
+    # -- coming up ------------------------------------------------------------
+    def start(self):
+        """Begins to copy the data to each holder."""
+        self.heard = {member_id: self.ledger.now for member_id in self.view.ids}
+        return [*self._copy_out(), *self.tick()]
+
+    def _copy_out(self):
+        ledger, view = self.ledger, self.view
+        self.kept, self.resent_at = {}, ledger.now
+        own = Kept(self.me, view.epoch, ledger.data.number, True, view.epoch)
+        saved = ledger.replica.save(Send(ledger.member, own), data=ledger.data)
+        copy = Copy(self.me, view, ledger.data)
+        return [saved, *(Send(member, copy) for member in view.roster if member.id in view.backups)]
+
+    def on_kept(self, record):
+        """A holder has the data on disk, or refuses."""
+        if not self._answers_me(record):
+            return []
+        if not record.ok:
+            return self._outdated(record)
+        self.kept[record.sender] = max(record.number, self.kept.get(record.sender, 0))
+        if any(self.kept.get(holder) != self.ledger.data.number for holder in self.view.holders):
+            return []
+        if self.phase is Phase.COPYING:
+            self.phase, self.resent_at = Phase.ACTIVATING, self.ledger.now
+            return self._activate(self.view.members)
+        if self.write is None:
+            return []
+        write, self.write = self.write, None
+        self.decided = self.ledger.data
+        return [Decided(write, self.decided)]
+
+    def _activate(self, members):
+        record = Activate(self.me, self.view, self.settled)
+        return [Send(member, record) for member in members]
+
+    def on_activated(self, record):
+        """A member has marked the view active, or settled, or refuses."""
+        if not self._answers_me(record):
+            return []
+        if not record.ok:
+            return self._outdated(record)
+        self.activated.add(record.sender)
+        if record.settled:
+            self.settled_by.add(record.sender)
+        if self.phase is Phase.ACTIVATING and quorum(self.activated, self.view.rosters):
+            return self._serve()
+        return []
+
+    def _serve(self):
+        self.phase, self.began = Phase.SERVING, self.ledger.now
+        self.decided = self.ledger.data
+        actions = [Decided(0, self.decided), *self._heartbeat(at_once=True)]
+        if self.view.previous:
+            self.settled = True
+            self.resent_at = self.ledger.now
+            actions += self._activate(self.view.members)
+        return actions + self._activate([learner.member for learner in self.ledger.membership.learners.values()])
+
+    def complete(self):
+        """Whether the last change of the roster is settled on a majority's disks."""
+        return self.serving and (not self.view.previous or majority(self.settled_by, self.view.ids))
+
+    def _answers_me(self, record):
+        if record.epoch != self.view.epoch:
+            return False
+        self.heard[record.sender] = self.ledger.now
+        return True
+
+    def _outdated(self, record):
+        """Another member promised a later epoch: this one leads no more."""
+        if record.promised <= self.view.epoch:
+            return []
+        self.ledger.wait(self.ledger.spans.patience)
+        return self.ledger.step_down()
+
+    # -- time -----------------------------------------------------------------
+    def tick(self):
+        """Heartbeats, records that lack an answer, and repair."""
+        ledger, spans = self.ledger, self.ledger.spans
+        if self.serving and ledger.now - max(self.confirmed, self.began) > spans.patience:
+            ledger.wait(spans.patience)
+            return ledger.step_down()
+        if not self.serving and ledger.now - self.began > spans.stuck * 2:
+            ledger.wait(spans.patience * ledger.rng.random())
+            return ledger.step_down()
+        actions = self._heartbeat()
+        if ledger.now - self.resent_at > spans.resend * 4:
+            self.resent_at = ledger.now
+            actions += self._resend()
+        return actions + (self._repair() if self.serving else self._replace_silent())
+
+    def _heartbeat(self, at_once=False):
+        ledger, spans = self.ledger, self.ledger.spans
+        late = any(self.late(member_id, spans.heartbeat * 1.5) for member_id in self.view.ids)
+        pause = spans.heartbeat / 3 if late else spans.heartbeat
+        if not at_once and ledger.now - self.heartbeat_at < pause:
+            return []
+        self.sequence += 1
+        self.heartbeat_at = ledger.now
+        self.sent = {s: at for s, at in self.sent.items() if s > self.sequence - SENT_HEARTBEATS}
+        self.sent[self.sequence] = ledger.now
+        self.acks[self.me] = self.sequence
+        record = Heartbeat(self.me, self.view.epoch, self.sequence)
+        return [Send(member, record) for member in self.view.roster if member.id != self.me] + self._confirm()
+
+    def _resend(self):
+        actions = []
+        if self.phase is Phase.COPYING or self.write is not None:
+            lacking = [i for i in self.view.backups if self.kept.get(i) != self.ledger.data.number]
+            copy = Copy(self.me, self.view, self.ledger.data)
+            actions += [Send(member, copy) for member in self.view.roster if member.id in lacking]
+        if self.phase is not Phase.COPYING:
+            done = self.settled_by if self.settled else self.activated
+            actions += self._activate([member for member in self.view.roster if member.id not in done])
+        if self.phase is Phase.ACTIVATING:
+            actions += self._activate([m for m in self.view.members if m.id not in (*self.view.ids, *self.activated)])
+        return actions
+
+    def on_heartbeat_ack(self, record):
+        """A member has heard a heartbeat, or has promised a later epoch."""
+        if not self._answers_me(record):
+            return []
+        if record.promised > self.view.epoch:
+            return self._outdated(record)
+        if record.ok:
+            self.acks[record.sender] = max(record.sequence, self.acks.get(record.sender, 0))
+        if not record.active:
+            self.activated.discard(record.sender)
+            self.settled_by.discard(record.sender)
+        return self._confirm()
+
+    def _confirm(self):
+        """Reads that began before a heartbeat that a majority has answered are confirmed."""
+        if not self.serving:
+            return []
+        answered = sorted((self.acks.get(member_id, 0) for member_id in self.view.ids), reverse=True)
+        sure = answered[len(answered) // 2]
+        if sure > self.confirmed_sequence:
+            self.confirmed_sequence = sure
+            self.confirmed = self.sent.get(sure, self.confirmed)
+        done = [read for read, sequence in self.reads.items() if sequence <= self.confirmed_sequence]
+        for read in done:
+            del self.reads[read]
+        return [Confirmed(read, self.decided) for read in done]
+
+    # -- repair ---------------------------------------------------------------
+    def _replace_silent(self):
+        """A backup that is silent while the view comes up is replaced."""
+        silent = [i for i in self.view.backups if i not in self.kept]
+        if self.phase is Phase.COPYING and silent and self.ledger.now - self.began > self.ledger.spans.patience:
+            return self._replace(silent)
+        return []
+
+    def _able_backups(self):
+        """Voters that could hold a copy now."""
+        ledger = self.ledger
+        unable = set(ledger.membership.suspected) | ledger.leaving_members() | {self.me}
+        return [i for i in self.view.ids if i not in unable and not self.late(i, ledger.spans.patience)]
+
+    def _replace(self, bad):
+        """A new view with other backups, where enough members are able to hold a copy."""
+        ledger = self.ledger
+        ledger.membership.suspected |= {member_id: ledger.now for member_id in bad}
+        if len(self._able_backups()) < min(ledger.replicas, len(self.view.roster) - 1):
+            return []
+        return ledger.renew(None)
+
+    def _repair(self):
+        ledger, spans = self.ledger, self.ledger.spans
+        slow = self.write is not None and ledger.now - self.write_at > spans.patience
+        if slow and self.me not in self.kept and ledger.now - self.write_at > spans.patience * 2:
+            return ledger.save_failed(ledger.now)
+        bad = [
+            i
+            for i in self.view.backups
+            if self.late(i, spans.patience) or slow and self.kept.get(i) != ledger.data.number
+        ]
+        if bad:
+            actions = self._replace(bad)
+            if actions or ledger.leadership is not self:
+                return actions
+        return self._change_membership()
+
+    def _change_membership(self):
+        """Moves copies off leaving members and seats to learners, one change at a time."""
+        ledger = self.ledger
+        ready = self.complete() and ledger.now >= ledger.change_after
+        roster = self._next_roster() if ready else None
+        if roster is None and not self._leaving_backups():
+            self.change_since = None
+            return []
+        if self.change_since is None:
+            self.change_since = ledger.now
+        if self.write is not None and ledger.now - self.change_since < ledger.spans.patience / 2:
+            return []
+        return ledger.renew(RosterPlan(self.view.epoch, tuple(roster)) if roster else None)
+
+    def _leaving_backups(self):
+        """Leaving members whose copy another voter could take now."""
+        leaving = self.ledger.leaving_members()
+        spare = [i for i in self._able_backups() if i not in self.view.holders]
+        return [i for i in self.view.backups if i in leaving] if spare else []
+
+    def _next_roster(self):
+        ledger, spans = self.ledger, self.ledger.spans
+        ids = self.view.ids
+        near = [i for i in ids if not self.late(i, spans.patience)]
+        dead = {i for i in ids if self.late(i, spans.dead)}
+        leaving = ledger.leaving_members() & set(ids)
+        roster = next_roster(self.view, ledger.membership.ready(self.view.epoch), dead, leaving, len(near) == len(ids))
+        if roster is None or not majority(near, ids):
+            return None
+        able = set(near) | {member.id for member, _ in ledger.membership.ready(self.view.epoch)}
+        return roster if majority(able, [member.id for member in roster]) else None
+
+    def may_release(self, member_id):
+        """Whether a leaving member may end: nothing rests on it, or nobody could take its place."""
+        if member_id not in self.view.ids:
+            return self.complete()
+        if not self.complete() or self.ledger.membership.learners:
+            return False
+        if member_id not in self.view.holders:
+            return True
+        others = set(self.view.ids) - self.ledger.leaving_members()
+        return not others
+
+    # -- calls ----------------------------------------------------------------
+    def begin_write(self, write, revision, blob):
+        """Starts a write; None when another one is under way."""
+        if not self.serving or self.write is not None:
+            return None
+        ledger = self.ledger
+        ledger.replica.data = Data(self.view.epoch, ledger.data.number + 1, revision, blob)
+        self.write, self.write_at = write, ledger.now
+        return self._copy_out()
+
+    def begin_read(self, read):
+        """Starts a confirmed read; None before the view is active."""
+        if not self.serving:
+            return None
+        self.reads[read] = self.sequence + 1
+        return self._heartbeat(at_once=True)
+
+    def lost(self):
+        """What can't be answered any more once this member leads no longer."""
+        writes = [] if self.write is None else [Lost(self.write)]
+        return writes + [Lost(read) for read in self.reads]
--- /dev/null
+++ b/libs/ledger/receive.py
@@ -0,0 +1,150 @@
+"""What a member does with each kind of record."""
+
+from functools import singledispatch
+
+from .actions import NEVER, Send
+from .records import (
+    Activate,
+    Activated,
+    Copy,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    Join,
+    Kept,
+    Leave,
+    Promise,
+    Released,
+    Seek,
+    Yield,
+)
+
+
+@singledispatch
+def take(record, ledger):
+    """Gives the actions that follow from a record; one of no known kind is dropped."""
+    return []
+
+
+@take.register
+def _(record: Hello, ledger):
+    member = record.member
+    if record.fresh and record.blank and not ledger.view and (member.host, member.port) in ledger.genesis:
+        ledger.hellos[member.id] = (member, ledger.now)
+    return []
+
+
+@take.register
+def _(record: Seek, ledger):
+    replica = ledger.replica
+    if replica.outdated(record.epoch) or (ledger.hears_primary() and not record.forced):
+        return [Send(record.candidate, replica.answer(record.epoch, False, ledger.register))]
+    if record.epoch == ledger.register.promised:
+        done = replica.promised_on_disk(record.epoch)
+        return [Send(record.candidate, replica.own_promise(record.epoch))] if done else []
+    return [*ledger.follow_epoch(record.epoch), replica.grant(record)]
+
+
+@take.register
+def _(record: Promise, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    if not record.granted and record.view and (not ledger.view or record.view.epoch > ledger.view.epoch):
+        ledger.hint = record.view
+    return ledger.election.on_promise(record) if ledger.election else []
+
+
+@take.register
+def _(record: Heartbeat, ledger):
+    ok = not ledger.replica.outdated(record.epoch)
+    if ok:
+        ledger.heard, ledger.heartbeat_epoch, ledger.attempts = ledger.now, record.epoch, 0
+    active = ok and ledger.register.view_epoch == record.epoch
+    ack = HeartbeatAck(ledger.member.id, record.epoch, record.sequence, ok, active, ledger.register.promised)
+    return ledger.send_to(record.sender, ack)
+
+
+@take.register
+def _(record: Activate, ledger):
+    replica = ledger.replica
+    if replica.outdated(record.view.epoch):
+        return [replica.refuse_activation(record.view)]
+    ledger.heard = ledger.now
+    if replica.marked(record):
+        return replica.activated_again(record.view)
+    lost = ledger.follow_epoch(record.view.epoch)
+    ledger.hint = None
+    return [*lost, replica.activate(record)]
+
+
+@take.register
+def _(record: Copy, ledger):
+    replica = ledger.replica
+    if replica.outdated(record.view.epoch):
+        return [replica.refuse_copy(record)]
+    if not replica.newer_copy(record):
+        return []
+    lost = ledger.follow_epoch(record.view.epoch)
+    ledger.heard = ledger.now
+    return [*lost, replica.copy(record)]
+
+
+@take.register
+def _(record: Yield, ledger):
+    if record.leaving:
+        ledger.membership.leave(record.sender, ledger.now)
+    unfit = (
+        not ledger.voter or ledger.now - ledger.membership.suspected.get(ledger.member.id, NEVER) < ledger.spans.dead
+    )
+    if ledger.leadership or ledger.election or unfit or record.epoch < ledger.register.view_epoch:
+        return []
+    return ledger.stand(forced=True)
+
+
+@take.register
+def _(record: HeartbeatAck, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    return ledger.leadership.on_heartbeat_ack(record) if ledger.leadership else []
+
+
+@take.register
+def _(record: Kept, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    return ledger.leadership.on_kept(record) if ledger.leadership else []
+
+
+@take.register
+def _(record: Activated, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    if not ledger.leadership:
+        return []
+    if record.ok and record.epoch == ledger.leadership.epoch:
+        ledger.membership.activated(record.sender, record.epoch, ledger.now)
+    return ledger.leadership.on_activated(record)
+
+
+@take.register
+def _(record: Join, ledger):
+    member = record.member
+    if member.id == ledger.member.id or ledger.leading() and member.id in ledger.leadership.view.ids:
+        return []
+    learner = ledger.membership.join(member, record.fresh, ledger.now)
+    if not ledger.leading() or learner.ready_epoch == ledger.leadership.epoch:
+        return []
+    return [Send(member, Activate(ledger.member.id, ledger.leadership.view, ledger.leadership.settled))]
+
+
+@take.register
+def _(record: Leave, ledger):
+    member = record.member
+    ledger.membership.leave(member.id, ledger.now)
+    if not ledger.leading() or not ledger.leadership.may_release(member.id):
+        return []
+    return [Send(member, Released(ledger.member.id, member.id, ledger.leadership.epoch))]
+
+
+@take.register
+def _(record: Released, ledger):
+    leave = ledger.planned_leave
+    if not leave or leave.released or record.member != ledger.member.id:
+        return []
+    return leave.release() if record.epoch >= ledger.register.promised else []
--- /dev/null
+++ b/libs/ledger/replica.py
@@ -0,0 +1,109 @@
+"""What a member keeps on disk, and how it answers candidates and primaries."""
+
+from attrs import define, evolve
+
+from .actions import Save, Send
+from .records import Activated, Data, Kept, Promise, Register
+
+
+def primary_of(view):
+    """The member that leads a view."""
+    return next(member for member in view.roster if member.id == view.primary)
+
+
+@define(slots=True, eq=False)
+class Replica:
+    """The register and the copy of the data, in memory and (``durable``) as they are on disk.
+
+    A promise, a mark or a copy is answered for only once it is on disk.
+
+    >>> from .records import EMPTY, Member
+    >>> replica = Replica(Member(1, "h", 1, "z", ""), Register(1, True, 0, [], False, 0), EMPTY)
+    >>> replica.promise(7); replica.register.promised, replica.durable
+    (7, None)
+    """
+
+    member: object
+    register: Register
+    data: Data
+    durable: Register | None = None
+    marks: int = 0
+
+    def save(self, *then, data=None):
+        """Puts the register on disk as it is now; ``then`` follows."""
+        self.marks += 1
+        return Save(self.register, data, self.marks, tuple(then))
+
+    def promise(self, epoch):
+        """Refuses all epochs before this one from now on."""
+        self.register = evolve(self.register, promised=max(epoch, self.register.promised))
+
+    def hold(self, epoch):
+        """The data in memory becomes the copy of an epoch."""
+        self.register = evolve(self.register, kept=epoch)
+
+    def answer(self, epoch, granted, register):
+        """The answer to a candidate, by what a register holds."""
+        return Promise(
+            self.member.id, epoch, granted, register.promised, register.views, register.settled, register.kept
+        )
+
+    def own_promise(self, epoch):
+        """The promise of an epoch that is on disk."""
+        return self.answer(epoch, True, self.durable)
+
+    def promised_on_disk(self, epoch):
+        """Whether just this epoch is promised on disk."""
+        return self.durable is not None and self.durable.promised == epoch
+
+    def grant(self, seek):
+        """Promises a candidate its epoch."""
+        self.promise(seek.epoch)
+        return self.save(Send(seek.candidate, self.answer(seek.epoch, True, self.register)))
+
+    def outdated(self, epoch):
+        """Whether a later epoch was promised."""
+        return epoch < self.register.promised
+
+    def refuse_activation(self, view):
+        """A later epoch was promised."""
+        refusal = Activated(self.member.id, view.epoch, False, False, self.register.promised)
+        return Send(primary_of(view), refusal)
+
+    def marked(self, record):
+        """Whether the view of the record is marked already, in memory."""
+        return self.register.view_epoch == record.view.epoch and self.register.settled >= record.settled
+
+    def activated_again(self, view):
+        """The answer for a view that was marked before; none while that is on its way to the disk."""
+        durable = self.durable
+        if durable is None or durable.view_epoch != view.epoch or durable.settled != self.register.settled:
+            return []
+        return [Send(primary_of(view), Activated(self.member.id, view.epoch, True, durable.settled, view.epoch))]
+
+    def activate(self, record):
+        """Marks a view active, or settled."""
+        view = record.view
+        self.promise(view.epoch)
+        fresh = self.register.fresh and self.member.id not in view.ids
+        self.register = evolve(self.register, fresh=fresh, views=[view], settled=record.settled)
+        done = Activated(self.member.id, view.epoch, True, record.settled, view.epoch)
+        return self.save(Send(primary_of(view), done))
+
+    def refuse_copy(self, record):
+        """A later epoch was promised."""
+        view, number = record.view, record.data.number
+        return Send(primary_of(view), Kept(self.member.id, view.epoch, number, False, self.register.promised))
+
+    def newer_copy(self, record):
+        """Whether a copy is no older than the one held of the same epoch."""
+        return record.view.epoch != self.register.kept or record.data.number >= self.data.number
+
+    def copy(self, record):
+        """Takes a primary's data."""
+        view = record.view
+        self.promise(view.epoch)
+        self.data = record.data
+        self.hold(view.epoch)
+        done = Kept(self.member.id, view.epoch, record.data.number, True, view.epoch)
+        return self.save(Send(primary_of(view), done), data=record.data)
--- a/libs/ledger/store.py
+++ b/libs/ledger/store.py
@@ -1,5 +1,6 @@
 """The ledger's disk: one SQLite file, synced before anything is promised."""
 
+import contextlib
 import os
 import sqlite3
 
@@ -8,6 +9,23 @@
 from .records import EMPTY, Data, Register
 
 FILE = "ledger.db"
+SET_ASIDE = FILE + ".unreadable"
+PRAGMAS = (
+    "locking_mode=EXCLUSIVE",
+    "journal_mode=PERSIST",
+    "synchronous=EXTRA",
+    "temp_store=MEMORY",
+    "cache_size=200",
+    "mmap_size=0",
+)
+
+
+def _sync_folder(folder):
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 class Store:
@@ -27,47 +45,56 @@
         os.makedirs(folder, exist_ok=True)
         self.path = os.path.join(folder, FILE)
         self.db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False)
-        for line in (
-            "locking_mode=EXCLUSIVE",
-            "journal_mode=PERSIST",
-            "synchronous=EXTRA",
-            "temp_store=MEMORY",
-            "cache_size=200",
-            "mmap_size=0",
-        ):
-            self.db.execute(f"PRAGMA {line}").fetchall()
-        self.db.execute("CREATE TABLE IF NOT EXISTS kept (what TEXT PRIMARY KEY, body BLOB NOT NULL)")
-        self._sync_folder(folder)
-
-    @staticmethod
-    def _sync_folder(folder):
-        fd = os.open(folder, os.O_RDONLY)
         try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+            for pragma in PRAGMAS:
+                self.db.execute(f"PRAGMA {pragma}").fetchall()
+            self.db.execute("CREATE TABLE IF NOT EXISTS kept (what TEXT PRIMARY KEY, body BLOB NOT NULL)")
+            _sync_folder(folder)
+        except BaseException:
+            self.db.close()
+            raise
 
-    def load(self):
-        """The register and the data on disk, or None on an empty one.
+    @classmethod
+    def open(cls, folder):
+        """Opens the store; a file that is no database any more is set aside.
 
-        >>> Store.load.__name__
-        'load'
+        A member whose file can't be read has lost its disk: it starts as a new
+        one, without a vote. An I/O error or a full disk is raised instead,
+        since what is on such a disk may be whole.
+
+        >>> import tempfile
+        >>> with tempfile.TemporaryDirectory() as d:
+        ...     _ = open(os.path.join(d, FILE), "wb").write(b"torn" * 500)
+        ...     Store.open(d).load(), sorted(os.listdir(d))[-1]
+        (None, 'ledger.db.unreadable')
         """
+        try:
+            store = cls(folder)
+            store.load()
+            return store
+        except sqlite3.OperationalError:
+            raise
+        except sqlite3.DatabaseError:
+            with contextlib.suppress(OSError):
+                os.remove(os.path.join(folder, FILE + "-journal"))
+            os.replace(os.path.join(folder, FILE), os.path.join(folder, SET_ASIDE))
+            return cls(folder)
+
+    def load(self):
+        """The register and the data on disk; None on an empty disk or one whose rows don't belong together."""
         rows = dict(self.db.execute("SELECT what, body FROM kept"))
         try:
-            reg = unpack(rows["register"]) if "register" in rows else None
+            register = unpack(rows["register"]) if "register" in rows else None
             data = unpack(rows["data"]) if "data" in rows else EMPTY
         except Broken:
             return None
-        return (reg, data) if isinstance(reg, Register) and isinstance(data, Data) else None
-
-    def save(self, reg, data=None):
-        """Puts a register, and data if given, on disk before it returns.
+        if not isinstance(register, Register) or not isinstance(data, Data):
+            return None
+        return None if register.kept and "data" not in rows else (register, data)
 
-        >>> Store.save.__name__
-        'save'
-        """
-        rows = [("register", pack(reg)), *([("data", pack(data))] if data is not None else [])]
+    def save(self, register, data=None):
+        """Puts a register, and data if given, on disk before it returns."""
+        rows = [("register", pack(register)), *([("data", pack(data))] if data is not None else [])]
         self.db.execute("BEGIN IMMEDIATE")
         try:
             self.db.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?)", rows)
@@ -78,9 +105,5 @@
             raise
 
     def close(self):
-        """Closes the file.
-
-        >>> Store.close.__name__
-        'close'
-        """
+        """Closes the file."""
         self.db.close()
--- a/libs/ledger/views.py
+++ b/libs/ledger/views.py
@@ -1,118 +1,124 @@
-"""Plain sums about views: majorities, backups, rosters."""
+"""Pure functions about views: majorities, backups, rosters."""
 
 from attrs import define
 
 from .records import Roster, View
 
+MOST_VOTERS = 9
+
 
 def majority(ids, roster):
     """Whether some ids are over half of a roster.
 
-    >>> majority({1, 2}, (1, 2, 3))
-    True
+    >>> majority({1, 2}, (1, 2, 3)), majority({1, 2}, (1, 2, 3, 4))
+    (True, False)
     """
-    return 2 * sum(i in ids for i in roster) > len(roster)
+    return 2 * sum(member in ids for member in roster) > len(roster)
 
 
-def carried(ids, view, settled):
-    """Whether ids speak for a view: its roster, and older ones until it is active.
+def quorum(ids, rosters):
+    """Whether some ids hold a majority of each roster.
 
-    >>> carried({1}, View(1, 1, [], [], []), True)
-    False
+    >>> quorum({1, 2}, [(1, 2, 3), (1, 2, 4)]), quorum({1, 4}, [(1, 2, 3), (1, 2, 4)])
+    (True, False)
     """
-    return majority(ids, view.ids) and (settled or all(majority(ids, r.ids) for r in view.olds))
+    return all(majority(ids, roster) for roster in rosters)
 
 
-def epoch_after(epoch, me):
+def epoch_after(epoch, member_id):
     """The next epoch that belongs to one member alone.
 
     >>> epoch_after(0, 5) == (1 << 32) + 5
     True
     """
-    return ((epoch >> 32) + 1 << 32) | (me & 0xFFFFFFFF)
+    return ((epoch >> 32) + 1 << 32) | (member_id & 0xFFFFFFFF)
 
 
 @define(frozen=True, slots=True)
-class Ground:
-    """What a majority told a candidate: the newest view, and the last active one."""
-
-    best: View
-    active: View | None
+class Basis:
+    """The view on which a candidate builds: the newest one that a quorum reported active."""
 
-    @property
-    def settled(self):
-        """Whether the newest view is known to be active."""
-        return self.active is not None and self.active.epoch == self.best.epoch
+    view: View
+    settled: bool
 
     @property
-    def holders(self):
-        """Who may lead: the data holders of the last active view."""
-        return self.active.holders if self.active else self.best.ids
+    def rosters(self):
+        """The rosters of which a majority must have promised."""
+        return (self.view.ids,) if self.settled else self.view.rosters
 
 
-def ground(seens, genesis):
-    """Puts the promises together.
+def find_basis(promises, genesis):
+    """The newest reported view, or the first roster where none was reported; None without either.
 
-    >>> ground([], None) is None
-    True
+    >>> find_basis([], None) is None, find_basis([], View(0, 0, [], [], [])).settled
+    (True, True)
     """
-    tops = [v for s in seens for v in s.accepted] + [v for s in seens for v in s.active]
-    best = max(tops, key=lambda v: v.epoch, default=genesis)
-    acts = [v for s in seens for v in s.active]
-    return best and Ground(best, max(acts, key=lambda v: v.epoch, default=None))
+    newest = max((p.view for p in promises if p.view), key=lambda view: view.epoch, default=None)
+    if newest is None:
+        return genesis and Basis(genesis, True)
+    return Basis(newest, any(p.settled for p in promises if p.view and p.view.epoch == newest.epoch))
 
 
-def choose_backups(primary, roster, up, prefer, copies, sick=frozenset()):
-    """Picks backups among those that are up: old holders first, other zones first.
+def choose_backups(primary, roster, able, prefer, replicas, suspected=frozenset()):
+    """Picks backups among those able: other zones first, old holders first.
 
-    A sick one comes last, but it is taken when no other is there: its promise
-    is on disk, so its disk works again. Gives None when there are too few.
+    A suspected one comes last, but is taken when no other is there: its
+    promise is on disk, so its disk works. None when there are too few.
 
     >>> choose_backups(1, [], {1}, (), 0)
     []
     """
-    want = max(0, min(copies, len(roster) - 1))
-    zone = {m.id: m.zone for m in roster}
-    pool = [m.id for m in roster if m.id != primary and m.id in up]
-    got, seen = [], {zone.get(primary)}
-    while len(got) < want and pool:
-        b = min(pool, key=lambda i: (i in sick, zone[i] in seen, i not in prefer, i))
-        pool.remove(b)
-        got.append(b)
-        seen.add(zone[b])
-    return got if len(got) == want else None
-
-
-def next_view(epoch, primary, backups, roster, g):
-    """The view that follows what was found; a new roster keeps the old one's say.
-
-    >>> next_view(9, 1, [], [], Ground(View(1, 1, [], [], []), None)).epoch
-    9
+    wanted = max(0, min(replicas, len(roster) - 1))
+    zone = {member.id: member.zone for member in roster}
+    pool = [member.id for member in roster if member.id != primary and member.id in able]
+    chosen, zones = [], {zone.get(primary)}
+    while len(chosen) < wanted and pool:
+        best = min(pool, key=lambda i: (i in suspected, zone[i] in zones, i not in prefer, i))
+        pool.remove(best)
+        chosen.append(best)
+        zones.add(zone[best])
+    return chosen if len(chosen) == wanted else None
+
+
+def next_view(epoch, primary, backups, roster, basis):
+    """The view that follows a basis; an earlier roster keeps its say until the view is settled.
+
+    >>> old = View(1, 1, [], [], [])
+    >>> next_view(9, 1, [], [], Basis(old, True)).previous
+    []
     """
-    olds = [] if g.settled else list(g.best.olds)
-    ids = [m.id for m in roster]
-    if set(ids) != set(g.best.ids):
-        olds.append(Roster(list(g.best.ids)))
-    return View(epoch, primary, list(backups), list(roster), olds)
+    previous = [] if basis.settled else list(basis.view.previous)
+    if {member.id for member in roster} != set(basis.view.ids):
+        previous.append(Roster(list(basis.view.roster)))
+    return View(epoch, primary, list(backups), list(roster), previous)
 
 
-def reroster(view, joiners, dead, most=9):
-    """The next roster: a newcomer takes its own wiped place, else a dead one's, else a new one.
+def next_roster(view, learners, dead, leaving, all_near):
+    """The roster that should follow, or None when it is right as it is.
 
-    Gives None when the roster is right as it is.
+    ``learners``: (member, fresh) of those that hold the active view on disk.
+    A learner takes its own wiped seat at once, else a dead member's seat, else
+    a leaving one's. The roster grows only by machines of the first start,
+    while all of its members are near; an even roster drops a dead member.
 
-    >>> reroster(View(1, 1, [], [], []), [], set()) is None
+    >>> next_roster(View(1, 1, [], [], []), [], set(), set(), True) is None
     True
     """
-    ros = list(view.roster)
-    for j in joiners:
-        same = [m for m in ros if (m.host, m.port) == (j.host, j.port)]
-        gone = [m for m in ros if m.id in dead]
-        out = (same or gone or [None])[0]
-        if out is None and len(ros) >= most:
-            return None
-        return [m for m in ros if m is not out] + [j]
-    gone = [m for m in ros if m.id in dead]
-    if gone and len(ros) % 2 == 0:
-        return [m for m in ros if m is not gone[0]]
-    return None
+    roster, spare = list(view.roster), []
+    for learner, fresh in learners:
+        seat = next((m for m in roster if (m.host, m.port) == (learner.host, learner.port)), None)
+        if seat is not None:
+            roster[roster.index(seat)] = learner
+        else:
+            spare.append((learner, fresh))
+    for gone in [m for m in roster if m.id in dead] + [m for m in roster if m.id in leaving - dead]:
+        if spare:
+            best = min(spare, key=lambda entry: entry[0].zone != gone.zone)
+            spare.remove(best)
+            roster[roster.index(gone)] = best[0]
+    if all_near and not dead:
+        roster += [learner for learner, fresh in spare if fresh][: MOST_VOTERS - len(roster)]
+    left = [m for m in roster if m.id in dead]
+    if left and len(roster) % 2 == 0:
+        roster.remove(left[0])
+    return None if {m.id for m in roster} == set(view.ids) else roster
--- a/rehearsal/growth.py
+++ b/rehearsal/growth.py
@@ -167,9 +167,9 @@
             ledger=SimpleNamespace(
                 leading=lambda: True,
                 sure_since=lambda now: now - now,
-                reg=SimpleNamespace(promised=1),
+                register=SimpleNamespace(promised=1),
                 primary=lambda: None,
-                me=SimpleNamespace(id=0),
+                member=SimpleNamespace(id=0),
             )
         )
         for topic, blob in news.items():
--- a/rehearsal/play.py
+++ b/rehearsal/play.py
@@ -76,7 +76,7 @@
     """
     names, copies, text = STORIES[name]
     try:
-        run(unittest.TestCase(), Core(names, copies=copies, seed=seed), text)
+        run(unittest.TestCase(), Core(names, replicas=copies, seed=seed), text)
     except AssertionError as e:
         return str(e).splitlines()[0]
     return None
--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -279,7 +279,7 @@
     def __init__(self, folder, loop, done, failed):
         self.folder, self.loop, self.done = folder, loop, done
 
-    def load(self):
+    async def load(self):
         """What the disk holds, or None."""
         return Disk.held.get(self.folder)
 
@@ -292,7 +292,7 @@
 
     def _kept(self, save):
         old = Disk.held.get(self.folder)
-        Disk.held[self.folder] = (save.reg, save.data if save.data is not None else old and old[1])
+        Disk.held[self.folder] = (save.register, save.data if save.data is not None else old and old[1])
         self.done([save])
 
     async def stop(self):
--- a/sparloom/controller/control.py
+++ b/sparloom/controller/control.py
@@ -107,7 +107,7 @@
 
     def _elsewhere(self):
         p = self.core.ledger.primary()
-        if p and p.id != self.core.ledger.me.id and p.control and not self.core.ledger.lead:
+        if p and p.id != self.core.ledger.member.id and p.control and not self.core.ledger.leadership:
             return fault(307, "the primary serves this", Location=f"http://{p.control}{PATH}")
         return fault(503, "no primary is known", **{"Retry-After": "0.2"})
 
--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -8,7 +8,7 @@
 from absl import logging
 from mode import Service
 
-from sparloom.ledger import Confirmed, Decided, Ledger, Lost, Member, Save, Send, Spans
+from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send, Spans
 from sparloom.ledger.records import Copy
 from sparloom.link import Datagrams, Frames, bind, dial, steady
 from sparloom.members import CONTROLLER, Ack, Compare, Peer, Ping, Relay, Swim, Times
@@ -31,7 +31,7 @@
         self.key = f"{up.ip}:{self.port}"
         self.waits, self.ids, self.pipes = {}, 0, {}
         self.ledger = self.net = self.disk = None
-        self.dirty = asyncio.Event()
+        self.left = asyncio.Event()
 
     @property
     def seeds(self):
@@ -41,7 +41,7 @@
     async def on_start(self):
         up, loop, rng = self.up, asyncio.get_running_loop(), random.Random()
         self.disk = Disk(up.data, loop, self._saved, self._failed)
-        kept = self.disk.load()
+        kept = await self.disk.load()
         id = kept[0].id if kept else int.from_bytes(os.urandom(7)) | 1
         control = str(up.listen.control or "")
         me = Member(id, up.ip, self.port, up.zone, control)
@@ -64,7 +64,7 @@
         self.server = await asyncio.start_server(self._pipe, sock=bind(Address(up.ip, self.port)))
         self.disk.start()
         if kept is None:
-            self._act([self.ledger._save(data=None)])
+            self._act([self.ledger.save()])
         logging.info("core: member %x starts, %s.", id, "with its disk" if kept else "with an empty disk")
 
     async def on_stop(self):
@@ -122,27 +122,29 @@
                 self.news(a.data)
                 self._answer(a.id, a.data)
             elif isinstance(a, Confirmed):
-                self._answer(a.id, self.ledger.data)
+                self._answer(a.id, a.data)
             elif isinstance(a, Lost):
                 self._answer(a.id, None)
+            elif isinstance(a, Left):
+                self.left.set()
 
     def _send(self, a):
-        if a.to == "seeds":
+        if a.to is SEEDS:
             for s in self.seeds:
                 if s == self.key:
-                    self._act(self.ledger.receive(steady(), a.rec))
+                    self._act(self.ledger.receive(steady(), a.record))
                 else:
-                    self.net.send(s, a.rec)
-        elif a.to is None:
+                    self.net.send(s, a.record)
+        elif a.to is CONTROLLERS:
             for p in self.swim.alive():
                 if p.role == CONTROLLER:
-                    self.net.send(p.key, a.rec)
-        elif a.to.id == self.ledger.me.id:
-            asyncio.get_running_loop().call_soon(lambda: self._act(self.ledger.receive(steady(), a.rec)))
-        elif isinstance(a.rec, Copy):
-            self._bulk(a.to, a.rec)
+                    self.net.send(p.key, a.record)
+        elif a.to.id == self.ledger.member.id:
+            asyncio.get_running_loop().call_soon(lambda: self._act(self.ledger.receive(steady(), a.record)))
+        elif isinstance(a.record, Copy):
+            self._bulk(a.to, a.record)
         else:
-            self.net.send(f"{a.to.host}:{a.to.port}", a.rec)
+            self.net.send(f"{a.to.host}:{a.to.port}", a.record)
 
     def _bulk(self, to, rec):
         key = (to.host, to.port)
@@ -162,8 +164,7 @@
             while True:
                 async with asyncio.timeout(self.ledger.spans.dead.total_seconds() * 4):
                     rec = await line.get()
-                async with asyncio.timeout(self.ledger.spans.patience.total_seconds()):
-                    await frames.write(rec)
+                await frames.write(rec, self.ledger.spans.patience)
         except (OSError, EOFError, TimeoutError):
             pass
         finally:
@@ -175,7 +176,7 @@
             self._act(self.ledger.saved(steady(), s))
 
     def _failed(self):
-        self._act(self.ledger.sick_disk(steady()))
+        self._act(self.ledger.save_failed(steady()))
 
     # -- asked from within --------------------------------------------------
     def _answer(self, id, val):
@@ -207,8 +208,12 @@
         """The data once it is on every copy; None when that isn't known."""
         return await self._ask(lambda id: self.ledger.write(steady(), id, revision, blob), wait)
 
-    async def hand_over(self):
-        """Names a successor and waits a moment for it."""
-        if self.ledger.lead:
-            self._act(self.ledger.hand_over(steady()))
-            await asyncio.sleep(self.ledger.spans.beat.total_seconds())
+    async def leave(self, bound):
+        """Moves this member's copy and vote to others; returns once that is done, or at the bound."""
+        self._act(self.ledger.leave(steady()))
+        try:
+            async with asyncio.timeout(bound.total_seconds()):
+                await self.left.wait()
+            logging.info("core: nothing rests on this member any more.")
+        except TimeoutError:
+            logging.warning("core: leaves at its bound; its copy or its vote may rest on it still.")
--- a/sparloom/controller/poller.py
+++ b/sparloom/controller/poller.py
@@ -37,8 +37,8 @@
                 self.last = None
                 await asyncio.sleep(0.05)
                 continue
-            if led.lead.view.epoch != self.epoch:
-                self.epoch, self.number, self.last, self.pages = led.lead.view.epoch, 0, None, Pages()
+            if led.leadership.epoch != self.epoch:
+                self.epoch, self.number, self.last, self.pages = led.leadership.epoch, 0, None, Pages()
             await asyncio.sleep(max(0.0, (pace.next - steady()).total_seconds()))
             if not led.leading():
                 continue
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -16,6 +16,9 @@
 from .poller import Poller
 from .shop import Shop
 
+# The part of the grace period that a planned leave may take.
+LEAVE_PART = 0.5
+
 
 class Controller(Service):
     """All parts of a controller."""
@@ -65,6 +68,6 @@
     await ctl.start()
     await end.wait()
     logging.info("controller: stops.")
-    await ctl.core.hand_over()
+    await ctl.core.leave(up.bounds.grace * LEAVE_PART)
     async with asyncio.timeout(2):
         await ctl.stop()
--- a/sparloom/controller/shop.py
+++ b/sparloom/controller/shop.py
@@ -59,7 +59,7 @@
 
     def epoch(self):
         """The newest epoch heard of."""
-        return self.core.ledger.reg.promised
+        return self.core.ledger.register.promised
 
     async def serve(self, frames, first):
         """Serves one follower until its pipe ends."""
@@ -70,7 +70,7 @@
     async def _follow(self):
         while not self.should_stop:
             to = self.core.ledger.primary()
-            if to is None or to.id == self.core.ledger.me.id:
+            if to is None or to.id == self.core.ledger.member.id:
                 await asyncio.sleep(self.pulse.total_seconds() / 6)
                 continue
             try:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,8 +6,8 @@
 from rehearsal.core import Core
 from rehearsal.timeline import play
 from sparloom.ledger import Store
-from sparloom.ledger.records import Data, Member, Register, View
-from sparloom.ledger.views import carried, choose_backups, reroster
+from sparloom.ledger.records import Data, Member, Register, Roster, View
+from sparloom.ledger.views import Basis, choose_backups, next_roster, next_view, quorum
 
 
 class Timelines(unittest.TestCase):
@@ -106,7 +106,7 @@
             c = Core(seed=seed)
             c.run(2500)
             first = c.leader()
-            back = c.nodes[first][0].lead.view.backups[0]
+            back = c.nodes[first][0].leadership.view.backups[0]
             n = next(k for k, m in c.members.items() if m.id == back)
             c.cut(n, way="in")
             c.run(4000)
@@ -117,7 +117,7 @@
             c = Core(seed=seed)
             c.run(2500)
             n = c.leader()
-            c.stall.add(n)
+            c.stall(n)
             self.assertFalse(c.write(6, n))
             c.run(3000)
             self.assertNotEqual(c.leader(), n)
@@ -129,11 +129,11 @@
             c = Core(seed=seed)
             c.run(2500)
             n = c.leader()
-            back = c.nodes[n][0].lead.view.backups[0]
-            c.stall.add(next(k for k, m in c.members.items() if m.id == back))
+            back = c.nodes[n][0].leadership.view.backups[0]
+            c.stall(next(k for k, m in c.members.items() if m.id == back))
             c.write(6, n, 2500)
             c.run(1500)
-            self.assertNotIn(back, c.nodes[c.leader()][0].lead.view.backups)
+            self.assertNotIn(back, c.view().backups)
             self.assertEqual(c.nodes[c.leader()][0].data.revision, 6)
             self.assertTrue(c.write(8))
 
@@ -145,11 +145,11 @@
             n = next(k for k in "abc" if k != c.leader())
             c.kill(n)
             c.run(2000)
-            before = c.nodes[c.leader()][0].lead.view
+            before = c.view()
             c.nodes.pop(n)
             c.boot("d")
             c.run(3000)
-            v = c.nodes[c.leader()][0].lead.view
+            v = c.view()
             self.assertEqual(len(v.roster), 3)
             self.assertIn(c.members["d"].id, v.ids)
             self.assertNotIn(c.members[n].id, v.ids)
@@ -167,7 +167,7 @@
                 c.run(4000)
                 c.nodes.pop(old)
             self.assertEqual(c.nodes[c.leader()][0].data.revision, 5)
-            self.assertEqual({m.host for m in c.nodes[c.leader()][0].lead.view.roster}, set("def"))
+            self.assertEqual({m.host for m in c.view().roster}, set("def"))
             self.assertTrue(c.write(7))
 
     def test_wiped_machine_has_no_vote_until_admitted(self):
@@ -181,7 +181,8 @@
             c.kill(k)
         c.boot(n)
         c.run(3000)
-        self.assertTrue(c.nodes[n][0].newcomer)
+        self.assertFalse(c.nodes[n][0].voter)
+        self.assertEqual(c.nodes[n][0].register.views, [])
         self.assertIsNone(c.leader())
 
     def test_leaving_primary_names_a_successor(self):
@@ -190,7 +191,7 @@
             c.run(2500)
             c.write(5)
             n = c.leader()
-            back = c.nodes[n][0].lead.view.backups[0]
+            back = c.nodes[n][0].leadership.view.backups[0]
             c.act(n, c.nodes[n][0].hand_over(c.now))
             c.run(500)
             self.assertEqual(c.members[c.leader()].id, back)
@@ -206,35 +207,35 @@
             7600  .     .     .  .  .  write=7
         """,
             names="abcde",
-            copies=2,
+            replicas=2,
             seeds=range(4),
         )
 
     def test_core_machines_beyond_the_seeds_join(self):
         for seed in range(6):
-            c = Core("abcde", copies=2, seed=seed, seeds="abc")
+            c = Core("abcde", replicas=2, seed=seed, seeds="abc")
             c.run(8000)
-            self.assertEqual({m.host for m in c.nodes[c.leader()][0].lead.view.roster}, set("abcde"))
-            self.assertEqual(len(c.nodes[c.leader()][0].lead.view.backups), 2)
+            self.assertEqual({m.host for m in c.view().roster}, set("abcde"))
+            self.assertEqual(len(c.view().backups), 2)
             self.assertTrue(c.write(5))
 
     def test_the_first_roster_is_the_seeds_whoever_calls_first(self):
         for seed in range(6):
-            c = Core("dabce", copies=1, seed=seed, seeds="abc")
+            c = Core("dabce", replicas=1, seed=seed, seeds="abc")
             c.run(1200)
-            views = [v for n in c.nodes for v in c.nodes[n][0].reg.accepted]
+            views = [v for n in c.nodes for v in c.nodes[n][0].register.views]
             first = min(views, key=lambda v: v.epoch)
             self.assertLessEqual({m.host for m in first.roster} - set("de"), set("abc"))
             c.run(6000)
             self.assertIsNotNone(c.leader())
 
     def test_a_core_of_one(self):
-        c = Core("a", copies=1)
+        c = Core("a", replicas=1)
         c.run(2500)
         self.assertTrue(c.write(3))
 
     def test_a_core_of_two(self):
-        c = Core("ab", copies=1)
+        c = Core("ab", replicas=1)
         c.run(2500)
         self.assertTrue(c.write(3))
 
@@ -254,7 +255,7 @@
                 if what in ("kill", "wipe"):
                     getattr(c, what)(n)
                 elif what == "stall":
-                    c.stall.add(n)
+                    c.stall(n)
                 else:
                     c.cut(n, way=what[4:] or "both")
             c.run(rng.randrange(0, 2500))
@@ -262,7 +263,7 @@
                 newest = rev * 2
             if down and rng.random() < 0.7:
                 c.heal()
-                c.stall.clear()
+                c.flow()
                 if down[0] in ("kill", "wipe"):
                     c.boot(down[1])
                 down = None
@@ -272,7 +273,7 @@
                 lead = c.leader()
                 self.assertIsNotNone(lead, f"seed {seed}: a primary after trouble")
                 self.assertGreaterEqual(c.nodes[lead][0].data.revision, newest, f"seed {seed}")
-            leads = [c.nodes[k][0].lead.view.epoch for k in c.nodes if c.nodes[k][0].leading()]
+            leads = [c.nodes[k][0].leadership.epoch for k in c.nodes if c.nodes[k][0].leading()]
             self.assertEqual(len(leads), len(set(leads)))
 
     def test_storms(self):
@@ -282,26 +283,51 @@
 
 
 class Sums(unittest.TestCase):
-    def view(self, ids, olds=()):
-        from sparloom.ledger.records import Roster
-
-        return View(1, ids[0], [], [Member(i, "h", i, "z", "") for i in ids], [Roster(list(o)) for o in olds])
+    def view(self, ids, previous=()):
+        members = {i: Member(i, "h", i, "z", "") for i in range(1, 10)}
+        rosters = [Roster([members[i] for i in old]) for old in previous]
+        return View(1, ids[0], [], [members[i] for i in ids], rosters)
 
     def test_an_unsettled_view_needs_its_older_roster_too(self):
         v = self.view([1, 2, 4], [[1, 2, 3]])
-        self.assertFalse(carried({1, 4}, v, False))
-        self.assertTrue(carried({1, 4}, v, True))
-        self.assertTrue(carried({1, 2}, v, False))
+        self.assertFalse(quorum({1, 4}, Basis(v, False).rosters))
+        self.assertTrue(quorum({1, 4}, Basis(v, True).rosters))
+        self.assertTrue(quorum({1, 2}, Basis(v, False).rosters))
+
+    def test_rosters_that_were_not_settled_keep_their_say_in_the_next_view(self):
+        v = self.view([1, 2, 4], [[1, 2, 3]])
+        members = [Member(i, "h", i, "z", "") for i in (1, 2, 5)]
+        self.assertEqual(next_view(9, 1, [2], members, Basis(v, False)).rosters, ((1, 2, 5), (1, 2, 3), (1, 2, 4)))
+        self.assertEqual(next_view(9, 1, [2], members, Basis(v, True)).rosters, ((1, 2, 5), (1, 2, 4)))
 
     def test_backups_lie_in_other_zones_first(self):
         ros = [Member(1, "h", 1, "x", ""), Member(2, "h", 2, "x", ""), Member(3, "h", 3, "y", "")]
         self.assertEqual(choose_backups(1, ros, {1, 2, 3}, (), 1), [3])
         self.assertIsNone(choose_backups(1, ros, {1}, (), 1))
 
+    def roster(self, learners, dead=(), leaving=(), all_near=True, ids=(1, 2, 3)):
+        found = next_roster(self.view(list(ids)), learners, set(dead), set(leaving), all_near)
+        return found and [member.id for member in found]
+
     def test_wiped_member_gets_its_own_place(self):
-        v = self.view([1, 2, 3])
-        new = Member(9, "h", 2, "z", "")
-        self.assertEqual([m.id for m in reroster(v, [new], set())], [1, 3, 9])
+        self.assertEqual(self.roster([(Member(9, "h", 2, "z", ""), False)]), [1, 9, 3])
+
+    def test_a_newcomer_takes_a_seat_that_is_free_and_waits_for_one_otherwise(self):
+        new = [(Member(9, "new", 1, "z", ""), False)]
+        self.assertIsNone(self.roster(new))
+        self.assertEqual(self.roster(new, dead=[2]), [1, 9, 3])
+        self.assertEqual(self.roster(new, leaving=[3]), [1, 2, 9])
+        self.assertEqual(self.roster(new, dead=[1], leaving=[3]), [9, 2, 3])
+
+    def test_only_machines_of_the_first_start_make_the_roster_grow_and_only_while_all_are_near(self):
+        new = [(Member(8, "new", 1, "z", ""), True), (Member(9, "newer", 1, "z", ""), True)]
+        self.assertEqual(self.roster(new), [1, 2, 3, 8, 9])
+        self.assertIsNone(self.roster(new, all_near=False))
+        self.assertEqual(self.roster(new, dead=[2]), [1, 8, 3])
+
+    def test_an_even_roster_drops_a_dead_member(self):
+        self.assertEqual(self.roster([], dead=[4], ids=(1, 2, 3, 4)), [1, 2, 3])
+        self.assertIsNone(self.roster([], dead=[3]))
 
 
 class OnDisk(unittest.TestCase):
@@ -311,12 +337,12 @@
         with tempfile.TemporaryDirectory() as d:
             s = Store(d)
             self.assertIsNone(s.load())
-            reg, data = Register(5, True, 7, [], [], 0), Data(7, 1, 3, b"xyz")
+            reg, data = Register(5, True, 7, [], False, 0), Data(7, 1, 3, b"xyz")
             s.save(reg, data)
-            s.save(Register(5, True, 9, [], [], 0))
+            s.save(Register(5, True, 9, [], False, 0))
             s.close()
             s = Store(d)
-            self.assertEqual(s.load(), (Register(5, True, 9, [], [], 0), data))
+            self.assertEqual(s.load(), (Register(5, True, 9, [], False, 0), data))
             for name, want in (("synchronous", 3), ("journal_mode", "persist"), ("locking_mode", "exclusive")):
                 self.assertEqual(s.db.execute(f"PRAGMA {name}").fetchone()[0], want)
             s.close()
