Ledger: a primary that stood still asks for answers before it gives its duty up

Cause: the test of one winner among concurrent changes failed on a loaded machine; a core of one gave up its duty after a stall of 120 ms of its own event loop, before it sent its next heartbeat. Change: silence is counted from the oldest heartbeat that a majority has not answered.

--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -153,7 +153,7 @@
     def tick(self):
         """Heartbeats, records that lack an answer, and repair."""
         ledger, spans = self.ledger, self.ledger.spans
-        if self.serving and ledger.now - max(self.confirmed, self.began) > spans.patience:
+        if self.serving and self._unanswered() > spans.patience:
             ledger.wait(spans.patience)
             return ledger.step_down()
         if not self.serving and ledger.now - self.began > spans.stuck * 2:
@@ -165,6 +165,11 @@
             actions += self._resend()
         return actions + (self._repair() if self.serving else self._replace_silent())
 
+    def _unanswered(self):
+        """For how long a majority has left a heartbeat unanswered; a stall of this process doesn't count."""
+        asked = self.sent.get(self.confirmed_sequence + 1, self.ledger.now)
+        return self.ledger.now - max(asked, self.began)
+
     def _heartbeat(self, at_once=False):
         ledger, spans = self.ledger, self.ledger.spans
         late = any(self.late(member_id, spans.heartbeat * 1.5) for member_id in self.view.ids)
@@ -173,7 +178,8 @@
             return []
         self.sequence += 1
         self.heartbeat_at = ledger.now
-        self.sent = {s: at for s, at in self.sent.items() if s > self.sequence - SENT_HEARTBEATS}
+        oldest = min(self.confirmed_sequence, self.sequence - SENT_HEARTBEATS)
+        self.sent = {sequence: at for sequence, at in self.sent.items() if sequence > oldest}
         self.sent[self.sequence] = ledger.now
         self.acks[self.me] = self.sequence
         record = Heartbeat(self.me, self.view.epoch, self.sequence)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from datetime import timedelta
 
 from rehearsal.core import Core
 from rehearsal.timeline import play
@@ -234,6 +235,19 @@
         c.run(2500)
         self.assertTrue(c.write(3))
 
+    def test_a_primary_that_stood_still_asks_before_it_gives_up(self):
+        """A stall of its own process is no silence of the others."""
+        for names in ("a", "abc"):
+            c = Core(names, seed=2)
+            c.run(2500)
+            n = c.leader()
+            led = c.nodes[n][0]
+            c.act(n, led.tick(c.now + timedelta(milliseconds=700)))
+            self.assertTrue(led.leading())
+        c.cut(n)
+        c.run(1500)
+        self.assertFalse(led.leading(), "silence after it has asked still ends its duty")
+
     def test_a_core_of_two(self):
         c = Core("ab", replicas=1)
         c.run(2500)
