Ledger: suspicion ends with an answer, a holder that lacks the view may lead, no leave by silence

Causes, found by the model checker: a member once suspected was refused as a backup for four dead spans though it answered; a backup that held the data but had not marked the view ignored the wish that it lead, for ever; a primary that left, or judged others right after a pause of its own process, took its own pause for their silence. Change: an answered heartbeat clears a suspicion of silence (a slow disk stays suspected), suspected voters are taken where no other is there; Yield carries the view; a pause of the own process excuses the others; a leave is never completed by silence.

--- a/libs/ledger/election.py
+++ b/libs/ledger/election.py
@@ -111,7 +111,7 @@
         able = [p.sender for p in promises.values() if self._holds(basis, p)]
         ledger.give_up()
         able.sort(key=lambda member_id: member_id in ledger.membership.suspected)
-        return ledger.send_to(able[0], Yield(ledger.member.id, self.epoch, False)) if able else []
+        return ledger.send_to(able[0], Yield(ledger.member.id, self.epoch, False, basis.view)) if able else []
 
     def _roster(self, basis, promises, waited):
         """The planned roster if it still fits and can vote, else the one there is; None: wait."""
--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -67,6 +67,10 @@
         """Whether the view is active, so that calls may be answered."""
         return self.phase is Phase.SERVING
 
+    def excuse(self, paused):
+        """The primary's own process stood still for a while."""
+        self.heard = {member_id: at + paused for member_id, at in self.heard.items()}
+
     def late(self, member_id, span):
         """Whether a member has been silent for longer than a span."""
         if member_id == self.me:
@@ -205,6 +209,7 @@
         if record.promised > self.view.epoch:
             return self._outdated(record)
         if record.ok:
+            self.ledger.membership.heard(record.sender)
             self.acks[record.sender] = max(record.sequence, self.acks.get(record.sender, 0))
         if not record.active:
             self.activated.discard(record.sender)
@@ -233,17 +238,21 @@
             return self._replace(silent)
         return []
 
-    def _able_backups(self):
-        """Voters that could hold a copy now."""
-        ledger = self.ledger
-        unable = set(ledger.membership.suspected) | ledger.leaving_members() | {self.me}
-        return [i for i in self.view.ids if i not in unable and not self.late(i, ledger.spans.patience)]
+    def _near_voters(self):
+        """The other voters that have answered lately."""
+        patience = self.ledger.spans.patience
+        return [i for i in self.view.ids if i != self.me and not self.late(i, patience)]
+
+    def _replace(self, bad, disk=False):
+        """A new view with other backups, where enough members are there to hold a copy.
 
-    def _replace(self, bad):
-        """A new view with other backups, where enough members are able to hold a copy."""
+        Suspected and leaving ones are the last to be taken, but better than none.
+        """
         ledger = self.ledger
-        ledger.membership.suspected |= {member_id: ledger.now for member_id in bad}
-        if len(self._able_backups()) < min(ledger.replicas, len(self.view.roster) - 1):
+        for member_id in bad:
+            ledger.membership.suspect(member_id, ledger.now, disk)
+        able = set(self._near_voters()) - set(bad)
+        if len(able) < min(ledger.replicas, len(self.view.roster) - 1):
             return []
         return ledger.renew(None)
 
@@ -252,16 +261,11 @@
         slow = self.write is not None and ledger.now - self.write_at > spans.patience
         if slow and self.me not in self.kept and ledger.now - self.write_at > spans.patience * 2:
             return ledger.save_failed(ledger.now)
-        bad = [
-            i
-            for i in self.view.backups
-            if self.late(i, spans.patience) or slow and self.kept.get(i) != ledger.data.number
-        ]
-        if bad:
-            actions = self._replace(bad)
-            if actions or ledger.leadership is not self:
-                return actions
-        return self._change_membership()
+        silent = [i for i in self.view.backups if self.late(i, spans.patience)]
+        unsaved = [i for i in self.view.backups if slow and self.kept.get(i) != ledger.data.number]
+        bad = silent or unsaved
+        actions = self._replace(bad, disk=not silent) if bad else []
+        return actions or self._change_membership()
 
     def _change_membership(self):
         """Moves copies off leaving members and seats to learners, one change at a time."""
@@ -280,7 +284,8 @@
     def _leaving_backups(self):
         """Leaving members whose copy another voter could take now."""
         leaving = self.ledger.leaving_members()
-        spare = [i for i in self._able_backups() if i not in self.view.holders]
+        unfit = leaving | set(self.ledger.membership.suspected) | set(self.view.holders)
+        spare = set(self._near_voters()) - unfit
         return [i for i in self.view.backups if i in leaving] if spare else []
 
     def _next_roster(self):
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -119,6 +119,11 @@
         """Whether the newest known view counts this member."""
         return self.view is not None and self.member.id in self.view.ids
 
+    def learn(self, view):
+        """Takes note of a view that another member reported active."""
+        if self.view is None or view.epoch > self.view.epoch:
+            self.hint = view
+
     def primary(self):
         """The member believed to be primary, or None."""
         view = self.view
@@ -165,7 +170,7 @@
     def save_failed(self, now):
         """This member's own disk hangs or refuses: another one should lead."""
         self.now = now
-        self.membership.suspected[self.member.id] = now
+        self.membership.suspect(self.member.id, now, disk=True)
         self.wait(self.spans.patience * 3)
         return self.hand_over(now) if self.leadership else []
 
@@ -189,7 +194,10 @@
     # -- time -------------------------------------------------------------------
     def tick(self, now):
         """Moves time on; gives the actions that are due."""
+        paused = now - self.now
         self.now = now
+        if paused > self.spans.heartbeat:
+            self._excuse(paused)
         self.membership.forget(now, self.spans.dead)
         actions = self.planned_leave.step() if self.planned_leave else []
         if self.leadership:
@@ -198,6 +206,12 @@
             return actions + self.election.tick()
         return actions + self._idle_tick()
 
+    def _excuse(self, paused):
+        """This process stood still: what came meanwhile is yet to be read, so nobody else was silent."""
+        self.heard += paused
+        if self.leadership:
+            self.leadership.excuse(paused)
+
     def _patience_factor(self):
         view = self.view
         if self.planned_leave:
@@ -284,14 +298,14 @@
     def hand_over(self, now, leaving=False):
         """Names a successor among the backups and stops leading."""
         self.now = now
-        if self.leadership is None:
-            return []
+        if not self.leading():
+            return self.step_down()
         view = self.leadership.view
         near = [i for i in view.backups if not self.leadership.late(i, self.spans.patience)]
         near.sort(key=lambda member_id: member_id in self.membership.leaving)
         self.wait(self.spans.patience * 2)
         self.heartbeat_epoch = 0
-        word = Yield(self.member.id, view.epoch, leaving)
+        word = Yield(self.member.id, view.epoch, leaving, view)
         actions = YIELD_COPIES * self.send_to(near[0], word) if near else []
         return actions + self.step_down()
 
--- a/libs/ledger/membership.py
+++ b/libs/ledger/membership.py
@@ -19,6 +19,14 @@
     ready_epoch: int = 0
 
 
+@define(frozen=True, slots=True)
+class Suspicion:
+    """When a member was found silent, or (``disk``) slow to save."""
+
+    at: timedelta
+    disk: bool
+
+
 @define(slots=True, eq=False)
 class Membership:
     """What a member knows of others beside the active view.
@@ -34,11 +42,25 @@
     leaving: dict = field(factory=dict)
     suspected: dict = field(factory=dict)
 
+    def suspect(self, member_id, now, disk=False):
+        """A member was silent, or (``disk``) heard but slow to put data on its disk."""
+        disk = disk or member_id in self.suspected and self.suspected[member_id].disk
+        self.suspected[member_id] = Suspicion(now, disk)
+
+    def suspects(self, member_id, now, span):
+        """Whether a member was suspected within a span."""
+        return member_id in self.suspected and now - self.suspected[member_id].at < span
+
+    def heard(self, member_id):
+        """A member answers: it is not silent any more; its disk may still be slow."""
+        if member_id in self.suspected and not self.suspected[member_id].disk:
+            del self.suspected[member_id]
+
     def forget(self, now, span):
         """Drops what was not heard of for a span, and suspicions of four spans."""
         self.learners = {i: learner for i, learner in self.learners.items() if now - learner.heard < span}
         self.leaving = {i: at for i, at in self.leaving.items() if now - at < span}
-        self.suspected = {i: at for i, at in self.suspected.items() if now - at < span * 4}
+        self.suspected = {i: found for i, found in self.suspected.items() if now - found.at < span * 4}
 
     def join(self, member, fresh, now):
         """A member asks to be taken in, perhaps again."""
@@ -74,7 +96,8 @@
     """This member's own leave: its copy and its vote are moved before it ends.
 
     A primary hands over to a holder that stays; then the next primary is asked
-    again and again until nothing rests on this member any more.
+    again and again until nothing rests on this member any more. Silence of the
+    others is no reason to end: the service bounds the wait.
     """
 
     ledger: object
@@ -101,7 +124,7 @@
         if not leadership.serving:
             return []
         staying = set(leadership.view.ids) - ledger.leaving_members()
-        if all(leadership.late(i, ledger.spans.dead) for i in staying):
+        if not staying:
             return self.release()
         backups = [i for i in leadership.view.backups if i in staying]
         near = [i for i in backups if not leadership.late(i, ledger.spans.patience)]
--- a/libs/ledger/receive.py
+++ b/libs/ledger/receive.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from .actions import NEVER, Send
+from .actions import Send
 from .records import (
     Activate,
     Activated,
@@ -48,8 +48,8 @@
 @take.register
 def _(record: Promise, ledger):
     ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
-    if not record.granted and record.view and (not ledger.view or record.view.epoch > ledger.view.epoch):
-        ledger.hint = record.view
+    if not record.granted and record.view:
+        ledger.learn(record.view)
     return ledger.election.on_promise(record) if ledger.election else []
 
 
@@ -92,10 +92,9 @@
 def _(record: Yield, ledger):
     if record.leaving:
         ledger.membership.leave(record.sender, ledger.now)
-    unfit = (
-        not ledger.voter or ledger.now - ledger.membership.suspected.get(ledger.member.id, NEVER) < ledger.spans.dead
-    )
-    if ledger.leadership or ledger.election or unfit or record.epoch < ledger.register.view_epoch:
+    ledger.learn(record.view)
+    busy = ledger.leadership or ledger.election or record.epoch < ledger.register.view_epoch
+    if busy or not ledger.voter or ledger.membership.suspects(ledger.member.id, ledger.now, ledger.spans.dead):
         return []
     return ledger.stand(forced=True)
 
--- a/libs/ledger/records.py
+++ b/libs/ledger/records.py
@@ -137,9 +137,12 @@
     """Marked on disk."""
 
 
-@record(49, sender="Q", epoch="Q", leaving="?")
+@record(49, sender="Q", epoch="Q", leaving="?", view=View)
 class Yield:
-    """Take over from me. ``leaving``: the sender is about to end."""
+    """Take over. ``leaving``: the sender is about to end. ``view``: the newest active one.
+
+    The receiver holds that view's data; it may not have marked the view itself.
+    """
 
 
 @record(50, member=Member, fresh="?")
