--- a/rehearsal/core.py
+++ b/rehearsal/core.py
@@ -21,10 +21,10 @@
     True
     """
 
-    def __init__(self, names="abc", replicas=1, seed=1, loss=0.02, seeds=None):
+    def __init__(self, names="abc", replicas=1, seed=1, loss=0.02, seeds=None, zones=None):
         super().__init__()
         self.rng = random.Random(seed)
-        self.names, self.replicas, self.loss = list(names), replicas, loss
+        self.names, self.replicas, self.loss, self.zones = list(names), replicas, loss, zones or {}
         self.nodes, self.disks, self.members = {}, {}, {}
         self.cuts, self.stalled, self.off = set(), set(), set()
         self.disk_free, self.waiting = {}, {}
@@ -39,7 +39,7 @@
         """Starts a member with what its disk holds; a name not used before is a new machine."""
         disk = self.disks.get(n)
         if disk is None:
-            self.members[n] = Member(next(self.ids), n, 1, "z" + n, n + ":9")
+            self.members[n] = Member(next(self.ids), n, 1, self.zones.get(n, "z" + n), n + ":9")
         luck = random.Random(self.rng.random())
         ledger = Ledger.start(self.members[n], disk, first, SPANS, luck, self.replicas, self.seeds, self.now)
         life = next(self.lives)
