Ledger: a member asks whether it would win before it uses an epoch

Cause: a member that was cut off raised its own promise at each try; when it came back its refusal of the next heartbeat deposed the primary, and orders waited for another one. Change: PreVote and its answer, without any promise; forced elections (a handover, another backup, another roster) skip it.

--- a/libs/ledger/election.py
+++ b/libs/ledger/election.py
@@ -11,10 +11,61 @@
 from attrs import define, field
 
 from .actions import NEVER, Send
-from .records import Seek, Yield
+from .records import PreVote, Seek, Yield
 from .views import choose_backups, find_basis, next_view, quorum
 
 
+def _targets(ledger, answers, roster=()):
+    """The other members whose word may be needed, by the views known here and reported in answers."""
+    first = None if ledger.view else ledger.genesis_view()
+    views = [ledger.view, first, *(answer.view for answer in answers.values())]
+    known = {member.id: member for view in views if view for member in view.members}
+    known |= {member.id: member for member in roster}
+    return [member for member in known.values() if member.id != ledger.member.id]
+
+
+@define(slots=True, eq=False)
+class PreVoting:
+    """Asks whether an election would be won, before any epoch is used.
+
+    A member that was cut off so raises no promise, its own included, and does
+    not depose the primary when it comes back.
+    """
+
+    ledger: object
+    round: int
+    began: timedelta
+    sent_at: timedelta = NEVER
+    answers: dict = field(factory=dict)
+
+    def tick(self):
+        """Asks again those that lack; starts anew once it takes too long."""
+        ledger = self.ledger
+        if ledger.now - self.began > ledger.spans.stuck:
+            return ledger.give_up()
+        if ledger.now - self.sent_at < ledger.spans.resend:
+            return []
+        self.sent_at = ledger.now
+        ask = PreVote(ledger.member, self.round)
+        asked = [Send(member, ask) for member in _targets(ledger, self.answers) if member.id not in self.answers]
+        return asked + self._conclude()
+
+    def on_answer(self, answer):
+        """Takes a member's word."""
+        if answer.round != self.round:
+            return []
+        if not answer.granted:
+            return self.ledger.give_up()
+        self.answers[answer.sender] = answer
+        return self._conclude()
+
+    def _conclude(self):
+        ledger = self.ledger
+        answers = self.answers | {ledger.member.id: ledger.replica.pre_vote(self.round, True)}
+        basis = find_basis(answers.values(), ledger.genesis_view())
+        return ledger.stand() if basis and quorum(answers, basis.rosters) else []
+
+
 @define(frozen=True, slots=True)
 class RosterPlan:
     """A change of the roster, made upon the view of one epoch."""
@@ -41,15 +92,6 @@
         durable = self.ledger.durable
         return durable is not None and durable.promised >= self.epoch
 
-    def targets(self):
-        """The members whose promise may be needed."""
-        ledger = self.ledger
-        first = None if ledger.view else ledger.genesis_view()
-        views = [ledger.view, first, *(p.view for p in self.promises.values())]
-        known = {member.id: member for view in views if view for member in view.members}
-        known |= {member.id: member for member in (self.plan.roster if self.plan else ())}
-        return [member for member in known.values() if member.id != ledger.member.id]
-
     def tick(self):
         """Asks again for the promises that lack; gives up once it takes too long."""
         ledger = self.ledger
@@ -61,7 +103,8 @@
         if ledger.now - self.sent_at >= ledger.spans.resend:
             self.sent_at = ledger.now
             seek = Seek(ledger.member, self.epoch, self.forced)
-            actions = [Send(member, seek) for member in self.targets() if member.id not in self.promises]
+            targets = _targets(ledger, self.promises, self.plan.roster if self.plan else ())
+            actions = [Send(member, seek) for member in targets if member.id not in self.promises]
         return actions + self._conclude()
 
     def on_promise(self, promise):
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from .actions import CONTROLLERS, NEVER, SEEDS, Send
-from .election import Election
+from .election import Election, PreVoting
 from .leadership import Leadership
 from .membership import Membership, PlannedLeave
 from .receive import take
@@ -48,6 +48,7 @@
     heartbeat_epoch: int = 0
     quiet_until: timedelta = timedelta(0)
     highest_epoch: int = 0
+    pre_voting: PreVoting | None = None
     election: Election | None = None
     leadership: Leadership | None = None
     hint: View | None = None
@@ -202,8 +203,9 @@
         actions = self.planned_leave.step() if self.planned_leave else []
         if self.leadership:
             return actions + self.leadership.tick()
-        if self.election:
-            return actions + self.election.tick()
+        contest = self.election or self.pre_voting
+        if contest:
+            return actions + contest.tick()
         return actions + self._idle_tick()
 
     def _excuse(self, paused):
@@ -227,7 +229,7 @@
             return self._genesis_tick()
         silent = self.now - self.heard >= self.spans.patience * self._patience_factor()
         if self.voter and silent and self.now >= self.quiet_until:
-            return self.stand()
+            return self._pre_vote()
         if not self.voter or self.attempts > ATTEMPTS_BEFORE_JOIN:
             return self._ask_to_join()
         return []
@@ -254,9 +256,14 @@
         return actions
 
     # -- standing and leading ---------------------------------------------------
+    def _pre_vote(self):
+        self.attempts += 1
+        self.pre_voting = PreVoting(self, self.attempts, self.now)
+        return self.pre_voting.tick()
+
     def stand(self, forced=False, plan=None):
         """Stands for primary in a new epoch, which is put on disk first."""
-        self.attempts += 1
+        self.pre_voting = None
         known = self.view.epoch if self.view else 0
         self.highest_epoch = max(self.highest_epoch, self.register.promised, known)
         epoch = epoch_after(self.highest_epoch, self.member.id)
@@ -267,7 +274,7 @@
 
     def give_up(self):
         """Ends a candidacy and waits for a random while."""
-        self.election = None
+        self.election = self.pre_voting = None
         self.wait(self.spans.patience * (0.2 + 0.5 * self.rng.random()))
         return []
 
@@ -338,6 +345,7 @@
         if epoch <= self.register.promised:
             return []
         self.replica.promise(epoch)
+        self.pre_voting = None
         self.quiet_until = max(self.quiet_until, self.now + self.spans.patience * (0.5 + 0.3 * self.rng.random()))
         if self.election and self.election.epoch < epoch:
             self.election = None
--- a/libs/ledger/receive.py
+++ b/libs/ledger/receive.py
@@ -13,6 +13,8 @@
     Join,
     Kept,
     Leave,
+    PreVote,
+    PreVoteAnswer,
     Promise,
     Released,
     Seek,
@@ -45,6 +47,19 @@
     return [*ledger.follow_epoch(record.epoch), replica.grant(record)]
 
 
+@take.register
+def _(record: PreVote, ledger):
+    return [Send(record.candidate, ledger.replica.pre_vote(record.round, not ledger.hears_primary()))]
+
+
+@take.register
+def _(record: PreVoteAnswer, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    if not record.granted and record.view:
+        ledger.learn(record.view)
+    return ledger.pre_voting.on_answer(record) if ledger.pre_voting else []
+
+
 @take.register
 def _(record: Promise, ledger):
     ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
@@ -58,6 +73,7 @@
     ok = not ledger.replica.outdated(record.epoch)
     if ok:
         ledger.heard, ledger.heartbeat_epoch, ledger.attempts = ledger.now, record.epoch, 0
+        ledger.pre_voting = None
     active = ok and ledger.register.view_epoch == record.epoch
     ack = HeartbeatAck(ledger.member.id, record.epoch, record.sequence, ok, active, ledger.register.promised)
     return ledger.send_to(record.sender, ack)
--- a/libs/ledger/records.py
+++ b/libs/ledger/records.py
@@ -102,6 +102,21 @@
     """``ok``: no later epoch was promised. ``active``: the view of the epoch is marked here."""
 
 
+@record(53, candidate=Member, round="I")
+class PreVote:
+    """Would you promise me an epoch? Nothing is promised by the answer."""
+
+
+@record(54, sender="Q", round="I", granted="?", promised="Q", views=[View], settled="?")
+class PreVoteAnswer:
+    """``granted``: no primary was heard of lately."""
+
+    @property
+    def view(self):
+        """The newest view marked active, or None."""
+        return self.views[0] if self.views else None
+
+
 @record(45, candidate=Member, epoch="Q", forced="?")
 class Seek:
     """Promise me this epoch."""
--- a/libs/ledger/replica.py
+++ b/libs/ledger/replica.py
@@ -3,7 +3,7 @@
 from attrs import define, evolve
 
 from .actions import Save, Send
-from .records import Activated, Data, Kept, Promise, Register
+from .records import Activated, Data, Kept, PreVoteAnswer, Promise, Register
 
 
 def primary_of(view):
@@ -48,6 +48,11 @@
             self.member.id, epoch, granted, register.promised, register.views, register.settled, register.kept
         )
 
+    def pre_vote(self, round, granted):
+        """The answer to one that wonders whether to stand."""
+        register = self.register
+        return PreVoteAnswer(self.member.id, round, granted, register.promised, register.views, register.settled)
+
     def own_promise(self, epoch):
         """The promise of an epoch that is on disk."""
         return self.answer(epoch, True, self.durable)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -113,6 +113,22 @@
             c.run(4000)
             self.assertEqual(c.leader(), first)
 
+    def test_a_member_that_was_cut_off_comes_back_without_deposing_the_primary(self):
+        """It asks whether it would win before it uses an epoch; twenty seconds alone raise no promise."""
+        for way in ("both", "in", "out"):
+            for seed in range(4):
+                c = Core(seed=seed)
+                c.run(2500)
+                first = c.leader()
+                epoch = c.view().epoch
+                n = min(set("abc") - c.holders())
+                c.cut(n, way=way)
+                c.run(20000)
+                c.heal()
+                c.run(3000)
+                self.assertEqual((c.leader(), c.view().epoch), (first, epoch), (way, seed))
+                self.assertEqual(c.voters(), set("abc"))
+
     def test_stalled_disk_moves_the_duty(self):
         for seed in range(6):
             c = Core(seed=seed)
