--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -4,6 +4,7 @@
 import os
 import random
 from datetime import timedelta
+from functools import singledispatchmethod
 
 from absl import logging
 from mode import Service
@@ -19,6 +20,7 @@
 from .remember import Remember
 
 TICK = timedelta(milliseconds=40)
+COPIES_IN_LINE = 4
 
 
 class Core(Service):
@@ -112,59 +114,77 @@
                 return
 
     # -- actions out --------------------------------------------------------
-    def _act(self, acts):
-        for a in acts or ():
-            if isinstance(a, Save):
-                self.disk.put(a)
-            elif isinstance(a, Send):
-                self._send(a)
-            elif isinstance(a, Decided):
-                self.news(a.data)
-                self._answer(a.id, a.data)
-            elif isinstance(a, Confirmed):
-                self._answer(a.id, a.data)
-            elif isinstance(a, Lost):
-                self._answer(a.id, None)
-            elif isinstance(a, Left):
-                self.left.set()
-
-    def _send(self, a):
-        if a.to is SEEDS:
-            for s in self.seeds:
-                if s == self.key:
-                    self._act(self.ledger.receive(steady(), a.record))
-                else:
-                    self.net.send(s, a.record)
-        elif a.to is CONTROLLERS:
-            for p in self.swim.alive():
-                if p.role == CONTROLLER:
-                    self.net.send(p.key, a.record)
-        elif a.to.id == self.ledger.member.id:
-            asyncio.get_running_loop().call_soon(lambda: self._act(self.ledger.receive(steady(), a.record)))
-        elif isinstance(a.record, Copy):
-            self._bulk(a.to, a.record)
+    def _act(self, actions):
+        for action in actions or ():
+            self._do(action)
+
+    @singledispatchmethod
+    def _do(self, action):
+        raise TypeError(f"no such action: {action!r}")
+
+    @_do.register
+    def _(self, action: Save):
+        self.disk.put(action)
+
+    @_do.register
+    def _(self, action: Decided):
+        self.news(action.data)
+        self._answer(action.id, action.data)
+
+    @_do.register
+    def _(self, action: Confirmed):
+        self._answer(action.id, action.data)
+
+    @_do.register
+    def _(self, action: Lost):
+        self._answer(action.id, None)
+
+    @_do.register
+    def _(self, action: Left):
+        self.left.set()
+
+    @_do.register
+    def _(self, action: Send):
+        if action.to is SEEDS:
+            for seed in self.seeds:
+                self._send_to(seed, action.record)
+        elif action.to is CONTROLLERS:
+            for peer in self.swim.alive():
+                if peer.role == CONTROLLER:
+                    self.net.send(peer.key, action.record)
+        elif isinstance(action.record, Copy) and action.to.id != self.ledger.member.id:
+            self._send_copy(action.to, action.record)
         else:
-            self.net.send(f"{a.to.host}:{a.to.port}", a.record)
+            self._send_to(f"{action.to.host}:{action.to.port}", action.record)
 
-    def _bulk(self, to, rec):
+    def _send_to(self, key, record):
+        """Sends by datagram; what a member says to itself is heard in the next turn of the event loop."""
+        if key != self.key:
+            self.net.send(key, record)
+            return
+        asyncio.get_running_loop().call_soon(lambda: self._act(self.ledger.receive(steady(), record)))
+
+    def _send_copy(self, to, copy):
+        """Puts a copy in line for a member's connection; the newest few are kept."""
         key = (to.host, to.port)
-        old = self.pipes.get(key)
-        if old is None or old[0].done():
-            line = asyncio.Queue(4)
-            self.pipes[key] = (asyncio.ensure_future(self._pump(key, line)), line)
-        line = self.pipes[key][1]
+        task, line = self.pipes.get(key, (None, None))
+        if task is None or task.done():
+            line = asyncio.Queue(COPIES_IN_LINE)
+            task = asyncio.ensure_future(self._pump(key, line))
+            self.pipes[key] = (task, line)
         if line.full():
             line.get_nowait()
-        line.put_nowait(rec)
+        line.put_nowait(copy)
 
     async def _pump(self, key, line):
-        frames = None
+        """Writes copies as they come; a copy may take as long as its bytes make way."""
+        spans, frames = self.ledger.spans, None
         try:
-            frames = await dial(*key, self.ledger.spans.patience)
+            frames = await dial(*key, spans.patience)
             while True:
-                async with asyncio.timeout(self.ledger.spans.dead.total_seconds() * 4):
-                    rec = await line.get()
-                await frames.write(rec, self.ledger.spans.patience)
+                async with asyncio.timeout(spans.dead.total_seconds() * 4):
+                    copy = await line.get()
+                await frames.write(copy, spans.patience)
         except (OSError, EOFError, TimeoutError):
             pass
         finally:
@@ -172,33 +192,34 @@
                 frames.close()
 
     def _saved(self, saves):
-        for s in saves:
-            self._act(self.ledger.saved(steady(), s))
+        for save in saves:
+            self._act(self.ledger.saved(steady(), save))
 
     def _failed(self):
         self._act(self.ledger.save_failed(steady()))
 
     # -- asked from within --------------------------------------------------
-    def _answer(self, id, val):
-        fut = self.waits.pop(id, None)
-        if fut and not fut.done():
-            fut.set_result(val)
+    def _answer(self, call, value):
+        waiting = self.waits.pop(call, None)
+        if waiting and not waiting.done():
+            waiting.set_result(value)
 
     async def _ask(self, start, wait):
+        """Starts a call of the ledger; its data, or None when it can't start or gets no answer in time."""
         self.ids += 1
-        id, fut = self.ids, asyncio.get_running_loop().create_future()
-        self.waits[id] = fut
-        acts = start(id)
-        if acts is None:
-            del self.waits[id]
+        call, waiting = self.ids, asyncio.get_running_loop().create_future()
+        actions = start(call)
+        if actions is None:
             return None
-        self._act(acts)
+        self.waits[call] = waiting
+        self._act(actions)
         try:
             async with asyncio.timeout(wait.total_seconds()):
-                return await fut
+                return await waiting
         except TimeoutError:
-            self.waits.pop(id, None)
             return None
+        finally:
+            self.waits.pop(call, None)
 
     async def confirm(self, wait):
         """The data, if this member was the primary after the call began; else None."""
