--- a/libs/ledger/election.py
+++ b/libs/ledger/election.py
@@ -162,6 +162,8 @@
         if self.plan is None or self.plan.base_epoch != basis.view.epoch:
             return kept
         planned = list(self.plan.roster)
+        if self.ledger.member.id not in {member.id for member in planned}:
+            return kept
         added = {member.id for member in planned} - set(basis.view.ids)
         if added <= set(promises) and quorum(promises, [[member.id for member in planned]]):
             return planned
--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -293,7 +293,8 @@
         ids = self.view.ids
         near = [i for i in ids if not self.late(i, spans.patience)]
         dead = {i for i in ids if self.late(i, spans.dead)}
-        leaving = ledger.leaving_members() & set(ids)
+        # Its own seat is given away by its successor, never by itself.
+        leaving = ledger.leaving_members() & set(ids) - {self.me}
         roster = next_roster(self.view, ledger.membership.ready(self.view.epoch), dead, leaving, len(near) == len(ids))
         if roster is None or not majority(near, ids):
             return None
--- a/libs/ledger/membership.py
+++ b/libs/ledger/membership.py
@@ -112,7 +112,8 @@
         if ledger.leadership:
             return self._as_primary()
         if ledger.view is None:
-            return self.release()
+            # A founder may be counted by a view that it has not marked yet.
+            return [] if ledger.founder else self.release()
         primary = ledger.primary()
         if ledger.election or primary is None or primary.id == ledger.member.id:
             return []
