A refusal proves that a request did not run only if it bears its id

Cause: judge_head trusted X-Sparloom-Not-Run and 421 before it looked at the attempt id. A surplus refusal in the place of the next answer let a request that may not be repeated go to a second runner while the first worked on it.

Change: the id ties every answer to its request; only a 400 for a request without an id may lack it. Anything else ends the connection and counts as may have run. A refusal counts though its body never ends or is cut short; a connection that timed out before it stood has carried nothing.

--- a/libs/recover/verdict.py
+++ b/libs/recover/verdict.py
@@ -1,4 +1,4 @@
-"""The verdict: whether an ask may have run."""
+"""The verdict: whether a request may have run."""
 
 from enum import Enum
 
@@ -6,7 +6,7 @@
 
 
 class Verdict(Enum):
-    """What is known of a dispatch.
+    """What is known of an attempt at a runner.
 
     >>> Verdict.NOT_RUN.sure
     True
@@ -18,7 +18,7 @@
 
     @property
     def sure(self):
-        """Whether the ask is known not to have run."""
+        """Whether the request is known not to have run."""
         return self is Verdict.NOT_RUN
 
 
@@ -27,27 +27,51 @@
 
 @define(frozen=True, slots=True)
 class Head:
-    """The parts of a runner's head that judge it."""
+    """The parts of a runner's answer that judge it.
+
+    ``id_fits``: it bears the attempt id of the request. ``nameless``: neither
+    the request nor the answer bears one.
+    """
 
     status: int
     not_run: bool
     sealed: bool
     id_fits: bool
     framed: bool
+    nameless: bool = False
+
+    @property
+    def belongs(self):
+        """Whether this is the answer to the request, and not one left over from another.
 
+        Only a 400 that turns away a request without an id may lack it.
 
-def judge_head(h):
-    """A verdict on a runner's head, and whether the reply may be passed on.
+        >>> Head(503, True, False, False, True).belongs, Head(400, True, False, False, True, nameless=True).belongs
+        (False, True)
+        """
+        return self.id_fits or self.nameless and self.status == 400 and self.not_run
+
+
+def judge_head(head):
+    """A verdict on the head of a runner's answer, and whether the answer may be passed on.
+
+    An answer that doesn't belong to the request proves nothing of it, a
+    refusal no more than a success.
 
     >>> judge_head(Head(200, False, True, True, True))
     (<Verdict.RAN: 2>, True)
     >>> judge_head(Head(503, True, False, True, True))[0], judge_head(Head(503, False, False, True, True))
     (<Verdict.NOT_RUN: 0>, (<Verdict.MAY_HAVE_RUN: 1>, False))
+    >>> judge_head(Head(503, True, False, False, True)), judge_head(Head(421, False, False, False, True))
+    ((<Verdict.MAY_HAVE_RUN: 1>, False), (<Verdict.MAY_HAVE_RUN: 1>, False))
     """
-    if h.not_run and not 200 <= h.status < 300 or h.status == 421:
+    if not head.belongs:
+        return MAY_HAVE_RUN, False
+    succeeded = 200 <= head.status < 300
+    if head.not_run and not succeeded or head.status == 421:
         return NOT_RUN, False
-    if not h.id_fits or not h.framed:
+    if not head.framed:
         return MAY_HAVE_RUN, False
-    if 200 <= h.status < 300:
-        return (RAN, True) if h.sealed else (MAY_HAVE_RUN, False)
-    return (MAY_HAVE_RUN, False) if h.status in (408, 429, 503) else (RAN, True)
+    if succeeded:
+        return (RAN, True) if head.sealed else (MAY_HAVE_RUN, False)
+    return (MAY_HAVE_RUN, False) if head.status in (408, 429, 503) else (RAN, True)
--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from sparloom.choice import parse_parts
+from sparloom.recover.verdict import Head
 
 HOP = frozenset(
     (
@@ -62,6 +63,21 @@
     return CIMultiDict((k, v) for k, v in pairs if k.lower() not in HOP and k.lower() not in named)
 
 
+def head_of(answer, id):
+    """What judges a runner's answer to the request with an attempt id ('' for none)."""
+    ids = answer.headers.getall(ID, [])
+    coding = answer.headers.get("Transfer-Encoding")
+    framed = coding is None and ("Content-Length" in answer.headers or answer.status in (204, 304))
+    return Head(
+        status=answer.status,
+        not_run=NOT_RUN in answer.headers,
+        sealed=SEAL in answer.headers,
+        id_fits=bool(id) and ids == [id],
+        framed=framed or coding is not None and coding.strip().lower() == "chunked",
+        nameless=not id and not ids,
+    )
+
+
 def horizon_of(heads, route, now):
     """When the requester or the route stops waiting."""
     text = heads.get(LEFT, "")
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -11,7 +11,6 @@
 from sparloom.link import steady
 from sparloom.meter import note
 from sparloom.recover import MAY_HAVE_RUN, NOT_RUN, RAN, GiveUp, Plan, Retry, after, judge_head
-from sparloom.recover.verdict import Head
 from sparloom.stream import Splitter, Thread
 
 from . import ask as names
@@ -20,6 +19,7 @@
 from .tiers import buckets_for
 
 ZERO = timedelta(0)
+REFUSAL_BODY = timedelta(milliseconds=50)
 
 
 class Carry:
@@ -155,13 +155,13 @@
         self.dispatches += 1
         note("dispatches")
         watch = Watch(self, post, slot, service)
-        sent = Sent()
         try:
             async with asyncio.timeout(max(0.0, self.left().total_seconds())) as watch.limit:
                 watch.arm(slot.grant.timeout)
-                async with self._call(post, sent) as resp:
+                async with self._call(post) as resp:
                     return await self._reply(resp, post, slot, watch)
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # No connection came about, so not a byte of the request has left.
             self.dispatches -= 1
             post.strike(steady(), self.know.up.bounds.contact / 3)
             return NOT_RUN
@@ -176,7 +176,7 @@
         finally:
             watch.stop()
 
-    def _call(self, post, sent):
+    def _call(self, post):
         a = self.ask
         return post.pipes().request(
             a.method,
@@ -188,20 +188,13 @@
         )
 
     async def _reply(self, resp, post, slot, watch):
-        h = resp.headers
-        length = h.get("Content-Length")
-        framed = length is not None or "chunked" in h.get("Transfer-Encoding", "").lower() or resp.status in (204, 304)
-        verdict, good = judge_head(
-            Head(resp.status, names.NOT_RUN in h, names.SEAL in h, h.get(names.ID) == self.ask.id, framed)
-        )
-        if "Keep-Alive" in h:
-            post.heed(h["Keep-Alive"])
+        head = names.head_of(resp, self.ask.id)
+        verdict, good = judge_head(head)
+        if "Keep-Alive" in resp.headers and head.belongs:
+            post.heed(resp.headers["Keep-Alive"])
         if verdict is NOT_RUN:
-            await resp.read()
-            if resp.status != 421:
-                post.strike(steady(), self.know.up.bounds.contact / 30)
-            else:
-                post.strike(steady(), self.know.up.bounds.contact)
+            post.strike(steady(), self.know.up.bounds.contact / (1 if resp.status == 421 else 30))
+            await self._finish_refusal(resp)
             return NOT_RUN
         if not good:
             resp.close()
@@ -218,7 +211,16 @@
         ):
             resp.close()
             return MAY_HAVE_RUN
-        return await self._relay(resp, slot, watch, length)
+        return await self._relay(resp, slot, watch, resp.headers.get("Content-Length"))
+
+    @staticmethod
+    async def _finish_refusal(resp):
+        """Reads what is left of a refusal, so that its connection can be kept; its head has proved enough."""
+        try:
+            async with asyncio.timeout(REFUSAL_BODY.total_seconds()):
+                await resp.read()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            resp.close()
 
     async def _relay(self, resp, slot, watch, length):
         stream = self.ask.route.kind == "streaming" and 200 <= resp.status < 300
@@ -262,10 +264,6 @@
             out.force_close()
 
 
-class Sent:
-    """Marks how far a dispatch got."""
-
-
 class Watch:
     """The call's timeout: runs out when the runner stays silent.
 
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -3,13 +3,13 @@
 import socket
 from datetime import timedelta
 from hashlib import blake2b
-from time import monotonic
 
 import aiohttp
 from attrs import define, field
 
 from sparloom.choice import Kept
 from sparloom.link import tune
+from sparloom.link.client import Connector, open_session
 from sparloom.meter import note
 
 from .target import Request
@@ -75,22 +75,20 @@
     def pipes(self):
         """The session that holds the pipes to this life of the runner."""
         if self.session is None or self.session.closed:
-            con = aiohttp.TCPConnector(
+            connector = Connector(
                 limit=0,
                 ttl_dns_cache=None,
                 keepalive_timeout=self.rest,
                 socket_factory=_socket,
                 enable_cleanup_closed=False,
             )
-            self.session = aiohttp.ClientSession(
-                connector=con,
+            self.session = open_session(
+                connector,
                 request_class=Request,
-                cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 timeout=aiohttp.ClientTimeout(total=None),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             )
-            self.session._retry_connection = False
         return self.session
 
     def warm(self):
@@ -99,10 +97,7 @@
         >>> Post("i", "s", "h:1", "z", 1, False, False, 0, None).warm()
         False
         """
-        if self.session is None or self.session.closed:
-            return False
-        con = self.session.connector
-        return any(c and monotonic() - c[-1][1] < con._keepalive_timeout for c in con._conns.values())
+        return self.session is not None and not self.session.closed and self.session.connector.has_idle()
 
     def heed(self, text):
         """Takes the runner's ``Keep-Alive`` to heart: pipes are given up before it does so."""
@@ -111,7 +106,7 @@
             if k.lower() == "timeout" and v.isdigit():
                 self.rest = max(0.05, int(v) * 0.7)
                 if self.session:
-                    self.session.connector._keepalive_timeout = self.rest
+                    self.session.connector.keep_idle(self.rest)
 
 
 @define(frozen=True, slots=True)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -32,7 +32,11 @@
     Scripts: ok, shed (503 not run), busy (503 with no promise), moved (421),
     noseal, otherid, cut (breaks off midway), reset (before any answer),
     extra (a second answer behind the first), junk (no HTTP at all),
-    gzip, redirect, error (500), hang, short (a length that isn't met).
+    gzip, redirect, error (500), hang, short (a length that isn't met),
+    othershed, othermoved and namelessbad (a refusal of another request, or a 400
+    without an id, in the answer's place; the request runs all the same),
+    leftover (a refusal that stays behind the answer on the connection),
+    endless (a refusal whose body never ends), shedshort (one that is cut short).
     """
 
     id: str = "i-1"
@@ -117,6 +121,44 @@
     async def _busy(self, g, w):
         return await self._plain(g, w, "503 Service Unavailable")
 
+    async def _surplus(self, g, w, status, id="somebody-elses", more=()):
+        """An answer that belongs to another request."""
+        named = [f"{ID}: {id}"] if id else []
+        w.write("\r\n".join([f"HTTP/1.1 {status}", *named, *more, "Content-Length: 0", "", ""]).encode())
+        await w.drain()
+
+    async def _othershed(self, g, w):
+        await self._surplus(g, w, "503 Service Unavailable", more=["X-Sparloom-Not-Run: 1"])
+        return await self._ok(g, w)
+
+    async def _othermoved(self, g, w):
+        await self._surplus(g, w, "421 Misdirected Request", more=["X-Sparloom-Instance: i-other"])
+        return await self._ok(g, w)
+
+    async def _namelessbad(self, g, w):
+        await self._surplus(g, w, "400 Bad Request", id=None, more=["X-Sparloom-Not-Run: 1"])
+        return await self._ok(g, w)
+
+    async def _leftover(self, g, w):
+        await self._ok(g, w)
+        await self._surplus(g, w, "503 Service Unavailable", id=g.head(ID), more=["X-Sparloom-Not-Run: 1"])
+        return True
+
+    async def _refusal(self, g, w):
+        """A refusal whose head promises more than comes."""
+        self._start(
+            g, w, "503 Service Unavailable", False, more=["X-Sparloom-Not-Run: 1", "Content-Length: 9"], chunked=False
+        )
+        await w.drain()
+
+    async def _endless(self, g, w):
+        await self._refusal(g, w)
+        await asyncio.Event().wait()
+
+    async def _shedshort(self, g, w):
+        await self._refusal(g, w)
+        return False
+
     async def _moved(self, g, w):
         return await self._plain(g, w, "421 Misdirected Request", ["X-Sparloom-Instance: i-other"])
 
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -16,7 +16,17 @@
         for status in (400, 408, 429, 500, 502, 503, 504):
             self.assertIs(judge_head(Head(status, True, False, True, True))[0], NOT_RUN)
             self.assertIsNot(judge_head(Head(status, False, False, True, True))[0], NOT_RUN)
-        self.assertIs(judge_head(Head(421, False, False, False, True))[0], NOT_RUN)
+        self.assertIs(judge_head(Head(421, False, False, True, True))[0], NOT_RUN)
+
+    def test_no_refusal_of_another_request_proves_anything(self):
+        for status, not_run, sealed, framed in product(range(200, 600), *3 * [(True, False)]):
+            self.assertEqual(judge_head(Head(status, not_run, sealed, False, framed)), (MAY_HAVE_RUN, False))
+
+    def test_only_a_400_for_a_request_without_an_id_may_lack_it(self):
+        for status in (400, 421, 429, 500, 503):
+            verdict, good = judge_head(Head(status, True, False, False, True, nameless=True))
+            self.assertEqual((verdict is NOT_RUN, good), (status == 400, False))
+        self.assertIs(judge_head(Head(400, False, False, False, True, nameless=True))[0], MAY_HAVE_RUN)
 
     def test_a_success_without_seal_or_with_anothers_id_is_not_passed_on(self):
         for sealed, fits, framed in product((True, False), repeat=3):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,12 +2,34 @@
 
 import asyncio
 import unittest
+from unittest import mock
+
+import aiohttp
+
+from sparloom.link.client import Connector, open_session
+from sparloom.router.fleet import Post
 
 from .rig import Rig
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 6))
 
 
+class FailsOnce:
+    """In place of a runner's session: the first request fails before there is a connection."""
+
+    def __init__(self, failure):
+        self.failure, self.failed = failure, False
+
+    def pipes(self, real):
+        """What to put in the place of ``Post.pipes``."""
+        return lambda post: real(post) if self.failed else self
+
+    def request(self, *args, **options):
+        """Fails."""
+        self.failed = True
+        raise self.failure
+
+
 class Case(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.rig = Rig(2)
@@ -175,6 +197,50 @@
                     for p in self.rig.know.fleet.posts.values():
                         p.clear()
 
+    async def test_the_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(self):
+        for word in ("othershed", "othermoved", "namelessbad"):
+            for path in ("/once/x", "/unsafe/x"):
+                with self.subTest(word=word, path=path):
+                    n = len(self.got)
+                    self.script(word)
+                    a = await self.rig.send(path)
+                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
+                    for p in self.rig.know.fleet.posts.values():
+                        p.clear()
+
+    async def test_a_connection_with_a_refusal_left_on_it_is_not_taken_up_again(self):
+        for i in range(8):
+            self.script("leftover")
+            a = await self.rig.send("/once/x", id=f"s{i}")
+            self.assertEqual((a.status, a.whole, len(self.got)), (200, True, i + 1))
+            for p in self.rig.know.fleet.posts.values():
+                while p.warm():
+                    await asyncio.sleep(0)
+
+    async def test_a_refusal_counts_though_its_body_never_ends(self):
+        for word in ("endless", "shedshort"):
+            n = len(self.got)
+            self.script(word)
+            a = await self.rig.send("/once/x")
+            self.assertEqual((a.status, a.whole, len(self.got) - n), (200, True, 2))
+            for p in self.rig.know.fleet.posts.values():
+                p.clear()
+
+    async def test_a_connection_that_never_came_about_has_carried_nothing(self):
+        for failure in (aiohttp.ConnectionTimeoutError(), aiohttp.ClientConnectorError(None, OSError())):
+            first = FailsOnce(failure)
+            with mock.patch.object(Post, "pipes", first.pipes(Post.pipes)):
+                a = await self.rig.send("/unsafe/x")
+            self.assertEqual((a.status, a.whole, first.failed), (200, True, True))
+            for p in self.rig.know.fleet.posts.values():
+                p.clear()
+
+    async def test_no_session_repeats_by_itself_nor_keeps_cookies(self):
+        session = open_session(Connector())
+        self.addAsyncCleanup(session.close)
+        self.assertIs(session._retry_connection, False)
+        self.assertIsInstance(session.cookie_jar, aiohttp.DummyCookieJar)
+
     async def test_a_get_is_not_sent_again_by_the_library(self):
         await self.rig.send("/unsafe/x", method="GET", body=b"")
         n = len(self.got)
