The platform's pages belong to the epoch in which they were asked for

Cause: a page that arrived after the duty had moved was put on the feed under the epoch before; pages of before and after a time without the duty were joined into one list; a status other than 200 kept a page token, so one that had expired would have been asked for again for ever; a page that lacks nextPageToken passed for the last one; the library could repeat or redirect the call on its own.

Change: the epoch is taken before the call and compared after it; pages are dropped with the duty; any answer but 200 and 429 starts the round anew; the rehearsal's poller goes through the same checks.

--- a/libs/platform/list.py
+++ b/libs/platform/list.py
@@ -72,15 +72,17 @@
 
 
 def read_page(d):
-    """The runners of a page and the token of the next one.
+    """The runners of a page and the token of the next one, which must be named: null on the last.
 
     >>> read_page({"instances": [], "nextPageToken": None}).unwrap()
     ([], None)
     >>> read_page({}).failure()
     "the platform's page can't be read: 'instances'"
+    >>> read_page({"instances": []}).failure()
+    "the platform's page can't be read: 'nextPageToken'"
     """
     try:
-        return Success(([_runner(i) for i in d["instances"]], d.get("nextPageToken")))
+        return Success(([_runner(i) for i in d["instances"]], d["nextPageToken"]))
     except (KeyError, TypeError, ValueError) as e:
         return Failure(f"the platform's page can't be read: {e}")
 
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -11,7 +11,6 @@
 from sparloom.controller.program import Controller
 from sparloom.link import steady
 from sparloom.members import ALIVE, DEAD
-from sparloom.platform import read_page
 from sparloom.startup import from_dict
 
 from .hollow import DEFAULT_LOAD, HollowRouter
@@ -168,11 +167,11 @@
 
     listing, page = (), 50
 
-    async def _call(self, cloud, wait):
+    async def _ask(self, cloud):
         at = int(self.pages.token or 0)
         more = at + self.page < len(self.listing)
         d = {"instances": self.listing[at : at + self.page], "nextPageToken": str(at + self.page) if more else None}
-        return self._page(read_page(d).value_or(None)), False
+        return 200, d
 
 
 class _Call:
--- a/sparloom/controller/poller.py
+++ b/sparloom/controller/poller.py
@@ -1,4 +1,4 @@
-"""The duty of asking the platform, done by the primary alone."""
+"""The duty of asking the platform for the runners, done by the primary alone."""
 
 import asyncio
 
@@ -8,11 +8,21 @@
 
 from sparloom.feed import RUNNERS
 from sparloom.link import steady
+from sparloom.link.client import Connector, open_session
 from sparloom.platform import Pace, Pages, RunnerList, read_page
 
+NOT_PRIMARY_PAUSE = 0.05
+
 
 class Poller(Service):
-    """Polls within the rate while this controller holds the duty."""
+    """Polls within the rate while this controller is the primary.
+
+    Every page belongs to one epoch: that in which it was asked for. When the
+    epoch has changed by the time it arrives, or this controller is no longer
+    the primary, the page is dropped with all that came before it. So a list is
+    never put together from pages of two epochs, and none is published under an
+    epoch other than that of its poller.
+    """
 
     def __init__(self, up, core, shop, crowd=lambda: 0):
         super().__init__()
@@ -24,52 +34,85 @@
         if self.session:
             await self.session.close()
 
+    def primary_epoch(self):
+        """The epoch in which this controller is the primary at this moment, or None."""
+        ledger = self.core.ledger
+        return ledger.leadership.epoch if ledger.leading() else None
+
     @Service.task
     async def _run(self):
         cloud = self.up.cloud
         if cloud is None:
             return
         pace = Pace.of(cloud.rate, self.up.bounds.drain)
-        wait = aiohttp.ClientTimeout(total=self.up.bounds.contact.total_seconds() / 3)
         while not self.should_stop:
-            led = self.core.ledger
-            if not led.leading():
-                self.last = None
-                await asyncio.sleep(0.05)
+            epoch = self.primary_epoch()
+            self.enter(epoch)
+            if epoch is None:
+                await asyncio.sleep(NOT_PRIMARY_PAUSE)
                 continue
-            if led.leadership.epoch != self.epoch:
-                self.epoch, self.number, self.last, self.pages = led.leadership.epoch, 0, None, Pages()
             await asyncio.sleep(max(0.0, (pace.next - steady()).total_seconds()))
-            if not led.leading():
+            if self.primary_epoch() != epoch:
                 continue
             pace.begun = max(pace.begun, steady()) if self.pages.token is None else pace.begun
-            pace.done(steady(), *await self._call(cloud, wait))
+            pace.done(steady(), *await self.call(cloud, epoch))
+
+    def enter(self, epoch):
+        """Notes the epoch of this controller's duty; None while it has none.
+
+        Numbers go on within an epoch and start anew with the next one.
+        """
+        if epoch is None:
+            self.last, self.pages = None, Pages()
+        elif epoch != self.epoch:
+            self.epoch, self.number, self.last, self.pages = epoch, 0, None, Pages()
 
-    async def _call(self, cloud, wait):
+    async def call(self, cloud, epoch):
+        """Asks for one page; tells whether more pages follow, and whether the call was over the rate."""
+        status, document = await self._ask(cloud)
+        if self.primary_epoch() != epoch:
+            self.pages = Pages()
+            return False, False
+        if status == 429:
+            return False, True
+        page = read_page(document).value_or(None) if status == 200 else None
+        if page is None:
+            self._restart(f"status {status}" if status != 200 else "a page can't be read")
+            return False, False
+        self.grumbled = False
+        return self._take(page), False
+
+    async def _ask(self, cloud):
+        """The status and the document of one page; status 0 when there was no answer.
+
+        A call that fails takes its connection with it, so a late answer can't
+        come in the place of the next one.
+        """
         if self.session is None:
-            self.session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), timeout=wait)
+            wait = aiohttp.ClientTimeout(total=self.up.bounds.contact.total_seconds() / 3)
+            self.session = open_session(Connector(), timeout=wait)
         params = {"pageToken": self.pages.token} if self.pages.token else {}
+        url = f"http://{cloud.address}/instances"
         try:
-            async with self.session.get(f"http://{cloud.address}/instances", params=params) as r:
-                if r.status != 200:
-                    return False, r.status == 429
-                page = read_page(await r.json(content_type=None))
+            async with self.session.get(url, params=params, allow_redirects=False) as answer:
+                return answer.status, await answer.json(content_type=None) if answer.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as e:
-            if not self.grumbled:
-                logging.warning("platform: no list (%s).", type(e).__name__)
-            self.grumbled, self.pages = True, Pages()
-            return False, False
-        self.grumbled = False
-        return self._page(page.value_or(None)), False
+            logging.debug("platform: %s.", type(e).__name__)
+            return 0, None
 
-    def _page(self, page):
-        if page is None:
-            logging.warning("platform: its page can't be read.")
-            self.pages = Pages()
-            return False
+    def _restart(self, why):
+        """The round has failed: the next call asks for the first page again."""
+        if not self.grumbled:
+            logging.warning("platform: no list (%s).", why)
+        self.grumbled, self.pages = True, Pages()
+
+    def _take(self, page):
+        """Adds a page; publishes the list after the last one. Whether more pages follow."""
         whole = self.pages.add(*page)
-        whole = whole and RunnerList(whole.runners, self.crowd())
-        if whole is not None and whole.news_against(self.last) and self.core.ledger.leading():
+        if whole is None:
+            return True
+        whole = RunnerList(whole.runners, self.crowd())
+        if whole.news_against(self.last):
             self.last, self.number = whole, self.number + 1
             self.shop.renew(RUNNERS, (self.epoch, self.number), whole)
-        return whole is None
+        return False
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,11 +4,16 @@
 
 
 class Platform:
-    """Lists what ``entries`` holds; ``calls`` counts the questions."""
+    """Lists what ``entries`` holds; ``calls`` counts the questions.
+
+    ``meanwhile``: called while a question is at the platform. ``statuses``: those
+    of the next answers; a page is sent with 200 only.
+    """
 
     def __init__(self, entries, page=50):
         self.entries, self.page, self.calls, self.down = list(entries), page, 0, False
         self.run, self.port = None, 0
+        self.tokens, self.statuses, self.meanwhile = [], [], lambda: None
 
     @staticmethod
     def entry(id, service, address, state="ready", zone="z1", slots=8):
@@ -45,8 +50,11 @@
 
     async def _handle(self, req):
         self.calls += 1
-        if self.down:
-            return web.Response(status=500)
+        self.tokens.append(req.query.get("pageToken"))
+        self.meanwhile()
+        status = 500 if self.down else self.statuses.pop(0) if self.statuses else 200
+        if status != 200:
+            return web.Response(status=status)
         at = int(req.query.get("pageToken", "p0")[1:])
         more = at + self.page < len(self.entries)
         return web.json_response(
--- /dev/null
+++ b/tests/test_poller.py
@@ -0,0 +1,101 @@
+"""The platform's pages: each is tied to the epoch in which it was asked for."""
+
+import unittest
+from types import SimpleNamespace
+
+from sparloom.controller.poller import Poller
+from sparloom.startup import from_dict
+from standins.platform import Platform
+
+from .rig import STARTUP
+
+
+class Duty:
+    """Stands for the ledger: the primary of ``epoch``, or none."""
+
+    def __init__(self):
+        self.epoch = 1
+
+    def leading(self):
+        """Whether this controller is the primary."""
+        return self.epoch is not None
+
+    @property
+    def leadership(self):
+        """What the primary knows of its term."""
+        return SimpleNamespace(epoch=self.epoch)
+
+
+class Shop:
+    """Stands for the feed: what was published."""
+
+    def __init__(self):
+        self.published = []
+
+    def renew(self, topic, stamp, state):
+        """Takes a list."""
+        self.published.append((stamp, [r.id for r in state.runners]))
+
+
+class Pages(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        entries = [Platform.entry(f"i-{i}", "s", f"10.0.0.{i}:1") for i in range(4)]
+        self.platform = await Platform(entries, page=2).start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.duty, self.shop = Duty(), Shop()
+        self.cloud = SimpleNamespace(address=f"127.0.0.1:{self.platform.port}", rate=40.0)
+        self.poller = Poller(from_dict(STARTUP).unwrap(), SimpleNamespace(ledger=self.duty), self.shop)
+        self.addAsyncCleanup(self.poller.on_stop)
+
+    async def call(self):
+        """One call as the duty is now."""
+        epoch = self.poller.primary_epoch()
+        self.poller.enter(epoch)
+        return await self.poller.call(self.cloud, epoch)
+
+    async def whole(self):
+        """Calls until no more pages follow."""
+        while (await self.call())[0]:
+            pass
+
+    async def test_a_list_carries_the_epoch_in_which_it_was_asked_for(self):
+        await self.whole()
+        self.duty.epoch = 3
+        await self.whole()
+        ids = ["i-0", "i-1", "i-2", "i-3"]
+        self.assertEqual(self.shop.published, [((1, 1), ids), ((3, 1), ids)])
+
+    async def test_a_page_that_arrives_in_another_epoch_is_dropped(self):
+        for after in (None, 2, 5):
+            with self.subTest(after=after):
+                self.duty.epoch, self.shop.published = 1, []
+                await self.call()
+                self.platform.meanwhile = lambda e=after: setattr(self.duty, "epoch", e)
+                self.assertEqual(await self.call(), (False, False))
+                self.platform.meanwhile = lambda: None
+                self.assertEqual(self.shop.published, [])
+                self.assertIsNone(self.poller.pages.token)
+
+    async def test_pages_of_an_earlier_duty_are_not_joined_to_those_of_the_next(self):
+        """The primary loses its duty between two pages and wins it back, in the same epoch."""
+        await self.call()
+        self.poller.enter(None)
+        await self.whole()
+        self.assertEqual(self.platform.tokens, [None, None, "p2"])
+        self.assertEqual([ids for _, ids in self.shop.published], [["i-0", "i-1", "i-2", "i-3"]])
+
+    async def test_numbers_go_on_within_an_epoch(self):
+        await self.whole()
+        self.poller.enter(None)
+        await self.whole()
+        self.assertEqual([stamp for stamp, _ in self.shop.published], [(1, 1), (1, 2)])
+
+    async def test_a_failed_page_starts_the_round_anew_and_one_over_the_rate_does_not(self):
+        for status, next_token, over in ((500, None, False), (410, None, False), (307, None, False), (429, "p2", True)):
+            with self.subTest(status=status):
+                self.poller.enter(None)
+                await self.call()
+                self.platform.statuses = [status]
+                self.assertEqual(await self.call(), (False, over))
+                await self.call()
+                self.assertEqual(self.platform.tokens[-1], next_token)
