A pulse makes a router sure only of the policy that it speaks of

Cause: the first pulse goes ahead of the changes, and a controller that has started again passes on a fresh age while it holds nothing yet. A router with an older policy took such a pulse for the word that its policy is current. Records and topics that are none of the feed were passed over, and a whole state was handed on unread.

Change: a pulse carries the stamp of the newest policy that its sender has or has heard of, in the place of an epoch that nobody used. A router is sure once it holds that policy and the age is small. Foreign records and topics end the connection; a whole that can't be read is asked for again.

--- a/libs/feed/records.py
+++ b/libs/feed/records.py
@@ -2,7 +2,7 @@
 
 from sparloom.wire import record
 
-POLICY, RUNNERS = 0, 1
+POLICY, RUNNERS = TOPICS = (0, 1)
 UNSURE = 0xFFFFFFFF
 
 
@@ -31,10 +31,19 @@
         return (self.base_epoch, self.base_number)
 
 
-@record(62, epoch="Q", age="I", sent="Q")
+@record(62, policy_epoch="Q", policy_number="Q", age="I", sent="Q")
 class Pulse:
     """The sender's sureness: ms since the primary was last confirmed.
 
     ``sent``: ms of the sender's steady clock. What a later pulse takes longer
     than the quickest one was held up on its way, and adds to the age.
     """
+
+    @property
+    def policy(self):
+        """The newest policy's stamp that the sender has or has heard of.
+
+        A follower that holds an older one is not up to date, however lately
+        the primary was confirmed.
+        """
+        return (self.policy_epoch, self.policy_number)
--- a/sparloom/controller/shop.py
+++ b/sparloom/controller/shop.py
@@ -6,7 +6,7 @@
 from mode import Service
 
 from sparloom import news
-from sparloom.feed import UNSURE, Change, Follow, Pulse, Shelf, Tracker
+from sparloom.feed import POLICY, TOPICS, UNSURE, Change, Follow, Pulse, Shelf, Tracker
 from sparloom.link import dial, steady
 from sparloom.serving import MS, Bell, serve
 from sparloom.wire import Broken
@@ -20,6 +20,7 @@
         self.up, self.core = up, None
         self.shelf = Shelf()
         self.bell, self.afresh = Bell(), set()
+        self.told = news.ZERO
         con = up.bounds.contact
         self.pulse, self.patience = con / 10, con / 3
         self.tracker = Tracker(con / 3, con / 3)
@@ -57,9 +58,9 @@
         """How long a follower waits for the next pulse."""
         return self.pulse if self.core.ledger.leading() else self.pulse * 1.5
 
-    def epoch(self):
-        """The newest epoch heard of."""
-        return self.core.ledger.register.promised
+    def newest_policy(self):
+        """The stamp of the newest policy that this controller has or has heard of."""
+        return max(self.told, self.shelf.stamp(POLICY))
 
     async def serve(self, frames, first):
         """Serves one follower until its pipe ends."""
@@ -89,26 +90,33 @@
                     rec = await frames.read()
                 if isinstance(rec, Pulse):
                     self.tracker.pulse(steady(), rec.age, rec.sent)
+                    self.told = max(self.told, rec.policy)
                     self.bell.ring()
-                elif isinstance(rec, Change) and not self._take(rec):
+                elif not isinstance(rec, Change):
+                    raise Broken("a record that is none of the feed")
+                elif not self._take(rec):
                     return
         finally:
             frames.close()
 
     def _take(self, c):
         """Whether the change was taken or known; steps are passed on as steps."""
+        if c.topic not in TOPICS:
+            raise Broken("a change of no known topic")
         if c.stamp <= self.shelf.stamp(c.topic):
             return True
-        if c.base == news.ZERO:
-            self.put(c.topic, c.stamp, c.blob)
-            self.afresh.discard(c.topic)
-            return True
-        if c.base != self.shelf.stamp(c.topic):
+        is_whole = c.base == news.ZERO
+        if not is_whole and c.base != self.shelf.stamp(c.topic):
             return False
         try:
-            self.put(c.topic, c.stamp, news.whole(c.topic, news.take(c, self.held(c.topic))), c.blob)
+            state = news.take(c, None if is_whole else self.held(c.topic))
         except news.Unfit as e:
-            logging.warning("feed: a step does not fit (%s); the whole is asked for.", e)
+            logging.warning("feed: a change does not fit (%s); the whole is asked for.", e)
             self.afresh.add(c.topic)
             return False
+        if is_whole:
+            self.put(c.topic, c.stamp, c.blob)
+            self.afresh.discard(c.topic)
+        else:
+            self.put(c.topic, c.stamp, news.whole(c.topic, state), c.blob)
         return True
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from sparloom import news
-from sparloom.feed import POLICY, Change, Pulse, Shelf
+from sparloom.feed import POLICY, TOPICS, Change, Pulse, Shelf
 from sparloom.link import dial, steady
 from sparloom.members import CONTROLLER
 from sparloom.policy import build
@@ -26,7 +26,8 @@
         self.know = know
         self.shelf, self.bell = Shelf(), Bell()
         self.upstream = Upstream(know.key, Spans.of(know.up.bounds.contact), know.rng)
-        self.raw, self.epoch, self.afresh = None, 0, set()
+        self.raw, self.afresh = None, set()
+        self.told = news.ZERO
 
     def _controllers(self):
         """Controllers to follow: near ones first."""
@@ -68,11 +69,14 @@
                     return why
                 if isinstance(rec, Pulse):
                     up.pulse(steady(), rec.age, rec.sent)
-                    self.epoch = rec.epoch
+                    self.told = max(self.told, rec.policy)
                     self._sure(rec)
                     self.bell.ring()
-                elif isinstance(rec, Change) and not self._take(rec):
-                    return GONE
+                elif isinstance(rec, Change):
+                    if not self._take(rec):
+                        return GONE
+                elif rec is not None:
+                    raise Broken("a record that is none of the feed")
         finally:
             frames.close()
 
@@ -88,11 +92,16 @@
                 raise
             return None
 
+    def newest_policy(self):
+        """The stamp of the newest policy that this router has or has heard of."""
+        return max(self.told, self.shelf.stamp(POLICY))
+
     def _sure(self, rec):
+        """A pulse makes this router sure only when it holds the policy that the pulse speaks of."""
         k = self.know
-        k.sure = k.sure or (
-            k.listed is not None and k.policy is not None and rec.age < self.upstream.tracker.doubt / MS
-        )
+        known = k.listed is not None and k.policy is not None
+        up_to_date = self.shelf.stamp(POLICY) >= self.newest_policy()
+        k.sure = k.sure or known and up_to_date and rec.age < self.upstream.tracker.doubt / MS
 
     def _state(self, topic):
         return self.raw if topic == POLICY else self.know.listed
@@ -100,6 +109,8 @@
     def _take(self, c):
         """Whether the change was taken or known. The whole state's bytes are made again when asked for."""
         k = self.know
+        if c.topic not in TOPICS:
+            raise Broken("a change of no known topic")
         self.upstream.change(steady())
         if c.stamp <= self.shelf.stamp(c.topic):
             return True
--- a/sparloom/router/serve.py
+++ b/sparloom/router/serve.py
@@ -56,9 +56,9 @@
         """How long a follower waits for a pulse when none comes from above."""
         return self.pulse * 1.5
 
-    def epoch(self):
-        """The newest epoch heard of."""
-        return self.follow.epoch
+    def newest_policy(self):
+        """The stamp of the newest policy that this router has or has heard of."""
+        return self.follow.newest_policy()
 
     def pulse_age(self):
         """ms since the primary was confirmed, as known here; it grows while this router is cut off."""
--- a/sparloom/serving.py
+++ b/sparloom/serving.py
@@ -32,19 +32,19 @@
     """Brings a follower up from its place and keeps it so, until ``src.open()`` ends or it stops reading.
 
     ``src``: ``shelf``, ``bell``, ``period()`` between pulses, ``pulse_age()`` in ms,
-    ``epoch()`` and ``patience`` with a write that makes no way. Each follower has its own task
+    ``newest_policy()`` and ``patience`` with a write that makes no way. Each follower has its own task
     and at most one change in hand, so one that does not read holds up nobody.
 
     The first pulse comes ahead of the changes: a follower learns at once
-    whether this one lives and is sure. The one after them tells that it is
-    up to date.
+    whether this one lives and is sure. The stamp in it tells which policy the
+    follower must hold to be up to date.
     """
 
     async def write(rec):
         await frames.write(rec, src.patience)
 
     async def pulse():
-        await write(Pulse(src.epoch(), src.pulse_age(), int(steady() / MS)))
+        await write(Pulse(*src.newest_policy(), src.pulse_age(), int(steady() / MS)))
 
     await pulse()
     while src.open():
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -216,7 +216,7 @@
             if not s.open() or not s.controller and len(s.served) > s.up.room():
                 return self._close(p)
             p.greeted = True
-            self._send(p, Pulse(1, s.age(self.now), self._clock(s)))
+            self._send(p, Pulse(0, 0, s.age(self.now), self._clock(s)))
             self._flush(p)
             self._timer(p, s, life)
 
@@ -242,7 +242,7 @@
         for c in s.shelf.lacking(p.place):
             p.place[c.topic] = c.stamp
             self._send(p, c)
-        self._send(p, Pulse(1, s.age(self.now), self._clock(s)))
+        self._send(p, Pulse(0, 0, s.age(self.now), self._clock(s)))
 
     def _send(self, p, rec):
         d = (1 + 2 * self.rng.random() + self.nodes[p.s].slow + 200 * (self.rng.random() < self.loss)) * MS
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,147 @@
+"""What a router and a controller take from the one that they follow, over loopback."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+
+from sparloom import news
+from sparloom.controller.shop import Shop
+from sparloom.feed import POLICY, RUNNERS, Change, Follow, Pulse
+from sparloom.link import Frames, steady
+from sparloom.members import ROUTER, Peer, Swim, Times
+from sparloom.platform import RunnerList
+from sparloom.router.know import Know
+from sparloom.startup import from_dict
+from sparloom.wire import Broken
+
+from .rig import POLICY as ROUTES
+from .rig import STARTUP
+
+MS = timedelta(milliseconds=1)
+
+
+def policy(epoch, number):
+    """A change that brings the whole policy."""
+    return Change(POLICY, epoch, number, 0, 0, news.whole(POLICY, {**ROUTES, "revision": number}))
+
+
+def runners(epoch, number):
+    """A change that brings the whole list."""
+    return Change(RUNNERS, epoch, number, 0, 0, news.whole(RUNNERS, RunnerList([], 1)))
+
+
+class Case(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.accepted = asyncio.Queue()
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        host, self.port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{self.port}"
+        self.up = from_dict(STARTUP).unwrap()
+
+    async def _accept(self, reader, writer):
+        self.accepted.put_nowait(Frames(reader, writer))
+
+    async def greeted(self):
+        """The connection of the follower, once it has told its place."""
+        frames = await self.accepted.get()
+        self.addCleanup(frames.close)
+        return frames, await frames.read()
+
+    def pulse(self, epoch, number, age=5):
+        """A pulse of one that knows of this policy."""
+        return Pulse(epoch, number, age, int(steady() / MS))
+
+
+class Router(Case):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.know = Know(self.up)
+        self.know.swim = Swim(Peer("me:1", ROUTER, "z1", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), None)
+        self.follow = self.know.follow
+
+    async def start(self):
+        """Follows the one that the test plays; gives the task and the connection."""
+        self.follow.upstream.start(steady(), self.address)
+        task = asyncio.ensure_future(self.follow._from(self.address))
+        self.addCleanup(task.cancel)
+        return task, *await self.greeted()
+
+    async def send(self, frames, *records):
+        """Sends records and waits until the last one has been taken in."""
+        for r in records:
+            bell = self.follow.bell.event
+            await frames.write(r)
+            await bell.wait()
+
+    async def test_a_fresh_pulse_does_not_make_an_old_policy_current(self):
+        _, frames, _ = await self.start()
+        await self.send(frames, policy(1, 5), runners(1, 1), self.pulse(1, 7))
+        self.assertFalse(self.know.sure)
+        await self.send(frames, policy(1, 7), self.pulse(1, 7))
+        self.assertTrue(self.know.sure)
+
+    async def test_nor_does_another_that_has_not_heard_of_the_newer_one(self):
+        """A controller that started again knows less than this router has heard."""
+        task, frames, _ = await self.start()
+        await self.send(frames, policy(1, 5), runners(1, 1), self.pulse(2, 1))
+        frames.close()
+        with self.assertRaises((EOFError, OSError)):
+            await task
+        _, frames, greeting = await self.start()
+        self.assertEqual(greeting.place, {POLICY: (1, 5), RUNNERS: (1, 1)})
+        await self.send(frames, self.pulse(0, 0))
+        self.assertFalse(self.know.sure)
+        self.assertEqual(self.follow.newest_policy(), (2, 1))
+
+    async def test_a_deposed_primarys_changes_are_not_taken(self):
+        _, frames, _ = await self.start()
+        await self.send(frames, policy(3, 7))
+        await frames.write(policy(2, 9))
+        await self.send(frames, self.pulse(2, 9))
+        self.assertEqual((self.know.policy.revision, self.follow.shelf.stamp(POLICY)), (7, (3, 7)))
+
+    async def test_what_is_none_of_the_feed_ends_the_connection(self):
+        for record in (Follow("r", 0, 0, 0, 0), Change(7, 9, 9, 0, 0, b"")):
+            with self.subTest(record=record):
+                task, frames, _ = await self.start()
+                await frames.write(record)
+                with self.assertRaises(Broken):
+                    await task
+
+
+class Controller(Case):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.shop = Shop(self.up)
+        self.primary = SimpleNamespace(id=2, host="127.0.0.1", port=self.port)
+        ledger = SimpleNamespace(primary=lambda: self.primary, leading=lambda: False)
+        self.shop.core = SimpleNamespace(ledger=ledger)
+
+    async def start(self):
+        """Follows the primary that the test plays."""
+        task = asyncio.ensure_future(self.shop._from(self.primary))
+        self.addCleanup(task.cancel)
+        return task, *await self.greeted()
+
+    async def test_one_that_started_again_passes_on_which_policy_its_followers_must_hold(self):
+        _, frames, _ = await self.start()
+        bell = self.shop.bell.event
+        await frames.write(self.pulse(4, 7))
+        await bell.wait()
+        self.assertEqual((self.shop.newest_policy(), self.shop.shelf.stamp(POLICY)), ((4, 7), (0, 0)))
+
+    async def test_a_change_that_can_not_be_read_is_not_taken_nor_passed_on(self):
+        task, frames, _ = await self.start()
+        await frames.write(Change(POLICY, 1, 1, 0, 0, b"torn"))
+        await task
+        self.assertEqual((self.shop.shelf.stamp(POLICY), self.shop.afresh), ((0, 0), {POLICY}))
+
+    async def test_what_is_none_of_the_feed_ends_the_connection(self):
+        for record in (Follow("r", 0, 0, 0, 0), Change(7, 9, 9, 0, 0, b"")):
+            with self.subTest(record=record):
+                task, frames, _ = await self.start()
+                await frames.write(record)
+                with self.assertRaises(Broken):
+                    await task
