No request is held past its deadline by a router that starts, nor sent on after it

Cause: a request that met a router without a policy waited a third of the contact bound whatever its deadline. One that left the line after its deadline was sent on with a time-out of 0 and ended in 504, as if it might have run.

Change: the wait at the start ends with the client's deadline; what has no time left and was never sent is refused with 503.

--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -78,14 +78,23 @@
     )
 
 
-def horizon_of(heads, route, now):
-    """When the requester or the route stops waiting."""
-    text = heads.get(LEFT, "")
+def time_left(headers, most):
+    """How long the client still waits by its own word, and ``most`` where that is less or it says nothing usable.
+
+    >>> time_left({LEFT: "250"}, timedelta(seconds=1)), time_left({LEFT: "soon"}, timedelta(seconds=1))
+    (datetime.timedelta(microseconds=250000), datetime.timedelta(seconds=1))
+    >>> time_left({LEFT: "-1"}, timedelta(seconds=1)), time_left({}, timedelta(seconds=1))
+    (datetime.timedelta(0), datetime.timedelta(seconds=1))
+    """
     try:
-        left = max(0.0, float(text)) * MS if text else route.timeout
-    except (ValueError, OverflowError):
-        left = route.timeout
-    return now + min(left, route.timeout)
+        return min(max(0.0, float(headers[LEFT])) * MS, most)
+    except (KeyError, ValueError, OverflowError):
+        return most
+
+
+def horizon_of(headers, route, now):
+    """When the client or the route stops waiting."""
+    return now + time_left(headers, route.timeout)
 
 
 def make(req, body, route, policy, now):
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -113,6 +113,8 @@
 
     async def _try(self, service):
         verdict = NOT_RUN
+        if self.left() <= ZERO:
+            return await self._give_up(GiveUp(503))
         while True:
             post, slot = self._pick(service)
             if post is None:
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -10,7 +10,7 @@
 from sparloom.link import bind, steady
 from sparloom.metering import figures
 
-from .ask import make
+from .ask import make, time_left
 from .carry import Carry
 
 OPTIONS = {"handler_cancellation": True, "keepalive_timeout": 75.0, "max_field_size": 65536, "max_line_size": 65536}
@@ -83,7 +83,7 @@
 
     async def _take(self, req):
         now, k = steady(), self.know
-        await k.wait_known()
+        await k.wait_known(time_left(req.headers, self.up.bounds.contact))
         policy = k.policy
         if policy is None:
             return web.Response(status=503, headers={"Retry-After": "0.2"})
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -141,11 +141,11 @@
         if self.policy is not None and self.listed is not None and not self.known.is_set():
             self.prefixes.ask()
 
-    async def wait_known(self):
-        """Waits a moment after a start for the first policy and the first runners."""
+    async def wait_known(self, most):
+        """Waits a moment after a start for the first policy and the first runners, but no longer than ``most``."""
         if not self.known.is_set():
             try:
-                async with asyncio.timeout(self.up.bounds.contact.total_seconds() / 3):
+                async with asyncio.timeout(min(most, self.up.bounds.contact / 3).total_seconds()):
                     await self.known.wait()
             except TimeoutError:
                 pass
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,8 +6,10 @@
 
 import aiohttp
 
+from sparloom.link import steady
 from sparloom.link.client import Connector, open_session
 from sparloom.router.fleet import Post
+from sparloom.router.line import Lines
 
 from .rig import Rig
 
@@ -144,6 +146,30 @@
 
 
 class TurningAway(Case):
+    async def test_a_router_that_knows_nothing_yet_holds_no_request_past_its_deadline(self):
+        k = self.rig.know
+        k.policy = None
+        k.known.clear()
+        async with asyncio.timeout(k.up.bounds.contact.total_seconds() / 4):
+            a = await self.rig.send("/once/x", left=20)
+        self.assertEqual((a.status, "retry-after" in a.heads), (503, True))
+
+    async def test_what_has_no_time_left_is_not_sent_on(self):
+        with mock.patch.object(Lines, "enter", self.late(Lines.enter)):
+            a = await self.rig.send("/once/x")
+        self.assertEqual((a.status, self.got), (503, []))
+
+    @staticmethod
+    def late(enter):
+        """A place in line that comes only when the time is over."""
+
+        async def after_the_deadline(lines, service, ask):
+            place = await enter(lines, service, ask)
+            ask.horizon = steady()
+            return place
+
+        return after_the_deadline
+
     async def test_no_route_is_404(self):
         self.assertEqual((await self.rig.send("/nowhere/")).status, 404)
 
