Examples of the sockets show records on their way

Cause: six examples printed a function's own name and could not fail. Change: two examples send a record over loopback, by datagram and over a connection; the others are dropped, since I/O on its own shows nothing there.

--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -43,18 +43,32 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    """Records by datagram; what is no record is dropped."""
+    """Records by datagram; what is no record is dropped.
+
+    A datagram may get lost, come twice, late or out of order, and from an
+    earlier life of the process at an address: what its record says of life and
+    sequence is checked by those who take it.
+
+    >>> from sparloom.feed import Follow
+    >>> async def to_itself(record):
+    ...     got = asyncio.get_running_loop().create_future()
+    ...     there = await Datagrams.open("127.0.0.1", 0, lambda sender, record: got.set_result((sender, record)))
+    ...     host, port = there.transport.get_extra_info("sockname")
+    ...     there.transport.sendto(b"no record", (host, port))
+    ...     there.send(f"{host}:{port}", record)
+    ...     sender, record = await got
+    ...     there.close()
+    ...     return sender == f"{host}:{port}", record.node
+    >>> asyncio.run(to_itself(Follow("router-1", 0, 0, 0, 0)))
+    (True, 'router-1')
+    """
 
     def __init__(self, take):
         self.take, self.transport, self.addrs, self.meter = take, None, {}, here()
 
     @classmethod
     async def open(cls, host, port, take):
-        """Opens a socket; ``take`` gets the sender's HOST:PORT and the record.
-
-        >>> Datagrams.open.__name__
-        'open'
-        """
+        """Opens a socket; ``take`` gets the sender's HOST:PORT and the record."""
         loop = asyncio.get_running_loop()
         _, proto = await loop.create_datagram_endpoint(lambda: cls(take), local_addr=(host, port))
         return proto
@@ -75,11 +89,7 @@
         pass
 
     def send(self, to, rec):
-        """Sends a record to HOST:PORT, or to each of a tuple of them; it may get lost.
-
-        >>> Datagrams.send.__name__
-        'send'
-        """
+        """Sends a record to HOST:PORT, or to each of a tuple of them; it may get lost."""
         if self.transport is None or self.transport.is_closing():
             return
         raw = pack(rec)
@@ -104,7 +114,22 @@
 
 
 class Frames:
-    """Records over a pipe, each with its size ahead."""
+    """Records over a connection, each with its size ahead.
+
+    >>> from sparloom.feed import Follow
+    >>> async def there(record):
+    ...     arrived = asyncio.get_running_loop().create_future()
+    ...     server = await asyncio.start_server(lambda r, w: arrived.set_result(Frames(r, w)), "127.0.0.1", 0)
+    ...     near = await dial(*server.sockets[0].getsockname(), timedelta(seconds=1))
+    ...     await near.write(record, patience=timedelta(seconds=1))
+    ...     far = await arrived
+    ...     got = await far.read()
+    ...     for end in (near, far, server):
+    ...         end.close()
+    ...     return got.node
+    >>> asyncio.run(there(Follow("router-1", 0, 0, 0, 0)))
+    'router-1'
+    """
 
     def __init__(self, reader, writer):
         self.reader, self.writer, self.meter = reader, writer, here()
@@ -115,9 +140,6 @@
         """The next record; raises EOFError, OSError or Broken at an end.
 
         ``progress``: called whenever a part of a record that is awaited has come.
-
-        >>> Frames.read.__name__
-        'read'
         """
         (n,) = _SIZE.unpack(await self.reader.readexactly(_SIZE.size))
         if n > MOST:
@@ -139,9 +161,6 @@
         """Writes a record.
 
         ``patience``: raises TimeoutError once the other end has taken nothing for so long.
-
-        >>> Frames.write.__name__
-        'write'
         """
         raw = pack(rec)
         if self.meter is not None:
@@ -159,11 +178,7 @@
                     raise
 
     def close(self):
-        """Closes the pipe at once.
-
-        >>> Frames.close.__name__
-        'close'
-        """
+        """Closes the connection at once."""
         if self.meter is not None:
             self.meter.add("pipe closed")
             self.meter = None
@@ -171,11 +186,7 @@
 
 
 async def dial(host, port, wait):
-    """Opens a pipe within a time; raises OSError or TimeoutError.
-
-    >>> dial.__name__
-    'dial'
-    """
+    """Opens a connection for records within a time; raises OSError or TimeoutError."""
     async with asyncio.timeout(wait.total_seconds()):
         reader, writer = await asyncio.open_connection(host, port, limit=MOST)
     tune(writer.get_extra_info("socket"))
