--- a/standins/runner.py
+++ b/standins/runner.py
@@ -36,13 +36,15 @@
     othershed, othermoved and namelessbad (a refusal of another request, or a 400
     without an id, in the answer's place; the request runs all the same),
     leftover (a refusal that stays behind the answer on the connection),
-    endless (a refusal whose body never ends), shedshort (one that is cut short).
+    endless (a refusal whose body never ends), shedshort (one that is cut short),
+    raw (the bytes of ``raw``, and a close).
     """
 
     id: str = "i-1"
     events: int = 5
     script: list = field(factory=list)
     pause: float = 0.0
+    raw: bytes = b""
     got: list = field(factory=list)
     pipes: int = 0
     dropped: int = 0
@@ -189,6 +191,11 @@
         await asyncio.sleep(0.02)
         return False
 
+    async def _raw(self, g, w):
+        w.write(self.raw)
+        await w.drain()
+        return False
+
     async def _reset(self, g, w):
         return False
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -239,8 +239,8 @@
             self.script("leftover")
             a = await self.rig.send("/once/x", id=f"s{i}")
             self.assertEqual((a.status, a.whole, len(self.got)), (200, True, i + 1))
-            for p in self.rig.know.fleet.posts.values():
-                while p.warm():
+            async with asyncio.timeout(2):
+                while any(p.warm() for p in self.rig.know.fleet.posts.values()):
                     await asyncio.sleep(0)
 
     async def test_a_refusal_counts_though_its_body_never_ends(self):
@@ -292,6 +292,29 @@
             a = await self.rig.send("/once/x")
             self.assertFalse(a.whole)
 
+    async def test_what_is_no_sound_answer_is_not_passed_on(self):
+        chunk = b"3\r\nabc\r\n0\r\n\r\n"
+        for name, (start, more, body) in {
+            "two lengths": ("200 OK", "Content-Length: 3\r\nContent-Length: 5\r\n", b"abcde"),
+            "a length and chunks": ("200 OK", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunk),
+            "an encoding under the chunks": ("200 OK", "Transfer-Encoding: gzip, chunked\r\n", chunk),
+            "a broken chunk": ("200 OK", "Transfer-Encoding: chunked\r\n", b"3\r\nabcXX"),
+            "no end but the close": ("200 OK", "", b"abc"),
+            "a second id": ("200 OK", "X-Sparloom-Attempt-Id: b\r\nContent-Length: 3\r\n", b"abc"),
+            "another protocol": ("101 Switching", "Upgrade: x\r\nConnection: upgrade\r\n", b"abc"),
+            "a failure cut short": ("500 No", "Content-Length: 9\r\n", b"abc"),
+        }.items():
+            head = f"HTTP/1.1 {start}\r\nX-Sparloom-Attempt-Id: a1\r\nX-Sparloom-Runner-Seal: s\r\n{more}\r\n"
+            for r in self.rig.runners:
+                r.raw = head.encode() + body
+                self.rig.know.fleet.posts[r.id].clear()
+            for path in ("/unsafe/x", "/once/x"):
+                with self.subTest(name, path=path):
+                    self.script("raw")
+                    a = await self.rig.send(path)
+                    passed_on = a.status == 200 and a.whole or "x-sparloom-runner-seal" in a.heads
+                    self.assertEqual((a.status == 502, passed_on), (True, False))
+
     async def test_surplus_answers_reach_nobody(self):
         for i in range(6):
             self.script("extra")
