--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,128 @@
+"""What a router makes of runners' answers that don't fit, and what it may send again."""
+
+import asyncio
+from unittest import mock
+
+import aiohttp
+
+from sparloom.link.client import Connector, open_session
+from sparloom.router.fleet import Post
+
+from .test_router import EVENTS, Case
+
+
+class FailsOnce:
+    """In place of a runner's session: the first request fails before there is a connection."""
+
+    def __init__(self, failure):
+        self.failure, self.failed = failure, False
+
+    def pipes(self, real):
+        """What to put in the place of ``Post.pipes``."""
+        return lambda post: real(post) if self.failed else self
+
+    def request(self, *args, **options):
+        """Fails."""
+        self.failed = True
+        raise self.failure
+
+
+class Answers(Case):
+    async def test_the_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(self):
+        for word in ("othershed", "othermoved", "namelessbad"):
+            for path in ("/once/x", "/unsafe/x"):
+                with self.subTest(word=word, path=path):
+                    n = len(self.got)
+                    self.script(word)
+                    a = await self.rig.send(path)
+                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
+                    for p in self.rig.know.fleet.posts.values():
+                        p.clear()
+
+    async def test_a_connection_with_a_refusal_left_on_it_is_not_taken_up_again(self):
+        for i in range(8):
+            self.script("leftover")
+            a = await self.rig.send("/once/x", id=f"s{i}")
+            self.assertEqual((a.status, a.whole, len(self.got)), (200, True, i + 1))
+            async with asyncio.timeout(2):
+                while any(p.warm() for p in self.rig.know.fleet.posts.values()):
+                    await asyncio.sleep(0)
+
+    async def test_a_refusal_counts_though_its_body_never_ends(self):
+        for word in ("endless", "shedshort"):
+            n = len(self.got)
+            self.script(word)
+            a = await self.rig.send("/once/x")
+            self.assertEqual((a.status, a.whole, len(self.got) - n), (200, True, 2))
+            for p in self.rig.know.fleet.posts.values():
+                p.clear()
+
+    async def test_a_connection_that_never_came_about_has_carried_nothing(self):
+        for failure in (aiohttp.ConnectionTimeoutError(), aiohttp.ClientConnectorError(None, OSError())):
+            first = FailsOnce(failure)
+            with mock.patch.object(Post, "pipes", first.pipes(Post.pipes)):
+                a = await self.rig.send("/unsafe/x")
+            self.assertEqual((a.status, a.whole, first.failed), (200, True, True))
+            for p in self.rig.know.fleet.posts.values():
+                p.clear()
+
+    async def test_no_session_repeats_by_itself_nor_keeps_cookies(self):
+        session = open_session(Connector())
+        self.addAsyncCleanup(session.close)
+        self.assertIs(session._retry_connection, False)
+        self.assertIsInstance(session.cookie_jar, aiohttp.DummyCookieJar)
+
+    async def test_a_get_is_not_sent_again_by_the_library(self):
+        await self.rig.send("/unsafe/x", method="GET", body=b"")
+        n = len(self.got)
+        self.script("reset")
+        a = await self.rig.send("/unsafe/x", method="GET", body=b"")
+        self.assertEqual((a.status, len(self.got) - n), (502, 1))
+
+    async def test_what_is_no_sound_answer_is_not_passed_on(self):
+        chunk = b"3\r\nabc\r\n0\r\n\r\n"
+        for name, (start, more, body) in {
+            "two lengths": ("200 OK", "Content-Length: 3\r\nContent-Length: 5\r\n", b"abcde"),
+            "a length and chunks": ("200 OK", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunk),
+            "an encoding under the chunks": ("200 OK", "Transfer-Encoding: gzip, chunked\r\n", chunk),
+            "a broken chunk": ("200 OK", "Transfer-Encoding: chunked\r\n", b"3\r\nabcXX"),
+            "no end but the close": ("200 OK", "", b"abc"),
+            "a second id": ("200 OK", "X-Sparloom-Attempt-Id: b\r\nContent-Length: 3\r\n", b"abc"),
+            "another protocol": ("101 Switching", "Upgrade: x\r\nConnection: upgrade\r\n", b"abc"),
+            "a failure cut short": ("500 No", "Content-Length: 9\r\n", b"abc"),
+        }.items():
+            head = f"HTTP/1.1 {start}\r\nX-Sparloom-Attempt-Id: a1\r\nX-Sparloom-Runner-Seal: s\r\n{more}\r\n"
+            for r in self.rig.runners:
+                r.raw = head.encode() + body
+                self.rig.know.fleet.posts[r.id].clear()
+            for path in ("/unsafe/x", "/once/x"):
+                with self.subTest(name, path=path):
+                    self.script("raw")
+                    a = await self.rig.send(path)
+                    passed_on = a.status == 200 and a.whole or "x-sparloom-runner-seal" in a.heads
+                    self.assertEqual((a.status == 502, passed_on), (True, False))
+
+    async def test_surplus_answers_reach_nobody(self):
+        for i in range(6):
+            self.script("extra")
+            a = await self.rig.send("/once/x", id=f"e{i}")
+            self.assertIn(a.status, (200, 502))
+            if a.status == 200:
+                self.assertEqual((a.heads["x-sparloom-attempt-id"], a.body, a.whole), (f"e{i}", EVENTS, True))
+
+
+class Attempts(Case):
+    runners = 5
+
+    async def test_refusals_count_among_the_attempts_of_a_route(self):
+        for word in ("shed", "moved"):
+            n = len(self.got)
+            self.script(*[word] * 5)
+            a = await self.rig.send("/once/x")
+            self.assertEqual((a.status, len(self.got) - n), (503, 2))
+
+    async def test_runners_that_take_no_connection_do_not(self):
+        for r in self.rig.runners[:4]:
+            r.server.close()
+        a = await self.rig.send("/single/x")
+        self.assertEqual((a.status, a.whole, len(self.got)), (200, True, 1))
