A storm of misbehaving runners: none runs twice, every answer is one's own

200 requests on five kinds of routes, four at a time, to four runners that misbehave in 17 ways; runs, promises, seals and bodies are checked for each. The stand-in's short answer now begins with its first real event, so that a stream which is taken up after it can be checked as a whole.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -6,15 +6,26 @@
 
 SEAL = "X-Sparloom-Runner-Seal"
 ID = "X-Sparloom-Attempt-Id"
+NOT_RUN = frozenset(("shed", "moved", "endless", "shedshort"))
 
 
 @define(slots=True)
 class Got:
-    """One request as it arrived: the raw head lines and the body."""
+    """One request as it arrived: the raw head lines and the body; ``word``: the script that it met."""
 
     line: str
     heads: list
     body: bytes
+    word: str = ""
+
+    @property
+    def ran(self):
+        """Whether the runner began to work on it.
+
+        >>> Got("", [], b"", "shed").ran, Got("", [], b"", "reset").ran
+        (False, True)
+        """
+        return self.word not in NOT_RUN
 
     def head(self, name):
         """A head's value, or None.
@@ -82,7 +93,7 @@
         g = Got(raw[0], heads, b"")
         g.body = await reader.readexactly(int(g.head("Content-Length") or 0))
         self.got.append(g)
-        what = self.script.pop(0) if self.script else "ok"
+        g.word = what = self.script.pop(0) if self.script else "ok"
         if what == "hang":
             await reader.read(-1)
             self.dropped += 1
@@ -201,7 +212,7 @@
 
     async def _short(self, g, w):
         self._start(g, w, more=["Content-Length: 500"], chunked=False)
-        w.write(b"id: 1\ndata: x\n\n")
+        w.write(b"id: 1\ndata: piece 1\n\n")
         await w.drain()
         return False
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,6 +1,7 @@
 """What a router makes of runners' answers that don't fit, and what it may send again."""
 
 import asyncio
+import random
 from unittest import mock
 
 import aiohttp
@@ -126,3 +127,62 @@
             r.server.close()
         a = await self.rig.send("/single/x")
         self.assertEqual((a.status, a.whole, len(self.got)), (200, True, 1))
+
+
+class Storm(Case):
+    """Many requests at once, to runners that misbehave in every way, on kept connections."""
+
+    runners = 4
+    words = ("ok",) * 8 + (
+        "shed",
+        "moved",
+        "busy",
+        "error",
+        "noseal",
+        "otherid",
+        "cut",
+        "reset",
+        "extra",
+        "junk",
+        "short",
+        "othershed",
+        "othermoved",
+        "namelessbad",
+        "leftover",
+        "endless",
+        "shedshort",
+    )
+
+    async def client(self, rng, name, answers):
+        """Sends one request after the other, each with an id of its own."""
+        for i in range(25):
+            path, id = rng.choice(("/once/", "/unsafe/", "/safe/", "/resume/", "/single/")), f"{name}-{i}"
+            answers[id] = path, await self.rig.send(f"{path}x", id=id)
+            for post in self.rig.know.fleet.posts.values():
+                post.clear()
+
+    async def test_none_runs_twice_and_every_answer_is_ones_own(self):
+        for seed in range(2):
+            rng, answers = random.Random(seed), {}
+            for r in self.rig.runners:
+                r.got, r.script = [], rng.choices(self.words, k=400)
+            await asyncio.gather(*(self.client(rng, f"{seed}-{n}", answers) for n in range(4)))
+            runs = {}
+            for g in self.got:
+                runs.setdefault(g.head("X-Sparloom-Attempt-Id"), []).append(g.ran)
+            for id, (path, a) in answers.items():
+                with self.subTest(id=id, path=path, status=a.status):
+                    self.check(id, path, a, runs.get(id, []))
+            self.assertGreater(sum(a.status == 200 and a.whole for _, a in answers.values()), len(answers) / 3)
+
+    def check(self, id, path, answer, runs):
+        """What the rules ask of one request, by what its client and the runners saw."""
+        self.assertLessEqual(len(runs), 1 if path == "/single/" else 2)
+        if path not in ("/safe/", "/resume/"):
+            self.assertLessEqual(sum(runs), 1)
+            self.assertFalse(answer.status in (408, 421, 429, 503) and any(runs))
+        if answer.status == 200:
+            self.assertTrue(answer.heads["x-sparloom-runner-seal"].endswith(f".{id}"))
+            self.assertTrue(EVENTS.startswith(answer.body) and answer.whole == (answer.body == EVENTS))
+        elif "x-sparloom-runner-seal" in answer.heads:
+            self.assertEqual(answer.status, 500)
