Idle connections of clients are kept as long as the configuration allows

Cause: they were closed after 75 s whatever idleTimeoutMs said, though clients take up connections that have rested for four fifths of it. Change: a connection opened under a configuration is kept for its bound, and for 75 s at least. Result: a test in tests.test_router.

--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -1,6 +1,7 @@
 """The address that requesters call, and the one that the platform asks for readiness."""
 
 import asyncio
+from datetime import timedelta
 
 from absl import logging
 from aiohttp import web
@@ -13,7 +14,23 @@
 from .ask import make, time_left
 from .carry import Carry
 
-OPTIONS = {"handler_cancellation": True, "keepalive_timeout": 75.0, "max_field_size": 65536, "max_line_size": 65536}
+IDLE = timedelta(seconds=75)
+OPTIONS = {"max_field_size": 65536, "max_line_size": 65536}
+
+
+class ClientServer(web.Server):
+    """Serves clients; ``idle()``: how long a connection that is opened now may be idle."""
+
+    def __init__(self, handler, idle):
+        super().__init__(handler, handler_cancellation=True)
+        self.idle = idle
+
+    def __call__(self):
+        """The protocol of a new connection."""
+        idle = self.idle().total_seconds()
+        return web.RequestHandler(
+            self, loop=asyncio.get_running_loop(), access_log=None, keepalive_timeout=idle, **OPTIONS
+        )
 
 
 class Front(Service):
@@ -27,12 +44,21 @@
         self.runners = []
 
     async def on_start(self):
-        await self.serve(self._ready, bind(self.up.listen.readiness), {})
-        await self.serve(self._handle, bind(self.up.listen.front), OPTIONS)
+        await self.serve(web.Server(self._ready, access_log=None), bind(self.up.listen.readiness))
+        await self.serve(self.clients(), bind(self.up.listen.front))
+
+    def clients(self):
+        """The server for clients."""
+        return ClientServer(self._handle, self.idle_bound)
+
+    def idle_bound(self):
+        """How long a client's connection is kept idle: never less than the configuration allows."""
+        policy = self.know.policy
+        return IDLE if policy is None else max(IDLE, policy.caps.idle)
 
-    async def serve(self, handler, sock, opts):
+    async def serve(self, server, sock):
         """Serves on a listening socket."""
-        run = web.ServerRunner(web.Server(handler, access_log=None, **opts), shutdown_timeout=0.1)
+        run = web.ServerRunner(server, shutdown_timeout=0.1)
         await run.setup()
         await web.SockSite(run, sock).start()
         self.runners.append(run)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -10,7 +10,7 @@
 from sparloom.platform import RunnerList
 from sparloom.policy import build
 from sparloom.router.fleet import Fleet
-from sparloom.router.front import OPTIONS, Front
+from sparloom.router.front import Front
 from sparloom.router.know import Know
 from sparloom.startup import Address, from_dict
 from standins.runner import Runner
@@ -85,7 +85,7 @@
         k.fleet = Fleet().renew(k.listed.runners, lambda s: 10000)
         k.known.set()
         self.front = Front(self.up, k)
-        await self.front.serve(self.front._handle, bind(Address("127.0.0.1", 0)), OPTIONS)
+        await self.front.serve(self.front.clients(), bind(Address("127.0.0.1", 0)))
         self.port = self.front.runners[-1].addresses[0][1]
         return self
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,9 +5,10 @@
 from unittest import mock
 
 from sparloom.link import steady
+from sparloom.policy import build
 from sparloom.router.line import Lines
 
-from .rig import Rig
+from .rig import POLICY, Rig
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (i, i) for i in range(1, 6))
 
@@ -121,6 +122,13 @@
         self.script("error")
         self.assertEqual((await self.rig.send("/once/z")).status, 500)
 
+    async def test_an_idle_connection_is_kept_as_long_as_the_configuration_allows(self):
+        for limit, kept in ((15000, 75), (200000, 200)):
+            self.rig.know.policy = build({**POLICY, "limits": {**POLICY["limits"], "idleTimeoutMs": limit}})
+            self.assertEqual(self.rig.front.clients()().keepalive_timeout, kept)
+        self.rig.know.policy = None
+        self.assertEqual(self.rig.front.clients()().keepalive_timeout, 75)
+
     async def test_pipes_are_used_again(self):
         for i in range(6):
             await self.rig.send("/once/z", id=f"k{i}")
