Membership: an answer to an earlier life's probe is no sign of life

Cause: probe sequences began at 0 in each life of a process, so an answer to a probe from before a restart could fit one of after it, and hide a loss for one probe period. Change: they begin at a number made from the life. Result: a test in tests.test_members, failing before (the probe was taken for answered).

--- a/libs/members/swim.py
+++ b/libs/members/swim.py
@@ -11,6 +11,7 @@
 
 ROOM = 18
 MARKS = 200
+FIRST_SEQ = 1 << 31
 
 
 def retellings(n):
@@ -97,6 +98,8 @@
 
     def __attrs_post_init__(self):
         self.digest = self.me.mark()
+        # An answer to a probe of an earlier life at this address must fit none of this one's.
+        self.seq = self.me.life % FIRST_SEQ
 
     def alive(self):
         """The others that are believed up, suspects included, as a tuple; kept until a belief changes.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,9 +1,28 @@
 """Membership on a simulated net: a column per node, seeded luck."""
 
+import random
 import unittest
+from datetime import timedelta
 
 from rehearsal.net import Net
-from sparloom.members import DEAD
+from sparloom.members import ALIVE, DEAD, ROUTER, Ack, Peer, Ping, Swim, Times
+
+
+class Lives(unittest.TestCase):
+    def prober(self, life):
+        """A process that has just probed another one; gives it and its probe."""
+        swim = Swim(Peer("a:1", ROUTER, "z", "", life, 0, ALIVE), (), Times.of(timedelta(seconds=3)), random.Random(1))
+        swim.receive(timedelta(0), "b:1", Ping(0, self.other, 0, []))
+        return swim, next(s.rec for s in swim.tick(timedelta(0)) if s.to == "b:1")
+
+    def test_an_answer_to_an_earlier_lifes_probe_is_no_sign_of_life(self):
+        self.other = Peer("b:1", ROUTER, "z", "", 7, 0, ALIVE)
+        _, early = self.prober(life=0x1234567)
+        swim, probe = self.prober(life=0x7654321)
+        swim.receive(timedelta(0), "b:1", Ack(early.seq, self.other, 0, []))
+        self.assertEqual([p.key for p in swim.probes], ["b:1"])
+        swim.receive(timedelta(0), "b:1", Ack(probe.seq, self.other, 0, []))
+        self.assertEqual(swim.probes, [])
 
 
 class Members(unittest.TestCase):
