Choosing a runner asks one idle connection, not all, whether it is usable

Cause: the check for unasked bytes made Post.warm dearer, and it is asked of each runner at each choice.

--- a/libs/link/client.py
+++ b/libs/link/client.py
@@ -16,13 +16,16 @@
         return None
 
     def has_idle(self):
-        """Whether an idle connection can be used for the next request."""
-        now = monotonic()
-        return any(
-            now - since < self._keepalive_timeout and protocol.is_connected() and not protocol.should_close
-            for idle in self._conns.values()
-            for protocol, since in idle
-        )
+        """Whether the connection that became idle last can be used for the next request.
+
+        This is asked of each runner at each choice, so it looks at one connection only.
+        """
+        oldest = monotonic() - self._keepalive_timeout
+        for idle in self._conns.values():
+            protocol, since = idle[-1]
+            if since > oldest and not protocol.should_close:
+                return True
+        return False
 
     def keep_idle(self, seconds):
         """Sets for how long an idle connection is kept."""
