--- a/libs/policy/table.py
+++ b/libs/policy/table.py
@@ -29,7 +29,7 @@
     target: timedelta
     gap: timedelta
     priority: int = 5
-    max_dispatches: int = 1
+    max_attempts: int = 1
     resume: bool = False
     sticky: bool = False
 
--- a/libs/recover/__init__.py
+++ b/libs/recover/__init__.py
@@ -1,4 +1,4 @@
-"""Further tries: what an ending proves, whether another dispatch is allowed, the budget."""
+"""Further tries: what an ending proves, whether another attempt is allowed, the budget."""
 
 from .budget import Budget
 from .plan import GiveUp, Plan, Retry, after
--- a/libs/recover/plan.py
+++ b/libs/recover/plan.py
@@ -1,4 +1,4 @@
-"""What to do after a dispatch has ended badly: a plan, made as data."""
+"""What to do after an attempt has ended badly: a plan, made as data."""
 
 from datetime import timedelta
 
@@ -9,11 +9,11 @@
 
 @define(frozen=True, slots=True)
 class Plan:
-    """What is known when a dispatch has ended."""
+    """What is known when an attempt has ended."""
 
     repeatable: bool
-    max_dispatches: int
-    dispatches: int
+    max_attempts: int
+    attempts: int
     verdict: Verdict
     began: bool = False
     left: timedelta = timedelta(0)
@@ -23,7 +23,7 @@
 
 @define(frozen=True, slots=True)
 class Retry:
-    """Dispatch again."""
+    """Try again, at another runner."""
 
 
 @define(frozen=True, slots=True)
@@ -35,7 +35,7 @@
 
 
 def after(p):
-    """The step after a dispatch that brought no whole reply.
+    """The step after an attempt that brought no whole reply.
 
     >>> from sparloom.recover.verdict import MAY_HAVE_RUN
     >>> after(Plan(False, 2, 1, MAY_HAVE_RUN, left=timedelta(1), within_budget=True, others=True))
@@ -46,7 +46,7 @@
     Retry()
     """
     may = p.repeatable or p.verdict is NOT_RUN
-    if may and p.left > timedelta(0) and p.dispatches < p.max_dispatches and p.within_budget and p.others:
+    if may and p.left > timedelta(0) and p.attempts < p.max_attempts and p.within_budget and p.others:
         return Retry()
     if p.began:
         return GiveUp(0, cut=True)
--- a/libs/shares/gate.py
+++ b/libs/shares/gate.py
@@ -27,7 +27,7 @@
 
 @define(frozen=True, slots=True)
 class Granted:
-    """The request may be dispatched; ``reserved``: out of its member's own reserve."""
+    """The request may be sent on; ``reserved``: out of its member's own reserve."""
 
     id: object
     reserved: bool = False
--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -115,7 +115,7 @@
 
 
 def onward(ask, post, now, last):
-    """The heads for one dispatch: each filter edits them in place.
+    """The headers for one attempt: each filter edits them in place.
 
     The urgency is the route's priority, one less urgent for a prompt so heavy
     that it lets others go first. The runner is named so that an address that
--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -1,4 +1,4 @@
-"""Carries one ask: choose a runner, take a slot, dispatch, relay, recover."""
+"""Carries one ask: choose a runner, take a slot, send, relay, recover."""
 
 import asyncio
 from datetime import timedelta
@@ -29,7 +29,7 @@
         self.know, self.req, self.ask, self.closing = know, req, ask, closing
         self.out = None
         self.thread = Thread()
-        self.dispatches, self.tried, self.reserved = 0, set(), False
+        self.attempts, self.tried, self.reserved = 0, set(), False
         self.worst = NOT_RUN
         self.left = lambda: ask.horizon - steady()
 
@@ -86,12 +86,12 @@
         r = self.ask.route
         return Plan(
             r.repeatable,
-            r.max_dispatches,
-            self.dispatches,
+            r.max_attempts,
+            self.attempts,
             verdict,
             self.out is not None,
             self.left(),
-            self.dispatches == 0 or self.know.budget(service).allowed(steady(), self.know.nodes()),
+            self.attempts == 0 or self.know.budget(service).allowed(steady(), self.know.nodes()),
             any(p.id not in self.tried for p in self.know.fleet.of(service)),
         )
 
@@ -118,11 +118,11 @@
         while True:
             post, slot = self._pick(service)
             if post is None:
-                return await self._give_up(after(self._plan(service, verdict)) if self.dispatches else GiveUp(503))
+                return await self._give_up(after(self._plan(service, verdict)) if self.attempts else GiveUp(503))
             self.tried.add(post.id)
             post.open += 1
             try:
-                verdict = await self._dispatch(post, slot, service)
+                verdict = await self._attempt(post, slot, service)
             finally:
                 post.open -= 1
                 slot.free(steady())
@@ -149,13 +149,13 @@
             self.req.transport.close()
         return self.out or web.Response(status=502)
 
-    # -- one dispatch -------------------------------------------------------
-    async def _dispatch(self, post, slot, service):
+    # -- one attempt --------------------------------------------------------
+    async def _attempt(self, post, slot, service):
         """None once the reply is through; else a verdict."""
-        if self.dispatches:
+        if self.attempts:
             self.know.budget(service).spend(steady())
-        self.dispatches += 1
-        note("dispatches")
+        self.attempts += 1
+        note("attempts")
         watch = Watch(self, post, slot, service)
         try:
             async with asyncio.timeout(max(0.0, self.left().total_seconds())) as watch.limit:
@@ -164,7 +164,7 @@
                     return await self._reply(resp, post, slot, watch)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             # No connection came about, so not a byte of the request has left.
-            self.dispatches -= 1
+            self.attempts -= 1
             post.strike(steady(), self.know.up.bounds.contact / 3)
             return NOT_RUN
         except (aiohttp.ClientError, OSError, ValueError) as e:
@@ -293,7 +293,7 @@
         self.arm(self.span)
 
     def stop(self):
-        """The dispatch has ended."""
+        """The attempt has ended."""
         if self.timer:
             self.timer.cancel()
             self.timer = None
--- a/sparloom/router/fleet.py
+++ b/sparloom/router/fleet.py
@@ -64,7 +64,7 @@
         return now < self.doubt_till
 
     def strike(self, now, span):
-        """A dispatch failed here: avoid it, longer each time."""
+        """An attempt failed here: avoid it, longer each time."""
         self.strikes = min(self.strikes + 1, 4)
         self.doubt_till = max(self.doubt_till, now + span * 2 ** (self.strikes - 1))
 
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -58,22 +58,22 @@
         self.assertEqual(got["frame in Follow"][0], 1)
         self.assertEqual((got["pipe opened"][0], got["pipe closed"][0]), (2, 2))
 
-    async def test_dispatches_choices_and_runner_connections(self):
+    async def test_attempts_choices_and_runner_connections(self):
         async with Rig(runners=2) as rig:
             for i in range(3):
                 self.assertEqual((await rig.send("/safe/", id=f"a{i}")).status, 200)
             got = rig.front.beliefs()["meter"]
-        self.assertEqual(got["dispatches"][0], 3)
+        self.assertEqual(got["attempts"][0], 3)
         self.assertEqual(got["weighed runners"][0], 6)
         self.assertLessEqual(1, got["opened runner"][0])
         self.assertLess(0, got["memory"])
 
     async def test_a_line_tells_all(self):
-        meter.note("dispatches")
+        meter.note("attempts")
         with self.assertLogs("absl", "INFO") as log:
             Metering("front-1", SECOND).tell()
         self.assertIn('meter: {"node":"front-1"', log.output[0])
-        self.assertIn('"dispatches":[1,0]', log.output[0])
+        self.assertIn('"attempts":[1,0]', log.output[0])
 
 
 class Off(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -66,7 +66,7 @@
     def test_caps_hold(self):
         for p in self.every():
             if isinstance(after(p), Retry):
-                self.assertTrue(p.dispatches < p.max_dispatches and p.within_budget and p.left > 0 * S)
+                self.assertTrue(p.attempts < p.max_attempts and p.within_budget and p.left > 0 * S)
 
     def test_what_has_begun_is_cut_not_ended(self):
         for p in self.every():
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -192,7 +192,7 @@
         a = await self.rig.send("/once/x")
         self.assertEqual((a.status, a.whole, len(self.got)), (200, True, 2))
 
-    async def test_shed_with_one_dispatch_is_503(self):
+    async def test_shed_with_one_attempt_is_503(self):
         self.script("shed")
         a = await self.rig.send("/single/x")
         self.assertEqual((a.status, len(self.got)), (503, 1))
@@ -273,7 +273,7 @@
             await asyncio.sleep(0)
         self.assertEqual(self.rig.know.counts.own, {})
 
-    async def test_every_dispatch_goes_through_the_buckets(self):
+    async def test_every_attempt_goes_through_the_buckets(self):
         seen = []
         self.rig.know.counts.hook = seen.append
         self.script("shed", "ok")
