--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from sparloom.choice import parse_parts
+from sparloom.recover.verdict import Head
 
 HOP = frozenset(
     (
@@ -62,14 +63,38 @@
     return CIMultiDict((k, v) for k, v in pairs if k.lower() not in HOP and k.lower() not in named)
 
 
-def horizon_of(heads, route, now):
-    """When the requester or the route stops waiting."""
-    text = heads.get(LEFT, "")
+def head_of(answer, id):
+    """What judges a runner's answer to the request with an attempt id ('' for none)."""
+    ids = answer.headers.getall(ID, [])
+    coding = answer.headers.get("Transfer-Encoding")
+    framed = coding is None and ("Content-Length" in answer.headers or answer.status in (204, 304))
+    return Head(
+        status=answer.status,
+        not_run=NOT_RUN in answer.headers,
+        sealed=SEAL in answer.headers,
+        id_fits=bool(id) and ids == [id],
+        framed=framed or coding is not None and coding.strip().lower() == "chunked",
+        nameless=not id and not ids,
+    )
+
+
+def time_left(headers, most):
+    """How long the client still waits by its own word, and ``most`` where that is less or it says nothing usable.
+
+    >>> time_left({LEFT: "250"}, timedelta(seconds=1)), time_left({LEFT: "soon"}, timedelta(seconds=1))
+    (datetime.timedelta(microseconds=250000), datetime.timedelta(seconds=1))
+    >>> time_left({LEFT: "-1"}, timedelta(seconds=1)), time_left({}, timedelta(seconds=1))
+    (datetime.timedelta(0), datetime.timedelta(seconds=1))
+    """
     try:
-        left = max(0.0, float(text)) * MS if text else route.timeout
-    except (ValueError, OverflowError):
-        left = route.timeout
-    return now + min(left, route.timeout)
+        return min(max(0.0, float(headers[LEFT])) * MS, most)
+    except (KeyError, ValueError, OverflowError):
+        return most
+
+
+def horizon_of(headers, route, now):
+    """When the client or the route stops waiting."""
+    return now + time_left(headers, route.timeout)
 
 
 def make(req, body, route, policy, now):
@@ -90,7 +115,7 @@
 
 
 def onward(ask, post, now, last):
-    """The heads for one dispatch: each filter edits them in place.
+    """The headers for one attempt: each filter edits them in place.
 
     The urgency is the route's priority, one less urgent for a prompt so heavy
     that it lets others go first. The runner is named so that an address that
