--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,50 @@
+"""The deploy file: it parses, its packages are plain names, its roles run modules that exist."""
+
+import importlib.util
+import os
+import tomllib
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+CLASSES = {"front", "core"}
+
+
+def deploy_file():
+    """The deploy file as a dict."""
+    with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
+        return tomllib.load(f)
+
+
+class Deploy(unittest.TestCase):
+    def setUp(self):
+        self.deploy = deploy_file()
+
+    def test_packages_are_plain_debian_names(self):
+        packages = self.deploy["packages"]
+        self.assertIsInstance(packages, list)
+        for name in packages:
+            self.assertRegex(name, r"\A[a-z0-9][a-z0-9+.-]+\Z")
+        self.assertEqual(packages, sorted(set(packages)))
+        self.assertLessEqual({"python3", "python3-pip"}, set(packages))
+
+    def test_the_build_installs_the_requirements_and_needs_no_tests(self):
+        build = self.deploy["build"]
+        self.assertIn("-r requirements.txt", build)
+        self.assertNotIn("requirements-tools", build)
+        self.assertNotIn("tests", build)
+
+    def test_every_role_runs_a_module_that_exists(self):
+        for name, role in self.deploy["roles"].items():
+            with self.subTest(name):
+                program, *options, module = role["run"].split()
+                self.assertEqual((program, options[-1]), ("python3", "-m"))
+                self.assertIsNotNone(importlib.util.find_spec(module + ".__main__"))
+
+    def test_every_role_has_a_place_and_a_duty(self):
+        served = []
+        for name, role in self.deploy["roles"].items():
+            with self.subTest(name):
+                self.assertIn(role["on"], CLASSES)
+                self.assertTrue(0 < role["share"] <= 1)
+                served += role["serves"]
+        self.assertEqual(sorted(served), ["control", "front"])
