Examples that only printed a function's name show what the function does

Cause: in libs/timeouts, libs/sums and rehearsal an example such as `Slot.free.__name__` could not fail. Change: seven of them show behaviour; two that only do I/O (rehearsal.report.draw, rehearsal.host.count) have none.

--- a/libs/sums/told.py
+++ b/libs/sums/told.py
@@ -27,8 +27,15 @@
 def sums(m, now):
     """The pieces of a machine's sum; the relay itself is one of the group.
 
-    >>> sums.__name__
-    'sums'
+    >>> from sparloom.relay import Tier
+    >>> from .machine import Sums
+    >>> from .words import decoded
+    >>> start = timedelta(0)
+    >>> relay = Sums("a", 1, timedelta(seconds=3))
+    >>> relay.see(start, Tier(("a",), (), True), {})
+    >>> relay.note(start, {7: (2, 64, 0, 0, 0, 0)}, 4)
+    >>> [(s.key, s.crowd, s.cover, [decoded(one.held) for one in s.singles]) for s in sums(relay, start)]
+    [('a', 4, [], [{7: (2, 64, 0, 0, 0, 0)}])]
     """
     m.clean(now)
     covered = {h for r in m.relays.values() for p in r.standing for h in p.cover}
@@ -63,8 +70,15 @@
 def totals(m, now):
     """The pieces of the total of all that a machine knows, its own calls included.
 
-    >>> totals.__name__
-    'totals'
+    >>> from sparloom.relay import Tier
+    >>> from .machine import Sums
+    >>> from .words import decoded
+    >>> start = timedelta(0)
+    >>> relay = Sums("a", 1, timedelta(seconds=3))
+    >>> relay.see(start, Tier(("a",), (), True), {})
+    >>> relay.note(start, {7: (2, 64, 0, 0, 0, 0)}, 4)
+    >>> [(t.key, t.crowd, decoded(t.held)) for t in totals(relay, start)]
+    [('a', 4, {7: (2, 64, 0, 0, 0, 0)})]
     """
     got = m.gathered(now)
     add(got.held, m.held)
--- a/libs/timeouts/counts.py
+++ b/libs/timeouts/counts.py
@@ -70,8 +70,14 @@
     def free(self, now):
         """Gives the slot back and tells the hook; a second time does nothing.
 
-        >>> Slot.free.__name__
-        'free'
+        >>> from .buckets import Bucket
+        >>> start, buckets = timedelta(0), [Bucket(timedelta(seconds=1), 1)]
+        >>> counts = Counts(timedelta(seconds=3))
+        >>> slot = counts.take("r", buckets, start)
+        >>> slot.free(start)
+        >>> slot.free(start)
+        >>> counts.count("r", start)
+        0
         """
         if self.open:
             self.open = False
@@ -80,8 +86,13 @@
     def read(self, tokens):
         """The prompt has been read: its tokens no longer wait.
 
-        >>> Slot.read.__name__
-        'read'
+        >>> from .buckets import Bucket
+        >>> start, buckets = timedelta(0), [Bucket(timedelta(seconds=1), 1)]
+        >>> counts = Counts(timedelta(seconds=3))
+        >>> slot = counts.take("r", buckets, start, tokens=500)
+        >>> slot.read(200)
+        >>> counts.tokens("r", start)
+        300
         """
         if self.open:
             self.counts.lighten(self, min(tokens, self.tokens))
@@ -168,8 +179,13 @@
     def take(self, resource, buckets, now, tokens=0):
         """Takes a slot in every bucket, or tells the hook of a refusal and gives None.
 
-        >>> Counts.take.__name__
-        'take'
+        >>> from .buckets import Bucket
+        >>> start, buckets = timedelta(0), [Bucket(timedelta(seconds=1), 1)]
+        >>> counts = Counts(timedelta(seconds=3))
+        >>> counts.take("r", buckets, start).grant.timeout
+        datetime.timedelta(seconds=1)
+        >>> counts.take("r", buckets, start) is None
+        True
         """
         n = self.count(resource, now)
         grant = pick(buckets, n)
@@ -183,8 +199,12 @@
     def lighten(self, slot, tokens):
         """Takes read tokens off a resource.
 
-        >>> Counts.lighten.__name__
-        'lighten'
+        >>> from .buckets import Bucket
+        >>> start, buckets = timedelta(0), [Bucket(timedelta(seconds=1), 1)]
+        >>> counts = Counts(timedelta(seconds=3))
+        >>> counts.lighten(counts.take("r", buckets, start, tokens=500), 500)
+        >>> counts.tokens("r", start)
+        0
         """
         slot.tokens -= tokens
         self.weight[slot.resource] = max(0, self.weight.get(slot.resource, 0) - tokens)
@@ -192,8 +212,12 @@
     def release(self, slot, now):
         """Ends a slot; called by the slot itself.
 
-        >>> Counts.release.__name__
-        'release'
+        >>> from .buckets import Bucket
+        >>> start, buckets = timedelta(0), [Bucket(timedelta(seconds=1), 1)]
+        >>> counts = Counts(timedelta(seconds=3))
+        >>> counts.hook = lambda call: print(call.resource, call.duration)
+        >>> counts.release(counts.take("r", buckets, start), start + timedelta(seconds=2))
+        r 0:00:02
         """
         left = self.own.get(slot.resource, 0) - 1
         self.lighten(slot, slot.tokens)
--- a/rehearsal/host.py
+++ b/rehearsal/host.py
@@ -39,8 +39,7 @@
 def count(tally):
     """Counts all records that this process sends and takes, at its sockets.
 
-    >>> count.__name__
-    'count'
+    The counting is done inside the classes of the sockets, for the whole process and for good.
     """
     made, came = Datagrams.connection_made, Datagrams.datagram_received
     wrote, fed = asyncio.StreamWriter.write, asyncio.StreamReader.feed_data
--- a/rehearsal/report.py
+++ b/rehearsal/report.py
@@ -122,11 +122,7 @@
 
 
 def draw(run, path, x="size.nodes"):
-    """Writes a picture with a curve for each figure of the table.
-
-    >>> draw.__name__
-    'draw'
-    """
+    """Writes a picture with a curve for each figure of the table."""
     import matplotlib
 
     matplotlib.use("Agg")
