Membership: whole names, typed roles and states, short functions

Cause: libs/members had bare numbers for roles and states, single letters, and a record called Relay beside the tier of relays. Change: Role and PeerState are IntEnums; PingRequest (Relay stays as an alias for the services that import it), incarnation, overrides, sequence; times in a file of their own; an indirect probe under way is a class instead of a tuple; the constants have names.

--- a/libs/members/__init__.py
+++ b/libs/members/__init__.py
@@ -1,7 +1,23 @@
-"""Who is there: probes in turn, second opinions, suspicion before removal (SWIM)."""
+"""Who is there: probes in turn, indirect probes, suspicion before removal (SWIM)."""
 
-from .records import ALIVE, CONTROLLER, DEAD, ROUTER, SUSPECT, Ack, Compare, Peer, Ping, Relay
-from .swim import Send, Swim, Times
+from .records import (
+    ALIVE,
+    CONTROLLER,
+    DEAD,
+    ROUTER,
+    SUSPECT,
+    Ack,
+    Compare,
+    Peer,
+    PeerState,
+    Ping,
+    PingRequest,
+    Role,
+)
+from .swim import Send, Swim
+from .times import Times
+
+Relay = PingRequest  # The former name, until the services no longer use it.
 
 __all__ = [
     "ALIVE",
@@ -12,8 +28,11 @@
     "Ack",
     "Compare",
     "Peer",
+    "PeerState",
     "Ping",
+    "PingRequest",
     "Relay",
+    "Role",
     "Send",
     "Swim",
     "Times",
--- a/libs/members/swim.py
+++ b/libs/members/swim.py
@@ -2,47 +2,22 @@
 
 from datetime import timedelta
 from functools import singledispatchmethod
-from math import ceil, log10
+from math import ceil
 from zlib import crc32
 
 from attrs import define, evolve, field
 
-from .records import ALIVE, DEAD, SUSPECT, Ack, Compare, Peer, Ping, Relay
+from .records import ALIVE, DEAD, SUSPECT, Ack, Compare, Peer, Ping, PingRequest
+from .times import Times, retransmissions
 
-ROOM = 18
-MARKS = 200
-
-
-def retellings(n):
-    """How often each node passes on a piece of news among ``n``: enough to reach all.
-
-    >>> retellings(8), retellings(78), retellings(1600)
-    (6, 8, 16)
-    """
-    return max(6, 4 * ceil(log10(n + 1)))
-
-
-@define(frozen=True, slots=True)
-class Times:
-    """How often to probe and how long to wait, derived from the contact bound.
-
-    >>> Times.of(timedelta(seconds=3)).period
-    datetime.timedelta(microseconds=500000)
-    """
-
-    period: timedelta
-    wait: timedelta
-    suspicion: timedelta
-    forget: timedelta
-
-    @classmethod
-    def of(cls, contact):
-        """Times that notice a loss well inside the bound.
-
-        >>> Times.of(timedelta(seconds=6)).suspicion
-        datetime.timedelta(seconds=2)
-        """
-        return cls(contact / 6, contact / 15, contact / 3, contact * 20)
+NEWS_PER_DATAGRAM = 18
+RANDOM_NEWS_PER_DATAGRAM = 2
+INDIRECT_PROBES = 2
+MARKS_PER_DATAGRAM = 200
+MARK_BITS = 0xFFFF
+RECONNECT_EVERY = 4  # periods between probes of seeds and members believed dead
+RECONNECT_PROBES = 2
+UNASKED = 0  # the sequence number of a probe whose answer is not waited for
 
 
 @define(frozen=True, slots=True)
@@ -55,61 +30,80 @@
 
 @define(slots=True)
 class _Entry:
+    """A row of the table: the belief, since when, how often it was passed on, whether a last probe went out."""
+
     peer: Peer
     since: timedelta
     told: int = 0
-    asked: bool = False
+    warned: bool = False
 
 
 @define(slots=True)
 class _Probe:
+    """A probe under way, and whether others were asked to probe too."""
+
     key: str
-    seq: int
+    sequence: int
+    sent: timedelta
+    indirect: bool = False
+
+
+@define(frozen=True, slots=True)
+class _IndirectProbe:
+    """A probe made for another member, which awaits its result."""
+
+    requester: str
+    sequence: int
     sent: timedelta
-    asked: bool = False
 
 
 @define(slots=True)
 class Swim:
-    """Beliefs about the other processes."""
+    """Beliefs about the other processes.
+
+    ``table`` holds a row for each; ``fresh`` those that are still to be passed
+    on, ``pending`` the suspects and the dead. ``version`` rises whenever one
+    comes, dies or restarts. ``digest`` is the exclusive or of all marks.
+    """
 
     me: Peer
     seeds: tuple
     times: Times
     rng: object
     now: timedelta = timedelta(0)
-    seq: int = 0
-    next: timedelta = timedelta(0)
-    order: list = field(factory=list)
+    sequence: int = 0
+    next_probe: timedelta = timedelta(0)
+    probe_order: list = field(factory=list)
     table: dict = field(factory=dict)
     probes: list = field(factory=list)
-    relays: dict = field(factory=dict)
-    turn: int = 0
+    indirect_probes: dict = field(factory=dict)
+    periods: int = 0
     version: int = 0
     fresh: dict = field(factory=dict)
     pending: dict = field(factory=dict)
     ended: list = field(factory=list)
     digest: int = 0
-    differ: bool = False
-    last: timedelta | None = None
-    _up: tuple | None = None
-    _counts: dict = field(factory=dict)
+    differs: bool = False
+    last_tick: timedelta | None = None
+    _alive: tuple | None = None
+    _alive_by_role: dict = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.digest = self.me.mark()
 
+    # -- what is believed ------------------------------------------------------
     def alive(self):
         """The others that are believed up, suspects included, as a tuple; kept until a belief changes.
 
         >>> Swim(Peer("a:1", 0, "", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), None).alive()
         ()
         """
-        if self._up is None:
-            self._up = tuple(e.peer for e in self.table.values() if e.peer.state != DEAD)
-            self._counts = {}
-            for p in self._up:
-                self._counts[p.role] = self._counts.get(p.role, 0) + 1
-        return self._up
+        if self._alive is None:
+            self._alive = tuple(entry.peer for entry in self.table.values() if entry.peer.state != DEAD)
+            self._alive_by_role = {}
+            for peer in self._alive:
+                self._alive_by_role[peer.role] = self._alive_by_role.get(peer.role, 0) + 1
+        return self._alive
 
     def up(self, role):
         """How many others of a role are believed up.
@@ -118,7 +112,7 @@
         0
         """
         self.alive()
-        return self._counts.get(role, 0)
+        return self._alive_by_role.get(role, 0)
 
     def holds(self, key, life):
         """Whether nothing known speaks against this life at an address.
@@ -126,8 +120,8 @@
         >>> Swim(Peer("a:1", 0, "", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), None).holds("b:1", 7)
         True
         """
-        e = self.table.get(key)
-        return e is None or e.peer.life == life and e.peer.state != DEAD
+        entry = self.table.get(key)
+        return entry is None or entry.peer.life == life and entry.peer.state != DEAD
 
     def take_ended(self):
         """Lives that ended since the last question: keys, each with the life that goes on there or None.
@@ -135,60 +129,74 @@
         >>> Swim(Peer("a:1", 0, "", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), None).take_ended()
         []
         """
-        out, self.ended = self.ended, []
-        return out
-
-    def _news(self, most=ROOM):
-        limit = retellings(len(self.table))
-        told = sorted(self.fresh.values(), key=lambda e: e.told)[:most]
-        for e in told:
-            e.told += 1
-            if e.told >= limit:
-                self.fresh.pop(e.peer.key, None)
-        up = self.alive()
-        out = [e.peer for e in told]
-        return out + [p for p in self.rng.sample(up, min(2, len(up))) if p not in out]
+        ended, self.ended = self.ended, []
+        return ended
+
+    # -- what is told ------------------------------------------------------------
+    def _news(self):
+        """The least told pieces of news, and some random beliefs besides."""
+        limit = retransmissions(len(self.table))
+        told = sorted(self.fresh.values(), key=lambda entry: entry.told)[:NEWS_PER_DATAGRAM]
+        for entry in told:
+            entry.told += 1
+            if entry.told >= limit:
+                self.fresh.pop(entry.peer.key, None)
+        alive = self.alive()
+        news = [entry.peer for entry in told]
+        some = self.rng.sample(alive, min(RANDOM_NEWS_PER_DATAGRAM, len(alive)))
+        return news + [peer for peer in some if peer not in news]
+
+    def _sample_of_table(self):
+        """For a newcomer: the whole table, or as much as a datagram holds."""
+        peers = [entry.peer for entry in self.table.values()]
+        return peers if len(peers) <= NEWS_PER_DATAGRAM else self.rng.sample(peers, NEWS_PER_DATAGRAM)
 
     def _part(self, part, parts):
         """The beliefs, dead ones left out, whose keys fall in a part."""
-        return [p for p in (self.me, *self.alive()) if crc32(p.key.encode()) % parts == part]
+        return [peer for peer in (self.me, *self.alive()) if crc32(peer.key.encode()) % parts == part]
 
     def _compare(self):
         """What a process that believes otherwise needs to tell us what we lack."""
-        parts = ceil((len(self.table) + 1) / MARKS)
+        parts = ceil((len(self.table) + 1) / MARKS_PER_DATAGRAM)
         part = self.rng.randrange(parts)
-        return Compare(self.me, self.digest, part, parts, [p.mark() & 0xFFFF for p in self._part(part, parts)])
-
-    def _whole(self):
-        peers = [e.peer for e in self.table.values()]
-        return peers if len(peers) <= ROOM else self.rng.sample(peers, ROOM)
-
-    def _learn(self, p):
-        if p.key == self.me.key:
-            if p.life != self.me.life and p.inc >= self.me.inc or p.state != ALIVE and p.inc >= self.me.inc:
-                self.digest ^= self.me.mark()
-                self.me = evolve(self.me, inc=p.inc + 1)
-                self.digest ^= self.me.mark()
+        marks = [peer.mark() & MARK_BITS for peer in self._part(part, parts)]
+        return Compare(self.me, self.digest, part, parts, marks)
+
+    # -- what is learned ---------------------------------------------------------
+    def _learn(self, peer):
+        if peer.key == self.me.key:
+            self._refute(peer)
             return
-        old = self.table.get(p.key)
-        if old is None or p.beats(old.peer):
-            self._put(p, old and old.peer)
-        elif old.peer.state == DEAD and p.state != DEAD:
-            old.told, self.fresh[p.key] = 0, old
-
-    def _put(self, p, old):
-        self.digest ^= p.mark() ^ (old.mark() if old else 0)
-        e = self.table[p.key] = self.fresh[p.key] = _Entry(p, self.now)
-        if p.state == ALIVE:
-            self.pending.pop(p.key, None)
+        entry = self.table.get(peer.key)
+        if entry is None or peer.overrides(entry.peer):
+            self._believe(peer, entry and entry.peer)
+        elif entry.peer.state == DEAD and peer.state != DEAD:
+            # Someone still believes up what is dead: the death is told once more.
+            entry.told, self.fresh[peer.key] = 0, entry
+
+    def _refute(self, peer):
+        """Outbids what is said of this process, if it is a suspicion or of a former life."""
+        wrong = peer.life != self.me.life or peer.state != ALIVE
+        if wrong and peer.incarnation >= self.me.incarnation:
+            self.digest ^= self.me.mark()
+            self.me = evolve(self.me, incarnation=peer.incarnation + 1)
+            self.digest ^= self.me.mark()
+
+    def _believe(self, peer, old):
+        """Puts a belief in the place of the old one, or of none."""
+        self.digest ^= peer.mark() ^ (old.mark() if old else 0)
+        entry = self.table[peer.key] = self.fresh[peer.key] = _Entry(peer, self.now)
+        if peer.state == ALIVE:
+            self.pending.pop(peer.key, None)
         else:
-            self.pending[p.key] = e
-        if old is not None and (p.state == DEAD or p.life != old.life):
-            self.ended.append((p.key, None if p.state == DEAD else p.life))
-        if old is None or (old.state == DEAD) != (p.state == DEAD) or old.life != p.life:
+            self.pending[peer.key] = entry
+        if old is not None and (peer.state == DEAD or peer.life != old.life):
+            self.ended.append((peer.key, None if peer.state == DEAD else peer.life))
+        if old is None or (old.state == DEAD) != (peer.state == DEAD) or old.life != peer.life:
             self.version += 1
-        self._up = None
+        self._alive = None
 
+    # -- time --------------------------------------------------------------------
     def tick(self, now):
         """Moves time on; gives the datagrams that are due.
 
@@ -196,128 +204,159 @@
         >>> [m.to for m in s.tick(timedelta(0))]
         ['b:1']
         """
-        if self.last is not None and now_past(now, self.last, self.times.wait):
-            self._held_up(now - self.last)
-        self.now = self.last = now
-        return [*self._overdue(), *self._ripe(), *self._probe()]
+        if self.last_tick is not None and now - self.last_tick >= self.times.wait:
+            self._stood_still(now - self.last_tick)
+        self.now = self.last_tick = now
+        return [*self._check_probes(), *self._check_pending(), *self._probe()]
 
-    def _held_up(self, gap):
+    def _stood_still(self, gap):
         """This process itself stood still: what it missed in that time accuses nobody."""
-        for p in self.probes:
-            p.sent += gap
-        for e in self.pending.values():
-            if e.peer.state == SUSPECT:
-                e.since += gap
-
-    def _overdue(self):
-        out, keep = [], []
-        for p in self.probes:
-            e = self.table.get(p.key)
-            if e is None or e.peer.state == DEAD or now_past(self.now, p.sent, self.times.period):
-                if e is not None and e.peer.state == ALIVE and p.asked:
-                    self._learn(evolve(e.peer, state=SUSPECT))
-                    out.append(self._accuse(self.table[p.key].peer))
+        for probe in self.probes:
+            probe.sent += gap
+        for entry in self.pending.values():
+            if entry.peer.state == SUSPECT:
+                entry.since += gap
+
+    def _check_probes(self):
+        """Probes without an answer: first others are asked to probe, then the member is suspected."""
+        out, open_probes = [], []
+        for probe in self.probes:
+            entry = self.table.get(probe.key)
+            if entry is None or entry.peer.state == DEAD:
+                continue
+            if self.now - probe.sent >= self.times.period:
+                if entry.peer.state == ALIVE and probe.indirect:
+                    self._learn(evolve(entry.peer, state=SUSPECT))
+                    out.append(self._warn(self.table[probe.key].peer))
                 continue
-            if not p.asked and now_past(self.now, p.sent, self.times.wait):
-                p.asked = True
-                others = [q.key for q in self.alive() if q.key != p.key]
-                out += [Send(k, Relay(p.seq, self.me, p.key, [])) for k in self.rng.sample(others, min(2, len(others)))]
-            keep.append(p)
-        self.probes = keep
+            if not probe.indirect and self.now - probe.sent >= self.times.wait:
+                probe.indirect = True
+                out += self._request_probes(probe)
+            open_probes.append(probe)
+        self.probes = open_probes
         return out
 
-    def _accuse(self, p):
+    def _request_probes(self, probe):
+        others = [peer.key for peer in self.alive() if peer.key != probe.key]
+        helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+        return [Send(key, PingRequest(probe.sequence, self.me, probe.key, [])) for key in helpers]
+
+    def _warn(self, peer):
         """Tells a suspect what is said of it, so that it can answer at once."""
-        return Send(p.key, Ping(0, self.me, self.digest, [p]))
+        return Send(peer.key, Ping(UNASKED, self.me, self.digest, [peer]))
 
-    def _ripe(self):
-        """Suspects run out of time. Whoever holds one asks it once more itself: news of its answer may be slower."""
-        out = []
-        for e in list(self.pending.values()):
-            if e.peer.state == DEAD:
-                if now_past(self.now, e.since, self.times.forget):
-                    for d in (self.table, self.pending, self.fresh):
-                        d.pop(e.peer.key, None)
-            elif now_past(self.now, e.since, self.times.suspicion):
-                self._learn(evolve(e.peer, state=DEAD))
-            elif not e.asked and now_past(self.now, e.since, self.times.suspicion - self.times.wait):
-                e.asked = True
-                out.append(self._accuse(e.peer))
-        self.relays = {k: v for k, v in self.relays.items() if not now_past(self.now, v[2], self.times.period)}
+    def _check_pending(self):
+        """Suspects run out of time, and the dead are forgotten.
+
+        Whoever holds a suspect asks it once more itself: news of its answer may be slower.
+        """
+        out, times = [], self.times
+        for entry in list(self.pending.values()):
+            age = self.now - entry.since
+            if entry.peer.state == DEAD:
+                if age >= times.forget:
+                    self._forget(entry.peer.key)
+            elif age >= times.suspicion:
+                self._learn(evolve(entry.peer, state=DEAD))
+            elif not entry.warned and age >= times.suspicion - times.wait:
+                entry.warned = True
+                out.append(self._warn(entry.peer))
+        self.indirect_probes = {
+            place: probe for place, probe in self.indirect_probes.items() if self.now - probe.sent < times.period
+        }
         return out
 
+    def _forget(self, key):
+        for beliefs in (self.table, self.pending, self.fresh):
+            beliefs.pop(key, None)
+
     def _probe(self):
-        if self.now < self.next:
+        """The probe of this period, and now and then one of those that are out of touch."""
+        if self.now < self.next_probe:
             return []
-        self.next = self.now + self.times.period
-        self.turn += 1
+        self.next_probe = self.now + self.times.period
+        self.periods += 1
         out = []
         key = self._next_key()
         if key:
-            self.seq += 1
-            self.probes.append(_Probe(key, self.seq, self.now))
-            out.append(Send(key, Ping(self.seq, self.me, self.digest, self._news())))
-        if not key or self.turn % 4 == 0:
-            known = {p.key for p in self.alive()}
-            lost = [s for s in self.seeds if s != self.me.key and s not in known]
-            lost += [k for k, e in self.pending.items() if e.peer.state == DEAD]
-            picks = lost if not key else self.rng.sample(lost, min(2, len(lost)))
-            out += [Send(k, Ping(0, self.me, self.digest, self._news())) for k in picks]
+            self.sequence += 1
+            self.probes.append(_Probe(key, self.sequence, self.now))
+            out.append(Send(key, Ping(self.sequence, self.me, self.digest, self._news())))
+        if not key or self.periods % RECONNECT_EVERY == 0:
+            lost = self._out_of_touch()
+            picks = lost if not key else self.rng.sample(lost, min(RECONNECT_PROBES, len(lost)))
+            out += [Send(key, Ping(UNASKED, self.me, self.digest, self._news())) for key in picks]
         return out
 
-    def _next_key(self):
-        while self.order:
-            k = self.order.pop()
-            if k in self.table and self.table[k].peer.state != DEAD:
-                return k
-        self.order = sorted(p.key for p in self.alive())
-        self.rng.shuffle(self.order)
-        return self.order.pop() if self.order else None
+    def _out_of_touch(self):
+        """Seeds that are not known, and members believed dead: a cut may have ended."""
+        known = {peer.key for peer in self.alive()}
+        lost = [seed for seed in self.seeds if seed != self.me.key and seed not in known]
+        return lost + [key for key, entry in self.pending.items() if entry.peer.state == DEAD]
 
+    def _next_key(self):
+        """Whom to probe next: all in a random order, then all again in another."""
+        while self.probe_order:
+            key = self.probe_order.pop()
+            if key in self.table and self.table[key].peer.state != DEAD:
+                return key
+        self.probe_order = sorted(peer.key for peer in self.alive())
+        self.rng.shuffle(self.probe_order)
+        return self.probe_order.pop() if self.probe_order else None
+
+    # -- messages ----------------------------------------------------------------
     def receive(self, now, src, rec):
         """Takes a record from ``src``; gives the datagrams that follow from it.
 
-        >>> s = Swim(Peer("a:1", 0, "", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), __import__("random").Random(1))
+        >>> s = Swim(Peer("a:1", 0, "", "", 1, 0, 0), ("b:1",), Times.of(timedelta(seconds=3)), __import__("random").Random(1))
         >>> [type(m.rec).__name__ for m in s.receive(timedelta(0), "b:1", Ping(7, Peer("b:1", 0, "", "", 2, 0, 0), 0, []))]
         ['Ack']
         """
         self.now = now
-        old = self.table.get(rec.peer.key)
-        joiner = old is None or old.peer.state != ALIVE or old.peer.life != rec.peer.life
-        stale = [old.peer] if old is not None and joiner else []
-        for p in (rec.peer, *rec.news):
-            self._learn(p)
-        self.differ = rec.digest not in (0, self.digest)
-        return self._take(rec, src, joiner, stale)
+        entry = self.table.get(rec.peer.key)
+        joins = entry is None or entry.peer.state != ALIVE or entry.peer.life != rec.peer.life
+        outdated = [entry.peer] if entry is not None and joins else []
+        for peer in (rec.peer, *rec.news):
+            self._learn(peer)
+        self.differs = rec.digest not in (0, self.digest)
+        return self._take(rec, src, joins, outdated)
 
     @singledispatchmethod
-    def _take(self, rec, src, joiner, stale):
+    def _take(self, rec, src, joins, outdated):
+        """What follows from a record.
+
+        ``joins``: its sender was not believed up. ``outdated``: what was
+        believed of it, which it must hear of in order to outbid it.
+        """
         return []
 
     @_take.register
-    def _(self, rec: Ping, src, joiner, stale):
-        news = stale + self._whole() if joiner else self._news()
-        return [Send(src, Ack(rec.seq, self.me, self.digest, news))]
+    def _(self, rec: Ping, src, joins, outdated):
+        news = outdated + self._sample_of_table() if joins else self._news()
+        return [Send(src, Ack(rec.sequence, self.me, self.digest, news))]
 
     @_take.register
-    def _(self, rec: Ack, src, joiner, stale):
-        self.probes = [p for p in self.probes if not (p.seq == rec.seq and p.key == rec.peer.key)]
-        back = self.relays.pop((rec.peer.key, rec.seq), None)
-        if back:
-            return [Send(back[0], Ack(back[1], rec.peer, 0, []))]
-        return [Send(src, self._compare())] if self.differ else []
+    def _(self, rec: Ack, src, joins, outdated):
+        self.probes = [p for p in self.probes if not (p.sequence == rec.sequence and p.key == rec.peer.key)]
+        made_for = self.indirect_probes.pop((rec.peer.key, rec.sequence), None)
+        if made_for:
+            return [Send(made_for.requester, Ack(made_for.sequence, rec.peer, 0, []))]
+        return [Send(src, self._compare())] if self.differs else []
 
     @_take.register
-    def _(self, rec: Compare, src, joiner, stale):
-        have = set(rec.marks)
-        lack = [p for p in self._part(rec.part, max(1, rec.parts)) if p.mark() & 0xFFFF not in have]
-        return [Send(src, Ack(0, self.me, 0, self.rng.sample(lack, min(ROOM, len(lack)))))] if lack else []
+    def _(self, rec: Compare, src, joins, outdated):
+        theirs = set(rec.marks)
+        lacking = [peer for peer in self._part(rec.part, max(1, rec.parts)) if peer.mark() & MARK_BITS not in theirs]
+        if not lacking:
+            return []
+        news = self.rng.sample(lacking, min(NEWS_PER_DATAGRAM, len(lacking)))
+        return [Send(src, Ack(UNASKED, self.me, 0, news))]
 
     @_take.register
-    def _(self, rec: Relay, src, joiner, stale):
-        self.seq += 1
-        self.relays[rec.target, self.seq] = (src, rec.seq, self.now)
-        return [Send(rec.target, Ping(self.seq, self.me, self.digest, self._news()))]
+    def _(self, rec: PingRequest, src, joins, outdated):
+        self.sequence += 1
+        self.indirect_probes[rec.target, self.sequence] = _IndirectProbe(src, rec.sequence, self.now)
+        return [Send(rec.target, Ping(self.sequence, self.me, self.digest, self._news()))]
 
     def leave(self):
         """Tells everyone that this process goes.
@@ -325,14 +364,5 @@
         >>> Swim(Peer("a:1", 0, "", "", 1, 0, 0), (), Times.of(timedelta(seconds=3)), None).leave()
         []
         """
-        gone = evolve(self.me, inc=self.me.inc + 1, state=DEAD)
-        return [Send(p.key, Ack(0, gone, 0, [])) for p in self.alive()]
-
-
-def now_past(now, since, span):
-    """Whether a span has passed.
-
-    >>> now_past(timedelta(seconds=2), timedelta(0), timedelta(seconds=1))
-    True
-    """
-    return now - since >= span
+        gone = evolve(self.me, incarnation=self.me.incarnation + 1, state=DEAD)
+        return [Send(peer.key, Ack(UNASKED, gone, 0, [])) for peer in self.alive()]
--- a/rehearsal/growth.py
+++ b/rehearsal/growth.py
@@ -16,7 +16,7 @@
 
 from sparloom.feed import POLICY, RUNNERS
 from sparloom.link import Datagrams, Frames, steady
-from sparloom.members import CONTROLLER, Ack, Peer, Ping, Relay, Swim, Times
+from sparloom.members import CONTROLLER, Ack, Peer, Ping, PingRequest, Swim, Times
 from sparloom.meter import Meter
 from sparloom.startup import from_dict
 from sparloom.timeouts import Bucket
@@ -194,7 +194,7 @@
             await asyncio.sleep(0.04)
 
     def _arrive(self, src, rec):
-        if isinstance(rec, (Ping, Ack, Relay)):
+        if isinstance(rec, (Ping, Ack, PingRequest)):
             self._out(self.swim.receive(steady(), src, rec))
 
     def _out(self, sends):
