Startup file: whole names, one function for each section, named port bound

Cause: one function of 35 lines built it all with single-letter names. Change: a function per section; what is refused, and with which words, is as it was. Measured: tests.test_startup and tests.test_docs unchanged and green.

--- a/libs/startup/checks.py
+++ b/libs/startup/checks.py
@@ -12,6 +12,7 @@
 
 VARIABLE = "SPARLOOM_CONFIG"
 DEFAULT = "/etc/sparloom/node.toml"
+HIGHEST_PORT = 65535
 
 
 @define(frozen=True, slots=True)
@@ -135,122 +136,157 @@
 }
 
 
-def _get(d, path, kind, default=None, needed=False):
-    at, val = path.split("."), d
-    for k in at:
-        if not isinstance(val, dict):
-            raise Bad(f"{path} can't be read: {at[0]} must be a table.")
-        val = val.get(k)
-        if val is None:
+def _get(table, path, kind, default=None, needed=False):
+    """The value at a dotted path, of exactly this kind; whole numbers also serve as fractions."""
+    keys, value = path.split("."), table
+    for key in keys:
+        if not isinstance(value, dict):
+            raise Bad(f"{path} can't be read: {keys[0]} must be a table.")
+        value = value.get(key)
+        if value is None:
             if needed:
                 raise Bad(f"{path} is missing.")
             return default
-    if kind is float and type(val) is int:
-        val = float(val)
-    if type(val) is not kind:
+    if kind is float and type(value) is int:
+        value = float(value)
+    if type(value) is not kind:
         raise Bad(f"{path} must be {_KINDS[kind]}.")
-    return val
+    return value
 
 
-def _address(val, path):
-    host, _, port = val.rpartition(":") if isinstance(val, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Bad(f"{path} must be HOST:PORT.")
-    return Address(host, int(port))
+def _is_port(value):
+    return type(value) is int and 0 < value <= HIGHEST_PORT
 
 
-def _span(d, path, unit, default):
-    return default if _get(d, path, float) is None else timedelta(**{unit: _figure(d, path, 0.0)})
+def _address(value, path):
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit() or not _is_port(int(port)):
+        raise Bad(f"{path} must be HOST:PORT.")
+    return Address(host, int(port))
 
 
-def _figure(d, path, default):
+def _figure(table, path, default):
     """A whole number or a fraction, as it stands; the operators write either."""
-    val = _get(d, path, float, default)
-    if val < 0:
+    value = _get(table, path, float, default)
+    if value < 0:
         raise Bad(f"{path} must not be negative.")
-    if not isfinite(val):
+    if not isfinite(value):
         raise Bad(f"{path} must be a number with an end.")
-    return val
+    return value
+
 
+def _span(table, path, unit, default):
+    given = _get(table, path, float) is not None
+    return timedelta(**{unit: _figure(table, path, 0.0)}) if given else default
 
-def _count(d, path, default=0, whole=floor):
+
+def _count(table, path, default=0, whole=floor):
     """A figure that counts things: a fraction of one is rounded to the safe side."""
-    return whole(_figure(d, path, default))
+    return whole(_figure(table, path, default))
+
+
+def _ports(table):
+    ports = _get(table, "internalPortRange", list, needed=True)
+    if len(ports) != 2 or not all(map(_is_port, ports)) or ports[1] <= ports[0]:
+        raise Bad("internalPortRange must be two rising port numbers.")
+    return tuple(ports)
 
 
-def _bounds(d):
+def _seeds(table):
+    return tuple(_address(seed, "seedNodes") for seed in _get(table, "seedNodes", list, needed=True))
+
+
+def _listen(table):
+    given = _get(table, "listenAddresses", dict, {})
+    names = [name for name in ("front", "readiness", "control") if name in given]
+    return Listen(**{name: _address(given[name], f"listenAddresses.{name}") for name in names})
+
+
+def _limits(table):
+    return Limits(
+        memory_mb=_count(table, "limits.memoryMb", Limits().memory_mb),
+        descriptors=_count(table, "limits.fileDescriptors", Limits().descriptors),
+    )
+
+
+def _tolerated(table):
+    return Tolerated(
+        machines=_count(table, "toleratedLosses.machines", whole=ceil),
+        zones=_count(table, "toleratedLosses.zones", whole=ceil),
+        regions=_count(table, "toleratedLosses.regions", whole=ceil),
+    )
+
+
+def _bounds(table):
     std = Bounds()
     return Bounds(
-        contact=_span(d, "bounds.contactMs", "milliseconds", std.contact),
-        acknowledge=_span(d, "bounds.acknowledgeMs", "milliseconds", std.acknowledge),
-        drain=_span(d, "bounds.drainMs", "milliseconds", std.drain),
-        grace=_span(d, "bounds.graceS", "seconds", std.grace),
-        config_apply=_span(d, "bounds.configApplyMs", "milliseconds", std.config_apply),
-        budget_window=_span(d, "bounds.budgetWindowS", "seconds", std.budget_window),
-        budget_ratio=_figure(d, "bounds.retryBudgetRatio", std.budget_ratio),
-        budget_slack=_figure(d, "bounds.retryBudgetSlack", std.budget_slack),
-        pass_time=_span(d, "bounds.passMs", "milliseconds", std.pass_time),
-        recovery=_span(d, "bounds.recoveryS", "seconds", std.recovery),
+        contact=_span(table, "bounds.contactMs", "milliseconds", std.contact),
+        acknowledge=_span(table, "bounds.acknowledgeMs", "milliseconds", std.acknowledge),
+        drain=_span(table, "bounds.drainMs", "milliseconds", std.drain),
+        grace=_span(table, "bounds.graceS", "seconds", std.grace),
+        config_apply=_span(table, "bounds.configApplyMs", "milliseconds", std.config_apply),
+        budget_window=_span(table, "bounds.budgetWindowS", "seconds", std.budget_window),
+        budget_ratio=_figure(table, "bounds.retryBudgetRatio", std.budget_ratio),
+        budget_slack=_figure(table, "bounds.retryBudgetSlack", std.budget_slack),
+        pass_time=_span(table, "bounds.passMs", "milliseconds", std.pass_time),
+        recovery=_span(table, "bounds.recoveryS", "seconds", std.recovery),
     )
 
 
-def _listen(d):
-    raw = _get(d, "listenAddresses", dict, {})
-    return Listen(
-        **{k: _address(raw[k], f"listenAddresses.{k}") for k in ("front", "readiness", "control") if k in raw}
-    )
+def _cloud(table):
+    """Where the platform's list is, or None where there is none; the rate is checked in any case."""
+    rate = _get(table, "cloudApi.ratePerS", float, 1.0)
+    if rate <= 0:
+        raise Bad("cloudApi.ratePerS must be above 0.")
+    address = _get(table, "cloudApi.address", str)
+    if not address:
+        return None
+    lag = _span(table, "cloudApi.lagMs", "milliseconds", timedelta(0))
+    return CloudApi(_address(address, "cloudApi.address"), rate, lag)
+
 
+def _members(table):
+    given = declared(table.get("members", {}))
+    if not isinstance(given, Success):
+        raise Bad(given.failure())
+    return given.unwrap()
 
-def _members(d):
-    got = declared(d.get("members", {}))
-    if not isinstance(got, Success):
-        raise Bad(got.failure())
-    return got.unwrap()
+
+def _build(table):
+    ports = _ports(table)
+    cloud = _cloud(table)
+    return Startup(
+        node=_get(table, "nodeName", str, needed=True),
+        role=_get(table, "role", str, ""),
+        ip=_get(table, "ipAddress", str, needed=True),
+        zone=_get(table, "zone", str, ""),
+        ports=ports,
+        seeds=_seeds(table),
+        listen=_listen(table),
+        zones=_get(table, "zones", dict, {}),
+        first_start=_get(table, "firstStart", bool, False),
+        counted=_get(table, "lossCounted", bool, False),
+        data=_get(table, "dataDirectory", str),
+        limits=_limits(table),
+        tolerated=_tolerated(table),
+        bounds=_bounds(table),
+        cloud=cloud,
+        members=_members(table),
+    )
 
 
-def from_dict(d):
+def from_dict(table):
     """Checks a parsed startup file.
 
     >>> from_dict({}).failure()
     'internalPortRange is missing.'
     """
     try:
-        return Success(_build(d))
+        return Success(_build(table))
     except Bad as e:
         return Failure(str(e))
 
 
-def _build(d):
-    ports = _get(d, "internalPortRange", list, needed=True)
-    if len(ports) != 2 or not all(type(p) is int and 0 < p < 65536 for p in ports) or ports[1] <= ports[0]:
-        raise Bad("internalPortRange must be two rising port numbers.")
-    cloud = _get(d, "cloudApi.address", str)
-    rate = _get(d, "cloudApi.ratePerS", float, 1.0)
-    if rate <= 0:
-        raise Bad("cloudApi.ratePerS must be above 0.")
-    return Startup(
-        node=_get(d, "nodeName", str, needed=True),
-        role=_get(d, "role", str, ""),
-        ip=_get(d, "ipAddress", str, needed=True),
-        zone=_get(d, "zone", str, ""),
-        ports=tuple(ports),
-        seeds=tuple(_address(s, "seedNodes") for s in _get(d, "seedNodes", list, needed=True)),
-        listen=_listen(d),
-        zones=_get(d, "zones", dict, {}),
-        first_start=_get(d, "firstStart", bool, False),
-        counted=_get(d, "lossCounted", bool, False),
-        data=_get(d, "dataDirectory", str),
-        limits=Limits(_count(d, "limits.memoryMb", 256), _count(d, "limits.fileDescriptors", 1024)),
-        tolerated=Tolerated(*(_count(d, f"toleratedLosses.{k}", whole=ceil) for k in ("machines", "zones", "regions"))),
-        bounds=_bounds(d),
-        cloud=cloud
-        and CloudApi(
-            _address(cloud, "cloudApi.address"), rate, _span(d, "cloudApi.lagMs", "milliseconds", timedelta(0))
-        ),
-        members=_members(d),
-    )
-
-
 def where():
     """The path of the startup file.
 
@@ -267,12 +303,12 @@
     '/nowhere.toml: the startup file is missing.'
     """
     try:
-        with open(path, "rb") as f:
-            d = tomllib.load(f)
+        with open(path, "rb") as file:
+            table = tomllib.load(file)
     except FileNotFoundError:
         return Failure(f"{path}: the startup file is missing.")
     except OSError as e:
         return Failure(f"{path}: the startup file can't be read ({e.strerror}).")
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         return Failure(f"{path}: the startup file is not TOML ({e}).")
-    return from_dict(d).alt(lambda s: f"{path}: {s}")
+    return from_dict(table).alt(lambda fault: f"{path}: {fault}")
