--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -300,7 +300,13 @@
 
 
 @contextmanager
-def _swapped(obj, name, val):
+def swapped(obj, name, val):
+    """Has a value stand for an attribute meanwhile.
+
+    >>> with swapped(Disk, "held", {"a": 1}):
+    ...     Disk.held
+    {'a': 1}
+    """
     old = getattr(obj, name)
     setattr(obj, name, val)
     try:
@@ -336,7 +342,7 @@
             (sockets, "take", _Socket),
             (core, "Disk", Disk),
         ):
-            stack.enter_context(_swapped(obj, name, val))
+            stack.enter_context(swapped(obj, name, val))
         try:
             yield loop
         finally:
