tests/fleet_of_sums uses the simulated clock of rehearsal

Cause: it had a queue of timers of its own beside rehearsal/clock.py. Change: Fleet is a Clock; Clock.run_for plays a timedelta. Checks between steps now run at every step, also after the last thing to do, so more of them than before. Measured: tests.test_sums (with test_members, test_rehearsal, test_relay: 55 tests) green, no test changed.

--- a/rehearsal/clock.py
+++ b/rehearsal/clock.py
@@ -25,7 +25,11 @@
 
     def run(self, ms):
         """Plays a number of ms."""
-        end = self.now + ms * MS
+        self.run_for(ms * MS)
+
+    def run_for(self, span):
+        """Plays a span of time."""
+        end = self.now + span
         while self.todo and self.todo[0][0] <= end:
             self.now, _, fn = heapq.heappop(self.todo)
             fn()
--- a/tests/fleet_of_sums.py
+++ b/tests/fleet_of_sums.py
@@ -1,43 +1,31 @@
 """A fleet of the tier's machines on a simulated net: seeded luck, no sleeping."""
 
-import heapq
 import random
-from datetime import timedelta
 from itertools import count
 
+from rehearsal.clock import MS, Clock
 from sparloom.relay import plan
 from sparloom.shares import Crowd
 from sparloom.sums import Sums
 from sparloom.wire import pack
 
-MS = timedelta(milliseconds=1)
 CONTACT = 3000 * MS
 SHARED = 10**6
 
 
-class Fleet:
+class Fleet(Clock):
     """Each life of a node holds one call at a resource of its own (its number), and some at shared ones."""
 
     def __init__(self, n, zones=3, seed=1, loss=0.03, twice=0.02, churn=0, private=True):
-        self.rng, self.now, self.tie, self.todo = random.Random(seed), 0 * MS, count(), []
+        super().__init__()
+        self.rng = random.Random(seed)
         self.loss, self.twice, self.churn, self.own = loss, twice, churn, private
         self.names = [f"n{i}" for i in range(n)]
         self.zone = {k: f"z{i % zones}" for i, k in enumerate(self.names)}
-        self.nodes, self.lives, self.sent, self.size = (
-            {},
-            count(1),
-            {k: 0 for k in self.names},
-            {k: 0 for k in self.names},
-        )
-        self.off, self.frozen, self.cuts, self.queue, self.plans, self.biggest, self.timers = (
-            set(),
-            set(),
-            set(),
-            {},
-            {},
-            0,
-            set(),
-        )
+        self.nodes, self.lives = {}, count(1)
+        self.sent, self.size, self.biggest = dict.fromkeys(self.names, 0), dict.fromkeys(self.names, 0), 0
+        self.off, self.frozen, self.cuts, self.timers = set(), set(), set(), set()
+        self.queue, self.plans = {}, {}
         self.crowds, self.recorded = {}, n
         self.views, self.held = {}, {}
         for k in self.names:
@@ -87,9 +75,6 @@
         for rec in self.queue.pop(k, []):
             self.nodes[k].hear(self.now, rec)
 
-    def at(self, d, fn):
-        heapq.heappush(self.todo, (self.now + d, next(self.tie), fn))
-
     def tick(self, k, s):
         if k in self.off or self.nodes[k] is not s:
             return
@@ -157,15 +142,11 @@
 
     def run(self, span, check=None, every=100 * MS):
         """Moves time on; ``check`` is called now and then."""
-        end, nxt = self.now + span, self.now + every
-        while self.todo and self.todo[0][0] <= end:
-            while check and nxt <= self.todo[0][0]:
-                self.now = nxt
-                check()
-                nxt += every
-            self.now, _, fn = heapq.heappop(self.todo)
-            fn()
-        self.now = end
+        end = self.now + span
+        while check and self.now + every <= end:
+            self.run_for(every)
+            check()
+        self.run_for(end - self.now)
 
     def running(self):
         return [k for k in self.names if k not in self.off and k not in self.frozen]
