One way to read a TOML file, one way to ask for beliefs

Cause: the startup file and the emulator's plan were read with the same try blocks, and `beliefs` fetched what sparloom.compare fetches. Change: startup.read_toml, compare.beliefs.fetch. A plan that is not TOML is now said to be so, as a startup file is.

--- a/libs/startup/__init__.py
+++ b/libs/startup/__init__.py
@@ -1,5 +1,17 @@
 """The startup (settings) file of a process: read, checked, reread."""
 
-from .checks import Address, Bounds, CloudApi, Limits, Listen, Startup, Tolerated, from_dict, read, where
+from .checks import Address, Bounds, CloudApi, Limits, Listen, Startup, Tolerated, from_dict, read, read_toml, where
 
-__all__ = ["Address", "Bounds", "CloudApi", "Limits", "Listen", "Startup", "Tolerated", "from_dict", "read", "where"]
+__all__ = [
+    "Address",
+    "Bounds",
+    "CloudApi",
+    "Limits",
+    "Listen",
+    "Startup",
+    "Tolerated",
+    "from_dict",
+    "read",
+    "read_toml",
+    "where",
+]
--- a/libs/startup/checks.py
+++ b/libs/startup/checks.py
@@ -296,19 +296,27 @@
     return os.environ.get(VARIABLE, DEFAULT)
 
 
-def read(path) -> Result:
-    """Reads and checks a startup file.
+def read_toml(path, what) -> Result:
+    """Reads a TOML file; ``what`` names it in the sentence that tells a fault.
 
-    >>> read("/nowhere.toml").failure()
-    '/nowhere.toml: the startup file is missing.'
+    >>> read_toml("/nowhere.toml", "the plan").failure()
+    'the plan is missing.'
     """
     try:
         with open(path, "rb") as file:
-            table = tomllib.load(file)
+            return Success(tomllib.load(file))
     except FileNotFoundError:
-        return Failure(f"{path}: the startup file is missing.")
+        return Failure(f"{what} is missing.")
     except OSError as e:
-        return Failure(f"{path}: the startup file can't be read ({e.strerror}).")
+        return Failure(f"{what} can't be read ({e.strerror}).")
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        return Failure(f"{path}: the startup file is not TOML ({e}).")
-    return from_dict(table).alt(lambda fault: f"{path}: {fault}")
+        return Failure(f"{what} is not TOML ({e}).")
+
+
+def read(path) -> Result:
+    """Reads and checks a startup file.
+
+    >>> read("/nowhere.toml").failure()
+    '/nowhere.toml: the startup file is missing.'
+    """
+    return read_toml(path, "the startup file").bind(from_dict).alt(lambda fault: f"{path}: {fault}")
--- a/rehearsal/plan.py
+++ b/rehearsal/plan.py
@@ -1,11 +1,11 @@
 """The plan of a scale run: a TOML file, checked before anything starts."""
 
-import tomllib
-
 from attrs import define
 from returns.result import Failure, Success
 from schema import And, Optional, Schema, SchemaError
 
+from sparloom.startup import read_toml
+
 from .fleet import BOUNDS, Size
 from .hollow import Load
 
@@ -105,11 +105,5 @@
     >>> read("/nowhere.toml").failure()
     '/nowhere.toml: the plan is missing.'
     """
-    try:
-        with open(path, "rb") as f:
-            d = tomllib.load(f)
-    except FileNotFoundError:
-        return Failure(f"{path}: the plan is missing.")
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        return Failure(f"{path}: the plan can't be read ({e}).")
-    return from_dict(d).alt(lambda s: f"{path}: {s}.")
+    plan = read_toml(path, "the plan").bind(lambda table: from_dict(table).alt(lambda fault: f"{fault}."))
+    return plan.alt(lambda fault: f"{path}: {fault}")
--- a/sparloom/command.py
+++ b/sparloom/command.py
@@ -105,14 +105,13 @@
 
         :param address: HOST:PORT of its control or readiness address
         """
-        from urllib.request import urlopen
+        from sparloom.compare.beliefs import fetch
 
-        try:
-            with urlopen(f"http://{address}/-/beliefs", timeout=3) as r:
-                print(json.dumps(json.load(r), indent=2))
-        except (OSError, ValueError) as e:
-            _say(f"{address} can't be asked: {e}")
+        told = fetch(address)
+        if told.value_or(None) is None:
+            _say(told.failure())
             return 1
+        print(json.dumps(told.unwrap(), indent=2))
         return 0
 
     return [serve, check, beliefs]
