Counts through the tier: gather in short functions with whole names

Cause: pieces.gather did three things in one loop nest with one-letter names. Change: words by holder, the words of one holder, and what lies outside of spans are functions of their own; taking off has left `add`.

--- a/libs/sums/pieces.py
+++ b/libs/sums/pieces.py
@@ -31,24 +31,21 @@
         """
         if hi < self.lo or lo > self.hi:
             return [self]
-        return [self._cut(a, b) for a, b in ((self.lo, lo - 1), (hi + 1, self.hi)) if a <= b]
+        sides = ((self.lo, lo - 1), (hi + 1, self.hi))
+        return [self._cut(first, last) for first, last in sides if first <= last]
 
     def _cut(self, lo, hi):
-        return evolve(
-            self,
-            lo=lo,
-            hi=hi,
-            held=within(self.held, lo, hi),
-            singles=tuple((h, s, within(d, lo, hi)) for h, s, d in self.singles),
-        )
+        singles = tuple((holder, seq, within(held, lo, hi)) for holder, seq, held in self.singles)
+        return evolve(self, lo=lo, hi=hi, held=within(self.held, lo, hi), singles=singles)
 
-    def meets(self, o):
+    def meets(self, other):
         """Whether both cover a holder for the same resources.
 
         >>> Piece(1, 0, {5: 1}, {}).meets(Piece(1, 0, {5: 2, 6: 1}, {}))
         True
         """
-        return self.lo <= o.hi and o.lo <= self.hi and not self.cover.keys().isdisjoint(o.cover)
+        overlap = self.lo <= other.hi and other.lo <= self.hi
+        return overlap and not self.cover.keys().isdisjoint(other.cover)
 
 
 def within(held, lo, hi):
@@ -57,7 +54,9 @@
     >>> within({3: "a", 8: "b"}, 4, 9)
     {8: 'b'}
     """
-    return held if lo == 0 and hi == LAST else {k: v for k, v in held.items() if lo <= k <= hi}
+    if lo == 0 and hi == LAST:
+        return held
+    return {resource: counts for resource, counts in held.items() if lo <= resource <= hi}
 
 
 def add(total, held, sign=1):
@@ -66,14 +65,22 @@
     >>> t = {1: (2, 0, 0, 0, 0, 0)}; add(t, {1: (1, 5, 0, 0, 0, 0)}); add(t, {1: (1, 9, 0, 0, 0, 0)}, -1); t
     {1: (2, 0, 0, 0, 0, 0)}
     """
-    for k, v in held.items():
-        a = total.get(k)
-        if sign > 0:
-            total[k] = (
-                v if a is None else (a[0] + v[0], a[1] + v[1], a[2] + v[2], a[3] + v[3], a[4] + v[4], a[5] + v[5])
-            )
-        elif a is not None:
-            total[k] = tuple(max(0, x - y) for x, y in zip(a, v, strict=True))
+    if sign < 0:
+        _take_off(total, held)
+        return
+    for resource, b in held.items():
+        a = total.get(resource)
+        # Written out: most of a relay's time goes here.
+        total[resource] = (
+            b if a is None else (a[0] + b[0], a[1] + b[1], a[2] + b[2], a[3] + b[3], a[4] + b[4], a[5] + b[5])
+        )
+
+
+def _take_off(total, held):
+    for resource, counts in held.items():
+        old = total.get(resource)
+        if old is not None:
+            total[resource] = tuple(max(0, x - y) for x, y in zip(old, counts, strict=True))
 
 
 def replace(pieces, new):
@@ -84,7 +91,7 @@
     """
     if any(p.seq >= new.seq and p.lo <= new.hi and new.lo <= p.hi for p in pieces):
         return None
-    return [q for p in pieces for q in p.without(new.lo, new.hi)] + [new]
+    return [rest for piece in pieces for rest in piece.without(new.lo, new.hi)] + [new]
 
 
 @define(slots=True)
@@ -107,27 +114,38 @@
     >>> gather([s], [(5, w), (6, w)], 0, None).held, gather([s], [], 5, lambda q: {7: (1, 0, 0, 0, 0, 0)}).held
     ({7: (11, 0, 0, 0, 0, 0)}, {7: (1, 0, 0, 0, 0, 0)})
     """
-    got, taken, by = Gathered(), {}, {}
-    for p in sums:
-        add(got.held, p.held)
-        for h, q in p.cover.items():
-            taken.setdefault(h, []).append((p.lo, p.hi, q))
-        if me in p.cover:
-            add(got.held, within(own(p.cover[me]) or {}, p.lo, p.hi), -1)
-    for h, p in words:
-        if h != me:
-            by.setdefault(h, []).append(p)
-    for h, ps in by.items():
-        spans = taken.setdefault(h, [])
-        for p in sorted(ps, key=lambda p: -p.seq) if len(ps) > 1 else ps:
-            if any(lo <= p.lo and p.hi <= hi for lo, hi, _ in spans):
-                continue
-            add(
-                got.held,
-                {k: v for k, v in p.held.items() if not any(lo <= k <= hi for lo, hi, _ in spans)} if spans else p.held,
-            )
-            spans.append((p.lo, p.hi, p.seq))
-    for h, spans in taken.items():
-        qs = {q for _, _, q in spans}
-        got.seqs[h] = qs.pop() if len(qs) == 1 else 0
-    return got
+    gathered, counted = Gathered(), {}
+    for piece in sums:
+        add(gathered.held, piece.held)
+        for holder, seq in piece.cover.items():
+            counted.setdefault(holder, []).append((piece.lo, piece.hi, seq))
+        if me in piece.cover:
+            add(gathered.held, within(own(piece.cover[me]) or {}, piece.lo, piece.hi), -1)
+    for holder, pieces in _by_holder(words, me).items():
+        _add_words(gathered.held, pieces, counted.setdefault(holder, []))
+    for holder, spans in counted.items():
+        seqs = {seq for _, _, seq in spans}
+        gathered.seqs[holder] = seqs.pop() if len(seqs) == 1 else 0
+    return gathered
+
+
+def _by_holder(words, me):
+    """The pieces of each holder but this node."""
+    found = {}
+    for holder, piece in words:
+        if holder != me:
+            found.setdefault(holder, []).append(piece)
+    return found
+
+
+def _add_words(total, pieces, spans):
+    """Adds one holder's pieces, the newest first, where ``spans`` (lo, hi, seq) don't count it yet."""
+    for piece in sorted(pieces, key=lambda piece: -piece.seq) if len(pieces) > 1 else pieces:
+        if any(lo <= piece.lo and piece.hi <= hi for lo, hi, _ in spans):
+            continue
+        add(total, _outside(piece.held, spans) if spans else piece.held)
+        spans.append((piece.lo, piece.hi, piece.seq))
+
+
+def _outside(held, spans):
+    return {k: counts for k, counts in held.items() if not any(lo <= k <= hi for lo, hi, _ in spans)}
