Counts through the tier: the machine's words in short functions, named kinds and spans

Cause: _sum and _up of libs/sums/machine.py did several things with one-letter names; kinds of words were bare strings. Change: what is kept of a relay, members that have gone to another one, the farewell and the relays heard are functions of their own.

--- a/libs/sums/machine.py
+++ b/libs/sums/machine.py
@@ -32,8 +32,10 @@
 
 MS = timedelta(milliseconds=1)
 ZERO = timedelta(0)
+# How often a changed word goes out, and how early; how long a relay gathers long prompts, and rests between two.
 BEAT, SLACK = 100 * MS, 20 * MS
 GATHER, REST = 2 * MS, 30 * MS
+UP, ACROSS, DOWN = "up", "across", "down"
 
 
 @define(slots=True)
@@ -119,7 +121,7 @@
         >>> s = Sums("a", 1, timedelta(seconds=3)); s.note(ZERO, {}, 1); s.seq
         1
         """
-        held = {k: (v[0], -(-v[1] // UNIT) * UNIT, *v[2:]) for k, v in held.items()}
+        held = {short: (calls, -(-tokens // UNIT) * UNIT, *rest) for short, (calls, tokens, *rest) in held.items()}
         if held != self.held or crowd != self.crowd or not self.words:
             self.held, self.crowd = held, crowd
             self.word(now)
@@ -133,18 +135,19 @@
         return self.seq
 
     def _own(self, seq):
-        return next((h for _, q, h in reversed(self.words) if q <= seq), None)
+        """What this node held by its word of a number; None if that word is forgotten."""
+        return next((held for _, number, held in reversed(self.words) if number <= seq), None)
 
     def gone(self, key, life=None):
         """A node is known gone, or all of its lives but one: what it told counts no more.
 
         >>> Sums("a", 1, timedelta(seconds=3)).gone("b")
         """
-        for d in (self.group, self.relays, self.direct):
-            if key in d and d[key].life != life:
+        for neighbours in (self.group, self.relays, self.direct):
+            if key in neighbours and neighbours[key].life != life:
                 if life is not None:
-                    self.past.append(holder(key, d[key].life))
-                del d[key]
+                    self.past.append(holder(key, neighbours[key].life))
+                del neighbours[key]
 
     def read(self, now, reads):
         """Long parts of prompts went out here or, with a relay, in its group: that goes on at once.
@@ -185,65 +188,71 @@
         """Takes the word of a node that has no tier and tells everybody."""
         old = self.direct.get(key)
         if old is None or old.life != life or old.piece.seq < seq:
-            h = holder(key, life)
-            self.direct[key] = Member(life, h, now, 0, Piece(seq, now, {h: seq}, held))
+            number = holder(key, life)
+            self.direct[key] = Member(life, number, now, 0, Piece(seq, now, {number: seq}, held))
 
     def _up(self, now, rec):
-        h, old = holder(rec.key, rec.life), self.group.get(rec.key)
-        if h in self.past or self._claimed(h) > rec.seq:
+        number, old = holder(rec.key, rec.life), self.group.get(rec.key)
+        same_life = old is not None and old.life == rec.life
+        outdated = same_life and rec.seq < old.piece.seq
+        if outdated or number in self.past or self._claimed(number) > rec.seq:
             return
-        if old and old.life == rec.life and rec.seq < old.piece.seq:
-            return
-        since = old.since if old and old.life == rec.life else now
-        if old and old.life != rec.life:
+        if old and not same_life:
             self.past.append(old.holder)
-        self.group[rec.key] = Member(
-            rec.life, h, since, rec.crowd, Piece(rec.seq, now, {h: rec.seq}, decoded(rec.held))
-        )
+        since = old.since if same_life else now
+        piece = Piece(rec.seq, now, {number: rec.seq}, decoded(rec.held))
+        self.group[rec.key] = Member(rec.life, number, since, rec.crowd, piece)
         self.read(now, rec.reads)
 
-    def _claimed(self, h):
-        return max((p.cover.get(h, 0) for r in self.relays.values() for p in r.newest), default=0)
+    def _claimed(self, number):
+        """The newest word of a holder that another relay's sum covers."""
+        return max((p.cover.get(number, 0) for relay in self.relays.values() for p in relay.newest), default=0)
 
     def _sum(self, now, rec):
-        h, r = holder(rec.key, rec.life), self.relays.get(rec.key)
-        if h in self.past or rec.key == self.key:
+        if holder(rec.key, rec.life) in self.past or rec.key == self.key:
             return
-        if r is None or r.life != rec.life:
-            if r:
-                self.past.append(holder(rec.key, r.life))
-            r = self.relays[rec.key] = RelaySums(rec.life, now)
+        relay = self._relay(now, rec)
         singles = tuple((s.holder, s.seq, decoded(s.held)) for s in rec.singles)
-        new = replace(
-            r.newest,
-            Piece(rec.seq, now, {c.holder: c.seq for c in rec.cover}, decoded(rec.held), rec.lo, rec.hi, singles),
-        )
-        if new is None:
+        cover = {c.holder: c.seq for c in rec.cover}
+        newest = replace(relay.newest, Piece(rec.seq, now, cover, decoded(rec.held), rec.lo, rec.hi, singles))
+        if newest is None:
             return
-        r.newest, r.heard, r.crowd = new, now, rec.crowd
-        told = {c.holder: c.seq for c in rec.cover} | {s.holder: s.seq for s in rec.singles}
-        for k, m in list(self.group.items()):
-            if told.get(m.holder, 0) > m.piece.seq:
-                m.claims += 1
-                if m.claims > 1:
-                    del self.group[k]
+        relay.newest, relay.heard, relay.crowd = newest, now, rec.crowd
+        self._give_up_claimed(cover | {s.holder: s.seq for s in rec.singles})
         self._settle(now, rec.key)
         if self.acting:
             self.down |= {(r.resource, r.part): r for r in rec.reads}
             self._hasten(now, rec.reads)
 
+    def _relay(self, now, rec):
+        """What is kept of the relay that speaks; begun anew with a new life."""
+        relay = self.relays.get(rec.key)
+        if relay is None or relay.life != rec.life:
+            if relay:
+                self.past.append(holder(rec.key, relay.life))
+            relay = self.relays[rec.key] = RelaySums(rec.life, now)
+        return relay
+
+    def _give_up_claimed(self, told):
+        """Members that another relay tells of, with newer words, for the second time have gone there."""
+        for key, member in list(self.group.items()):
+            if told.get(member.holder, 0) > member.piece.seq:
+                member.claims += 1
+                if member.claims > 1:
+                    del self.group[key]
+
     def _settle(self, now, key):
         """A relay's new pieces are taken where they overlap no sum that stands."""
-        r = self.relays[key]
-        others = [q for k, o in self.relays.items() if k != key for q in o.standing if now - q.heard <= self.contact]
+        relay = self.relays[key]
+        others = [p for k, r in self.relays.items() if k != key for p in r.standing if now - p.heard <= self.contact]
         self.pending.discard(key)
-        for p in r.newest:
-            if now - p.heard > self.contact:
+        for piece in relay.newest:
+            if now - piece.heard > self.contact:
                 continue
-            if any(p.meets(q) for q in others):
+            if any(piece.meets(other) for other in others):
                 self.pending.add(key)
             else:
-                r.standing = replace(r.standing, p) or r.standing
+                relay.standing = replace(relay.standing, piece) or relay.standing
 
     def _total(self, now, rec):
         if rec.key != self.parent.key or self.acting:
@@ -265,26 +274,29 @@
     # -- what is known ------------------------------------------------------
     def _sure(self, now):
         """Whether a new relay has heard the others, or waited long enough for them."""
-        others = [k for k in self.tier.relays if k != self.key and k in self.up] if self.tier else []
-        return self.since is not None and (now - self.since > self.contact / 4 or all(k in self.relays for k in others))
+        if self.since is None:
+            return False
+        others = [key for key in self.tier.relays if key != self.key and key in self.up] if self.tier else []
+        return now - self.since > self.contact / 4 or all(key in self.relays for key in others)
 
     def clean(self, now):
         """What was not heard for a contact bound counts nothing."""
-        for d in (self.group, self.direct):
-            for k in [k for k, m in d.items() if now - m.piece.heard > self.contact]:
-                del d[k]
-        for r in self.relays.values():
-            r.standing = [p for p in r.standing if now - p.heard <= self.contact]
-        for k in [k for k in self.pending if k in self.relays]:
-            self._settle(now, k)
+        for members in (self.group, self.direct):
+            for key in [key for key, member in members.items() if now - member.piece.heard > self.contact]:
+                del members[key]
+        for relay in self.relays.values():
+            relay.standing = [piece for piece in relay.standing if now - piece.heard <= self.contact]
+        for key in [key for key in self.pending if key in self.relays]:
+            self._settle(now, key)
 
     def gathered(self, now):
         """All that is known here of the others, put together."""
         self.clean(now)
-        fresh = [p for r in self.relays.values() for p in r.newest if now - p.heard <= self.contact]
-        words = [(m.holder, m.piece) for d in (self.group, self.direct) for m in d.values()]
-        words += [(h, Piece(q, p.heard, {}, d, p.lo, p.hi)) for p in fresh for h, q, d in p.singles]
-        return gather([p for r in self.relays.values() for p in r.standing], words, self.me, self._own)
+        relays = self.relays.values()
+        fresh = [p for relay in relays for p in relay.newest if now - p.heard <= self.contact]
+        words = [(m.holder, m.piece) for members in (self.group, self.direct) for m in members.values()]
+        words += [(number, Piece(seq, p.heard, {}, held, p.lo, p.hi)) for p in fresh for number, seq, held in p.singles]
+        return gather([p for relay in relays for p in relay.standing], words, self.me, self._own)
 
     def view(self, now, direct=()):
         """What all others hold, or None while the direct words are what counts.
@@ -310,8 +322,9 @@
         """The least number that others divide by, as each of those heard tells it."""
         if not self.acting:
             return {self.teller[0]: self.total_crowd} if self.total and self.total_crowd else {}
-        told = {k: m.crowd for k, m in self.group.items()}
-        return told | {k: r.crowd for k, r in self.relays.items() if r.crowd and now - r.heard <= self.contact}
+        members = {key: member.crowd for key, member in self.group.items()}
+        relays = {key: r.crowd for key, r in self.relays.items() if r.crowd and now - r.heard <= self.contact}
+        return members | relays
 
     # -- words out ------------------------------------------------------------
     def beat(self, now):
@@ -322,31 +335,41 @@
             return self._as_relay(now)
         out = []
         if self.farewell:
-            self.farewell -= 1
-            self.out_seq += 1
-            out.append(Send(self.others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [], [])))
+            out.append(self._say_farewell(now))
         to = self.parent.key
-        if to and self._due(now, "up", BEAT, (to, self.seq), self.reads):
-            out.append(Send((to,), Up(self.key, self.life, self.seq, self.crowd, coded(self.held), some(self.reads))))
+        if to and self._due(now, UP, (to, self.seq), self.reads):
+            word = Up(self.key, self.life, self.seq, self.crowd, coded(self.held), some(self.reads))
+            out.append(Send((to,), word))
         if not self.reads:
             self.urgent = None
         return out
 
-    def _due(self, now, what, span, state, hurry):
+    def _say_farewell(self, now):
+        """A relay that is one no more tells the others an empty sum."""
+        self.farewell -= 1
+        self.out_seq += 1
+        return Send(self.others(now), Sum(self.key, self.life, self.out_seq, 0, 0, LAST, [], b"", [], []))
+
+    def _due(self, now, what, state, hurry):
+        """Whether a kind of word goes out now: soon after a change of state, seldom without one."""
         at, last = self.sent.get(what, (None, None))
-        if at is not None and not hurry and now - at < (span if state != last else self.contact / 9) - SLACK:
+        span = BEAT if state != last else self.contact / 9
+        if at is not None and not hurry and now - at < span - SLACK:
             return False
         self.sent[what] = (now, state)
         return True
 
     def others(self, now):
         """The other relays: those of the plan, and those that were heard as such."""
-        heard = {
-            k
-            for k, r in self.relays.items()
-            if now - r.heard <= self.contact and any(p.cover or p.singles for p in r.newest)
+        relays = {*(self.tier.relays if self.tier else ()), *self._heard_relays(now)}
+        return tuple(key for key in relays if key in self.up and key != self.key)
+
+    def _heard_relays(self, now):
+        return {
+            key
+            for key, relay in self.relays.items()
+            if now - relay.heard <= self.contact and any(p.cover or p.singles for p in relay.newest)
         }
-        return tuple(k for k in {*(self.tier.relays if self.tier else ()), *heard} if k in self.up and k != self.key)
 
     def age(self, now):
         """For how long this relay has been out of touch with half of the relays.
@@ -354,28 +377,22 @@
         >>> Sums("a", 1, timedelta(seconds=3)).age(ZERO)
         datetime.timedelta(0)
         """
-        others = [k for k in (self.tier.relays if self.tier else ()) if k != self.key]
-        ages = sorted(
-            [
-                ZERO,
-                *(
-                    now - (self.relays[k].heard if k in self.relays else now if self.since is None else self.since)
-                    for k in others
-                ),
-            ]
-        )
+        begun = now if self.since is None else self.since
+        others = [key for key in (self.tier.relays if self.tier else ()) if key != self.key]
+        heard = [self.relays[key].heard if key in self.relays else begun for key in others]
+        ages = sorted([ZERO, *(now - at for at in heard)])
         return ages[-(-len(ages) // 2) - 1]
 
     def _as_relay(self, now):
         out, late = [], self.wait(now)
         hurry = late is not None and late <= ZERO
-        state = (self.seq, *(m.piece.seq for m in self.group.values()))
+        state = (self.seq, *(member.piece.seq for member in self.group.values()))
         others = self.others(now)
-        if others and self._due(now, "across", BEAT, state, hurry and self.reads):
+        if others and self._due(now, ACROSS, state, hurry and self.reads):
             out += [Send(others, rec) for rec in sums(self, now)]
         if self.group and self._sure(now):
-            heard = (state, *(p.seq for r in self.relays.values() for p in r.newest))
-            if self._due(now, "down", BEAT, heard, hurry and self.down):
+            heard = (state, *(p.seq for relay in self.relays.values() for p in relay.newest))
+            if self._due(now, DOWN, heard, hurry and self.down):
                 out += [Send(tuple(self.group), rec) for rec in totals(self, now)]
         if hurry:
             self.flushed = now
