The example of what a relay tells stands once

Cause: sums and totals had the same seven lines of preparation in their examples. Change: one example in the module's comment shows both.

--- a/libs/sums/told.py
+++ b/libs/sums/told.py
@@ -1,4 +1,19 @@
-"""What a relay tells: its group's sum to the other relays, all it knows to its followers."""
+"""What a relay tells: its group's sum to the other relays, all it knows to its followers.
+
+A relay without a group tells its own calls:
+
+>>> from sparloom.relay import Tier
+>>> from .machine import Sums
+>>> from .words import decoded
+>>> start = timedelta(0)
+>>> relay = Sums("a", 1, timedelta(seconds=3))
+>>> relay.see(start, Tier(("a",), (), True), {})
+>>> relay.note(start, {7: (2, 64, 0, 0, 0, 0)}, 4)
+>>> [(s.key, s.crowd, s.cover, [decoded(one.held) for one in s.singles]) for s in sums(relay, start)]
+[('a', 4, [], [{7: (2, 64, 0, 0, 0, 0)}])]
+>>> [(t.key, t.crowd, decoded(t.held)) for t in totals(relay, start)]
+[('a', 4, {7: (2, 64, 0, 0, 0, 0)})]
+"""
 
 from datetime import timedelta
 
@@ -25,18 +40,7 @@
 
 
 def sums(m, now):
-    """The pieces of a machine's sum; the relay itself is one of the group.
-
-    >>> from sparloom.relay import Tier
-    >>> from .machine import Sums
-    >>> from .words import decoded
-    >>> start = timedelta(0)
-    >>> relay = Sums("a", 1, timedelta(seconds=3))
-    >>> relay.see(start, Tier(("a",), (), True), {})
-    >>> relay.note(start, {7: (2, 64, 0, 0, 0, 0)}, 4)
-    >>> [(s.key, s.crowd, s.cover, [decoded(one.held) for one in s.singles]) for s in sums(relay, start)]
-    [('a', 4, [], [{7: (2, 64, 0, 0, 0, 0)}])]
-    """
+    """The pieces of a machine's sum; the relay itself is one of the group."""
     m.clean(now)
     covered = {h for r in m.relays.values() for p in r.standing for h in p.cover}
     group = [
@@ -68,18 +72,7 @@
 
 
 def totals(m, now):
-    """The pieces of the total of all that a machine knows, its own calls included.
-
-    >>> from sparloom.relay import Tier
-    >>> from .machine import Sums
-    >>> from .words import decoded
-    >>> start = timedelta(0)
-    >>> relay = Sums("a", 1, timedelta(seconds=3))
-    >>> relay.see(start, Tier(("a",), (), True), {})
-    >>> relay.note(start, {7: (2, 64, 0, 0, 0, 0)}, 4)
-    >>> [(t.key, t.crowd, decoded(t.held)) for t in totals(relay, start)]
-    [('a', 4, {7: (2, 64, 0, 0, 0, 0)})]
-    """
+    """The pieces of the total of all that a machine knows, its own calls included."""
     got = m.gathered(now)
     add(got.held, m.held)
     m.out_seq += 1
