What a relay tells: a class for a told holder, named sizes, whole names

Cause: libs/sums/told.py took bare tuples apart by index and had sizes in bytes without names. Change: _Holder in place of the tuples; the sizes are constants.

--- a/libs/sums/told.py
+++ b/libs/sums/told.py
@@ -17,11 +17,28 @@
 
 from datetime import timedelta
 
+from attrs import define
+
 from .pieces import add, within
 from .words import ROOM, Cover, Single, Sum, Total, coded, ranges
 
-MOST = 20
-FOLD = 2.5
+MOST_READS = 20
+# A newcomer is told by itself for so many contact bounds, and then in the sum.
+SETTLED_AFTER = 2.5
+LEAST_ROOM = 300
+# Bytes: of one resource's counts on average, of a Cover or Single without its counts, and of a Read.
+COUNTS_BYTES, COVER_BYTES, SINGLE_BYTES, READ_BYTES = 7, 12, 16, 20
+
+
+@define(frozen=True, slots=True)
+class _Holder:
+    """One of a relay's group, and the word of it that is told."""
+
+    number: int
+    since: timedelta
+    seq: int
+    crowd: int
+    held: dict
 
 
 def some(reads):
@@ -30,55 +47,58 @@
     >>> d = dict.fromkeys(range(50)); len(some(d)), len(d)
     (20, 30)
     """
-    return [reads.pop(k) for k in list(reads)[:MOST]]
+    return [reads.pop(key) for key in list(reads)[:MOST_READS]]
 
 
 def _ranges(held, fixed, singles=()):
-    shorts = {*held, *(k for s in singles for k in s)}
-    size = 7 * (len(held) + sum(map(len, singles)))
-    return ranges(shorts, -(-size // max(300, ROOM - fixed - 16 * len(singles))) or 1)
+    """The ranges of resources that fit a datagram each, beside a fixed number of bytes."""
+    shorts = {*held, *(short for single in singles for short in single)}
+    size = COUNTS_BYTES * (len(held) + sum(map(len, singles)))
+    room = max(LEAST_ROOM, ROOM - fixed - SINGLE_BYTES * len(singles))
+    return ranges(shorts, -(-size // room) or 1)
+
+
+def _group(machine):
+    """The relay itself and those that follow it."""
+    yield _Holder(machine.me, machine.since, machine.seq, machine.crowd, machine.held)
+    for member in machine.group.values():
+        yield _Holder(member.holder, member.since, member.piece.seq, member.crowd, member.piece.held)
 
 
-def sums(m, now):
+def sums(machine, now):
     """The pieces of a machine's sum; the relay itself is one of the group."""
-    m.clean(now)
-    covered = {h for r in m.relays.values() for p in r.standing for h in p.cover}
-    group = [
-        (m.me, m.since, m.seq, m.crowd, m.held),
-        *((g.holder, g.since, g.piece.seq, g.crowd, g.piece.held) for g in m.group.values()),
-    ]
-    old = [g for g in group if now - g[1] >= FOLD * m.contact and g[0] not in covered]
-    new = [g for g in group if now - g[1] < FOLD * m.contact or g[0] in covered]
+    machine.clean(now)
+    covered = {holder for relay in machine.relays.values() for piece in relay.standing for holder in piece.cover}
+    group, old, new = list(_group(machine)), [], []
+    for holder in group:
+        settled = now - holder.since >= SETTLED_AFTER * machine.contact and holder.number not in covered
+        (old if settled else new).append(holder)
     held = {}
-    for *_, d in old:
-        add(held, d)
-    m.out_seq += 1
-    crowd = min((g[3] for g in group if g[3]), default=0)
-    reads = some(m.reads)
-    for lo, hi in _ranges(held, 12 * len(old) + 20 * len(reads), [g[4] for g in new]):
-        yield Sum(
-            m.key,
-            m.life,
-            m.out_seq,
-            crowd,
-            lo,
-            hi,
-            [Cover(h, q) for h, _, q, _, _ in old],
-            coded(within(held, lo, hi)),
-            [Single(h, q, coded(within(d, lo, hi))) for h, _, q, _, d in new],
-            reads,
-        )
+    for holder in old:
+        add(held, holder.held)
+    cover = [Cover(holder.number, holder.seq) for holder in old]
+    machine.out_seq += 1
+    crowd = min((holder.crowd for holder in group if holder.crowd), default=0)
+    reads = some(machine.reads)
+    fixed = COVER_BYTES * len(old) + READ_BYTES * len(reads)
+    for lo, hi in _ranges(held, fixed, [holder.held for holder in new]):
+        singles = [Single(holder.number, holder.seq, coded(within(holder.held, lo, hi))) for holder in new]
+        part = coded(within(held, lo, hi))
+        yield Sum(machine.key, machine.life, machine.out_seq, crowd, lo, hi, cover, part, singles, reads)
         reads = []
 
 
-def totals(m, now):
+def totals(machine, now):
     """The pieces of the total of all that a machine knows, its own calls included."""
-    got = m.gathered(now)
-    add(got.held, m.held)
-    m.out_seq += 1
-    crowd = min([m.crowd, *(c for c in m.crowds(now).values() if c)])
-    cover = [Cover(g.holder, got.seqs.get(g.holder, 0)) for g in m.group.values()]
-    reads, age = some(m.down), int(m.age(now) / timedelta(milliseconds=1))
-    for lo, hi in _ranges(got.held, 12 * len(cover) + 20 * len(reads)):
-        yield Total(m.key, m.life, m.out_seq, crowd, age, lo, hi, cover, coded(within(got.held, lo, hi)), reads)
+    gathered = machine.gathered(now)
+    held = gathered.held
+    add(held, machine.held)
+    machine.out_seq += 1
+    crowd = min([machine.crowd, *(crowd for crowd in machine.crowds(now).values() if crowd)])
+    cover = [Cover(member.holder, gathered.seqs.get(member.holder, 0)) for member in machine.group.values()]
+    reads, age_ms = some(machine.down), int(machine.age(now) / timedelta(milliseconds=1))
+    fixed = COVER_BYTES * len(cover) + READ_BYTES * len(reads)
+    for lo, hi in _ranges(held, fixed):
+        part = coded(within(held, lo, hi))
+        yield Total(machine.key, machine.life, machine.out_seq, crowd, age_ms, lo, hi, cover, part, reads)
         reads = []
