--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from sparloom.link import Datagrams, steady
-from sparloom.members import ROUTER, SUSPECT, Ack, Compare, Peer, Ping, Relay, Swim, Times
+from sparloom.members import ROUTER, SUSPECT, Ack, Compare, Peer, Ping, PingRequest, Swim, Times
 from sparloom.prefixes import Reads
 from sparloom.recover import Budget
 from sparloom.relay import Tier, plan
@@ -93,7 +93,7 @@
             self.tell.hear(rec, src)
         elif isinstance(rec, Reads):
             self.prefixes.hear(src, rec)
-        elif isinstance(rec, (Ping, Ack, Relay, Compare)):
+        elif isinstance(rec, (Ping, Ack, PingRequest, Compare)):
             for s in self.swim.receive(steady(), src, rec):
                 self.net.send(s.to, s.rec)
             self._drop_ended()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -19,9 +19,9 @@
         self.other = Peer("b:1", ROUTER, "z", "", 7, 0, ALIVE)
         _, early = self.prober(life=0x1234567)
         swim, probe = self.prober(life=0x7654321)
-        swim.receive(timedelta(0), "b:1", Ack(early.seq, self.other, 0, []))
+        swim.receive(timedelta(0), "b:1", Ack(early.sequence, self.other, 0, []))
         self.assertEqual([p.key for p in swim.probes], ["b:1"])
-        swim.receive(timedelta(0), "b:1", Ack(probe.seq, self.other, 0, []))
+        swim.receive(timedelta(0), "b:1", Ack(probe.sequence, self.other, 0, []))
         self.assertEqual(swim.probes, [])
 
 
