Ledger: a leaver is released only after a newcomer had the time to ask for its seat

Found by the model checker (F6): a witness was released although an empty machine had just asked to join, or was about to; a pause of the primary's own process made it forget the learner.

--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -302,11 +302,17 @@
         return roster if majority(able, [member.id for member in roster]) else None
 
     def may_release(self, member_id):
-        """Whether a leaving member may end: nothing rests on it, or nobody could take its place."""
+        """Whether a leaving member may end: nothing rests on it, or nobody could take its place.
+
+        A newcomer that is about to ask for its seat is waited for: it asks
+        more often than once in ``patience``.
+        """
         if member_id not in self.view.ids:
             return self.complete()
         if not self.complete() or self.ledger.membership.learners:
             return False
+        if self.ledger.now - self.ledger.membership.leaving[member_id].since < self.ledger.spans.patience:
+            return False
         if member_id not in self.view.holders:
             return True
         others = set(self.view.ids) - self.ledger.leaving_members()
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -211,6 +211,7 @@
     def _excuse(self, paused):
         """This process stood still: what came meanwhile is yet to be read, so nobody else was silent."""
         self.heard += paused
+        self.membership.excuse(paused)
         if self.leadership:
             self.leadership.excuse(paused)
 
--- a/libs/ledger/membership.py
+++ b/libs/ledger/membership.py
@@ -19,6 +19,14 @@
     ready_epoch: int = 0
 
 
+@define(slots=True, eq=False)
+class Leaver:
+    """A member that is about to end: since when, and when it was last heard of."""
+
+    since: timedelta
+    heard: timedelta
+
+
 @define(frozen=True, slots=True)
 class Suspicion:
     """When a member was found silent, or (``disk``) slow to save."""
@@ -56,10 +64,15 @@
         if member_id in self.suspected and not self.suspected[member_id].disk:
             del self.suspected[member_id]
 
+    def excuse(self, paused):
+        """This process stood still for a while: nobody was silent meanwhile."""
+        for known in (*self.learners.values(), *self.leaving.values()):
+            known.heard += paused
+
     def forget(self, now, span):
         """Drops what was not heard of for a span, and suspicions of four spans."""
         self.learners = {i: learner for i, learner in self.learners.items() if now - learner.heard < span}
-        self.leaving = {i: at for i, at in self.leaving.items() if now - at < span}
+        self.leaving = {i: leaver for i, leaver in self.leaving.items() if now - leaver.heard < span}
         self.suspected = {i: found for i, found in self.suspected.items() if now - found.at < span * 4}
 
     def join(self, member, fresh, now):
@@ -72,7 +85,8 @@
 
     def leave(self, member_id, now):
         """A member is about to end; it takes no seat any more."""
-        self.leaving[member_id] = now
+        leaver = self.leaving.setdefault(member_id, Leaver(now, now))
+        leaver.heard = now
         self.learners.pop(member_id, None)
 
     def activated(self, member_id, epoch, now):
