A refusal with no room anywhere else is 503 with a time to come back, not 500

Cause: after a first attempt that did not run, the plan said Retry where other runners exist; if none of them had room, that Retry was handed to the code that answers, which failed on it: the client got 500 without Retry-After. Change: no room counts as no other runner. Result: a test in tests.test_answers (before: AttributeError in the log, 500); it ends in 503, or in 502 where the request may have run.

--- a/sparloom/router/carry.py
+++ b/sparloom/router/carry.py
@@ -6,6 +6,7 @@
 import aiohttp
 from absl import logging
 from aiohttp import web
+from attrs import evolve
 
 from sparloom.choice import Standing, choose, heavy, lean
 from sparloom.link import steady
@@ -118,7 +119,8 @@
         while True:
             post, slot = self._pick(service)
             if post is None:
-                return await self._give_up(after(self._plan(service, verdict)) if self.attempts else GiveUp(503))
+                no_room = evolve(self._plan(service, verdict), others=False)
+                return await self._give_up(after(no_room))
             self.tried.add(post.id)
             post.open += 1
             try:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -8,6 +8,7 @@
 
 from sparloom.link.client import Connector, open_session
 from sparloom.router.fleet import Post
+from sparloom.timeouts import Counts
 
 from .test_router import EVENTS, Case
 
@@ -122,6 +123,21 @@
             a = await self.rig.send("/once/x")
             self.assertEqual((a.status, len(self.got) - n), (503, 2))
 
+    async def test_a_refusal_with_no_room_anywhere_else_is_503(self):
+        for word, path, status in (("shed", "/once/x", 503), ("reset", "/safe/x", 502)):
+            self.script(word)
+            with mock.patch.object(Counts, "take", self.once(Counts.take)):
+                a = await self.rig.send(path)
+            self.assertEqual((a.status, "retry-after" in a.heads), (status, status == 503))
+            for p in self.rig.know.fleet.posts.values():
+                p.clear()
+
+    @staticmethod
+    def once(take):
+        """Room for one attempt, and none after it."""
+        asked = []
+        return lambda *args: None if asked else asked.append(1) or take(*args)
+
     async def test_runners_that_take_no_connection_do_not(self):
         for r in self.rig.runners[:4]:
             r.server.close()
