--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -96,7 +96,8 @@
     async def _pipe(self, reader, writer):
         frames = Frames(reader, writer)
         try:
-            first = await frames.read()
+            async with asyncio.timeout(self.up.bounds.contact.total_seconds()):
+                first = await frames.read()
             if isinstance(first, Copy):
                 await self._copies(frames, first)
             else:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from attrs import evolve
+
 from sparloom.controller import core
 from sparloom.ledger import Data, Ledger, Member, Register, Spans, View
 from sparloom.ledger.records import Copy
@@ -46,6 +48,12 @@
             self.core.pipes[OTHER.host, OTHER.port][0].cancel()
         self.assertEqual(written, [(copy, SPANS.patience)])
 
+    async def test_a_connection_that_says_nothing_is_closed(self):
+        self.core.up = evolve(self.core.up, bounds=evolve(self.core.up.bounds, contact=timedelta(0)))
+        transport = mock.Mock()
+        await self.core._pipe(asyncio.StreamReader(), SimpleNamespace(transport=transport))
+        transport.abort.assert_called_once()
+
     async def test_only_the_newest_copies_wait_for_a_connection(self):
         copies = [Copy(1, View(1, 1, [2], [ME, OTHER], []), Data(1, n, n, b"x")) for n in range(9)]
         with mock.patch.object(core, "dial", mock.AsyncMock(side_effect=OSError)):
