--- a/libs/ledger/election.py
+++ b/libs/ledger/election.py
@@ -76,7 +76,11 @@
 
 @define(slots=True, eq=False)
 class Election:
-    """One candidacy. ``forced``: members that hear a primary are asked as well."""
+    """One candidacy. ``forced``: members that hear a primary are asked as well.
+
+    ``heard``: when each member was last heard, by a primary that stands again
+    and by the promises; so silence is not forgotten with each new view.
+    """
 
     ledger: object
     epoch: int
@@ -85,6 +89,7 @@
     plan: RosterPlan | None = None
     sent_at: timedelta = NEVER
     promises: dict = field(factory=dict)
+    heard: dict = field(factory=dict)
 
     @property
     def prepared(self):
@@ -114,6 +119,7 @@
         if not promise.granted:
             return self.ledger.give_up()
         self.promises[promise.sender] = promise
+        self.heard[promise.sender] = self.ledger.now
         return self._conclude()
 
     def _conclude(self):
--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -80,7 +80,6 @@
     # -- coming up ------------------------------------------------------------
     def start(self):
         """Begins to copy the data to each holder."""
-        self.heard = {member_id: self.ledger.now for member_id in self.view.ids}
         return [*self._copy_out(), *self.tick()]
 
     def _copy_out(self):
@@ -239,9 +238,10 @@
         return []
 
     def _near_voters(self):
-        """The other voters that have answered lately."""
+        """The other voters that have answered in this epoch, and lately."""
+        answered = set(self.acks) | self.activated | set(self.kept)
         patience = self.ledger.spans.patience
-        return [i for i in self.view.ids if i != self.me and not self.late(i, patience)]
+        return [i for i in self.view.ids if i != self.me and i in answered and not self.late(i, patience)]
 
     def _replace(self, bad, disk=False):
         """A new view with other backups, where enough members are there to hold a copy.
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -284,16 +284,19 @@
         plan = self.election.plan
         if plan and {member.id for member in plan.roster} != set(view.ids):
             self.change_after = self.now + self.spans.dead
+        heard = {member_id: self.election.heard.get(member_id, self.now) for member_id in view.ids}
         self.election, self.attempts = None, 0
         self.replica.hold(view.epoch)
         self.membership.drop_voters(view.ids)
-        self.leadership = Leadership(self, view, self.now)
+        self.leadership = Leadership(self, view, self.now, heard=heard)
         return self.leadership.start()
 
     def renew(self, plan):
         """As primary, stands again: for other backups, or a planned roster."""
-        lost = self.leadership.lost()
-        return lost + self.stand(forced=True, plan=plan)
+        lost, heard = self.leadership.lost(), self.leadership.heard
+        actions = self.stand(forced=True, plan=plan)
+        self.election.heard = dict(heard)
+        return lost + actions
 
     def step_down(self):
         """Leads no more; gives what can't be answered now."""
