--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from .actions import CONTROLLERS, NEVER, SEEDS, Send
-from .election import Election
+from .election import Election, PreVoting
 from .leadership import Leadership
 from .membership import Membership, PlannedLeave
 from .receive import take
@@ -48,6 +48,7 @@
     heartbeat_epoch: int = 0
     quiet_until: timedelta = timedelta(0)
     highest_epoch: int = 0
+    pre_voting: PreVoting | None = None
     election: Election | None = None
     leadership: Leadership | None = None
     hint: View | None = None
@@ -119,6 +120,11 @@
         """Whether the newest known view counts this member."""
         return self.view is not None and self.member.id in self.view.ids
 
+    def learn(self, view):
+        """Takes note of a view that another member reported active."""
+        if self.view is None or view.epoch > self.view.epoch:
+            self.hint = view
+
     def primary(self):
         """The member believed to be primary, or None."""
         view = self.view
@@ -165,7 +171,7 @@
     def save_failed(self, now):
         """This member's own disk hangs or refuses: another one should lead."""
         self.now = now
-        self.membership.suspected[self.member.id] = now
+        self.membership.suspect(self.member.id, now, disk=True)
         self.wait(self.spans.patience * 3)
         return self.hand_over(now) if self.leadership else []
 
@@ -189,15 +195,25 @@
     # -- time -------------------------------------------------------------------
     def tick(self, now):
         """Moves time on; gives the actions that are due."""
+        paused = now - self.now
         self.now = now
+        if paused > self.spans.heartbeat:
+            self._excuse(paused)
         self.membership.forget(now, self.spans.dead)
         actions = self.planned_leave.step() if self.planned_leave else []
         if self.leadership:
             return actions + self.leadership.tick()
-        if self.election:
-            return actions + self.election.tick()
+        contest = self.election or self.pre_voting
+        if contest:
+            return actions + contest.tick()
         return actions + self._idle_tick()
 
+    def _excuse(self, paused):
+        """This process stood still: what came meanwhile is yet to be read, so nobody else was silent."""
+        self.heard += paused
+        if self.leadership:
+            self.leadership.excuse(paused)
+
     def _patience_factor(self):
         view = self.view
         if self.planned_leave:
@@ -213,7 +229,7 @@
             return self._genesis_tick()
         silent = self.now - self.heard >= self.spans.patience * self._patience_factor()
         if self.voter and silent and self.now >= self.quiet_until:
-            return self.stand()
+            return self._pre_vote()
         if not self.voter or self.attempts > ATTEMPTS_BEFORE_JOIN:
             return self._ask_to_join()
         return []
@@ -240,9 +256,14 @@
         return actions
 
     # -- standing and leading ---------------------------------------------------
+    def _pre_vote(self):
+        self.attempts += 1
+        self.pre_voting = PreVoting(self, self.attempts, self.now)
+        return self.pre_voting.tick()
+
     def stand(self, forced=False, plan=None):
         """Stands for primary in a new epoch, which is put on disk first."""
-        self.attempts += 1
+        self.pre_voting = None
         known = self.view.epoch if self.view else 0
         self.highest_epoch = max(self.highest_epoch, self.register.promised, known)
         epoch = epoch_after(self.highest_epoch, self.member.id)
@@ -253,7 +274,7 @@
 
     def give_up(self):
         """Ends a candidacy and waits for a random while."""
-        self.election = None
+        self.election = self.pre_voting = None
         self.wait(self.spans.patience * (0.2 + 0.5 * self.rng.random()))
         return []
 
@@ -284,14 +305,14 @@
     def hand_over(self, now, leaving=False):
         """Names a successor among the backups and stops leading."""
         self.now = now
-        if self.leadership is None:
-            return []
+        if not self.leading():
+            return self.step_down()
         view = self.leadership.view
         near = [i for i in view.backups if not self.leadership.late(i, self.spans.patience)]
         near.sort(key=lambda member_id: member_id in self.membership.leaving)
         self.wait(self.spans.patience * 2)
         self.heartbeat_epoch = 0
-        word = Yield(self.member.id, view.epoch, leaving)
+        word = Yield(self.member.id, view.epoch, leaving, view)
         actions = YIELD_COPIES * self.send_to(near[0], word) if near else []
         return actions + self.step_down()
 
@@ -324,6 +345,7 @@
         if epoch <= self.register.promised:
             return []
         self.replica.promise(epoch)
+        self.pre_voting = None
         self.quiet_until = max(self.quiet_until, self.now + self.spans.patience * (0.5 + 0.3 * self.rng.random()))
         if self.election and self.election.epoch < epoch:
             self.election = None
--- a/libs/ledger/receive.py
+++ b/libs/ledger/receive.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from .actions import NEVER, Send
+from .actions import Send
 from .records import (
     Activate,
     Activated,
@@ -13,6 +13,8 @@
     Join,
     Kept,
     Leave,
+    PreVote,
+    PreVoteAnswer,
     Promise,
     Released,
     Seek,
@@ -45,11 +47,24 @@
     return [*ledger.follow_epoch(record.epoch), replica.grant(record)]
 
 
+@take.register
+def _(record: PreVote, ledger):
+    return [Send(record.candidate, ledger.replica.pre_vote(record.round, not ledger.hears_primary()))]
+
+
+@take.register
+def _(record: PreVoteAnswer, ledger):
+    ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
+    if not record.granted and record.view:
+        ledger.learn(record.view)
+    return ledger.pre_voting.on_answer(record) if ledger.pre_voting else []
+
+
 @take.register
 def _(record: Promise, ledger):
     ledger.highest_epoch = max(ledger.highest_epoch, record.promised)
-    if not record.granted and record.view and (not ledger.view or record.view.epoch > ledger.view.epoch):
-        ledger.hint = record.view
+    if not record.granted and record.view:
+        ledger.learn(record.view)
     return ledger.election.on_promise(record) if ledger.election else []
 
 
@@ -58,6 +73,7 @@
     ok = not ledger.replica.outdated(record.epoch)
     if ok:
         ledger.heard, ledger.heartbeat_epoch, ledger.attempts = ledger.now, record.epoch, 0
+        ledger.pre_voting = None
     active = ok and ledger.register.view_epoch == record.epoch
     ack = HeartbeatAck(ledger.member.id, record.epoch, record.sequence, ok, active, ledger.register.promised)
     return ledger.send_to(record.sender, ack)
@@ -92,10 +108,9 @@
 def _(record: Yield, ledger):
     if record.leaving:
         ledger.membership.leave(record.sender, ledger.now)
-    unfit = (
-        not ledger.voter or ledger.now - ledger.membership.suspected.get(ledger.member.id, NEVER) < ledger.spans.dead
-    )
-    if ledger.leadership or ledger.election or unfit or record.epoch < ledger.register.view_epoch:
+    ledger.learn(record.view)
+    busy = ledger.leadership or ledger.election or record.epoch < ledger.register.view_epoch
+    if busy or not ledger.voter or ledger.membership.suspects(ledger.member.id, ledger.now, ledger.spans.dead):
         return []
     return ledger.stand(forced=True)
 
--- a/libs/ledger/records.py
+++ b/libs/ledger/records.py
@@ -102,6 +102,21 @@
     """``ok``: no later epoch was promised. ``active``: the view of the epoch is marked here."""
 
 
+@record(53, candidate=Member, round="I")
+class PreVote:
+    """Would you promise me an epoch? Nothing is promised by the answer."""
+
+
+@record(54, sender="Q", round="I", granted="?", promised="Q", views=[View], settled="?")
+class PreVoteAnswer:
+    """``granted``: no primary was heard of lately."""
+
+    @property
+    def view(self):
+        """The newest view marked active, or None."""
+        return self.views[0] if self.views else None
+
+
 @record(45, candidate=Member, epoch="Q", forced="?")
 class Seek:
     """Promise me this epoch."""
@@ -137,9 +152,12 @@
     """Marked on disk."""
 
 
-@record(49, sender="Q", epoch="Q", leaving="?")
+@record(49, sender="Q", epoch="Q", leaving="?", view=View)
 class Yield:
-    """Take over from me. ``leaving``: the sender is about to end."""
+    """Take over. ``leaving``: the sender is about to end. ``view``: the newest active one.
+
+    The receiver holds that view's data; it may not have marked the view itself.
+    """
 
 
 @record(50, member=Member, fresh="?")
