Orders: judged on confirmed, decided state alone; 2,048 taken changes remembered

Change: one write at a time, the others wait for its outcome (0.8 s at most) and are judged on state that was decided and confirmed after that; 20 bytes for each taken change, and 503 for an order that may have been forgotten; a follower names the primary only if that was confirmed within a third of the contact bound; large work leaves the event loop. State of version 1 is still read. Result: tests.test_control_orders (12 tests) in simulated time.

--- a/libs/policy/check.py
+++ b/libs/policy/check.py
@@ -5,7 +5,12 @@
 from returns.result import Failure, Result, Success
 from schema import And, Optional, Or, Schema, SchemaError
 
-_NUM = And(Or(int, float), lambda v: type(v) is not bool)
+# Above this a span of ms is no timedelta any more, and a number read as infinite is caught too.
+MOST_NUMBER = 1e12
+# The control state keeps a revision in eight bytes.
+MOST_REVISION = 2**63 - 1
+
+_NUM = And(Or(int, float), lambda v: type(v) is not bool and v <= MOST_NUMBER)
 _WHOLE = And(int, lambda v: type(v) is not bool)
 _NAME = And(str, len)
 _FROM0 = And(_NUM, lambda v: v >= 0)
@@ -36,7 +41,7 @@
         "name": _NAME,
         Optional("healthPath"): str,
         Optional("connectionLimit"): And(_WHOLE, lambda v: v > 0),
-        Optional("engine"): Or(None, dict),
+        Optional("engine"): Or(None, And(dict, lambda engine: _numbers(engine), error="engine: slots, cacheTokens")),
         Optional(str): object,
     }
 )
@@ -60,17 +65,26 @@
 
 
 def _from0(v):
-    return type(v) in (int, float) and v >= 0
+    return type(v) in (int, float) and 0 <= v <= MOST_NUMBER
 
 
 def _above0(v):
-    return type(v) in (int, float) and v > 0
+    return type(v) in (int, float) and 0 < v <= MOST_NUMBER
 
 
 def _whole(least):
     return lambda v: type(v) is int and v >= least
 
 
+def _numbers(engine):
+    """Whether the figures that routers read of an engine are numbers, where they are given."""
+    return all(engine.get(key) is None or _from0(engine[key]) for key in ("slots", "cacheTokens"))
+
+
+def _engine(v):
+    return v is None or type(v) is dict and _numbers(v)
+
+
 def _prefix(v):
     return type(v) is str and v[:1] == "/" and v[-1:] == "/"
 
@@ -102,7 +116,7 @@
     ),
     "service": (
         ("name",),
-        {"name": _named, "healthPath": _is(str), "connectionLimit": _whole(1), "engine": _is(dict, type(None))},
+        {"name": _named, "healthPath": _is(str), "connectionLimit": _whole(1), "engine": _engine},
     ),
 }
 
@@ -151,8 +165,8 @@
         yield "the policy must be an object"
         return
     rev = d.get("revision")
-    if type(rev) is not int or rev < 1:
-        yield "revision must be a whole number above 0"
+    if type(rev) is not int or not 0 < rev <= MOST_REVISION:
+        yield f"revision must be a whole number from 1 to {MOST_REVISION}"
         return
     for key in ("routes", "services"):
         if not isinstance(d.get(key, []), list):
@@ -199,6 +213,10 @@
     return Success(d)
 
 
+def _no_constant(name):
+    raise ValueError(f"{name} is no JSON number")
+
+
 def parse(raw) -> Result:
     """Reads JSON bytes.
 
@@ -206,7 +224,7 @@
     True
     """
     try:
-        return Success(json.loads(raw))
+        return Success(json.loads(raw, parse_constant=_no_constant))
     except (ValueError, RecursionError) as e:
         return Failure(f"the body is not JSON: {e}")
 
--- a/libs/policy/table.py
+++ b/libs/policy/table.py
@@ -106,8 +106,8 @@
     return Service(
         d["name"],
         d.get("connectionLimit", 64),
-        int(eng.get("slots", 0)),
-        int(eng.get("cacheTokens", 0)),
+        int(eng.get("slots") or 0),
+        int(eng.get("cacheTokens") or 0),
         d.get("healthPath", ""),
     )
 
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -180,9 +180,11 @@
     def __init__(self, method, base, d):
         self.method, self.raw, self.content = method, json.dumps(d).encode(), self
         self.headers, self.content_length = {"If-Match": str(base)}, len(self.raw)
+        self.transport = SimpleNamespace(is_closing=lambda: False)
 
-    async def iter_any(self):
-        yield self.raw
+    async def readany(self):
+        raw, self.raw = self.raw, b""
+        return raw
 
 
 class Fleet:
@@ -246,8 +248,7 @@
         led = self.leader()
         if led is None:
             return None
-        do = led.control._put if method == "PUT" else led.control._patch
-        got = await do(_Call(method, self.revision, d))
+        got = await led.control._change(_Call(method, self.revision, d))
         if got.status != 200:
             return None
         self.revision = d["revision"]
--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -17,6 +17,7 @@
 from typing import ClassVar
 
 from sparloom.controller import core
+from sparloom.ledger.records import EMPTY
 from sparloom.link import clock, sockets
 
 from .tally import Tally, kind
@@ -240,6 +241,12 @@
     def _write_to_self(self):
         pass
 
+    def run_in_executor(self, executor, func, *args):
+        """Does the work at once; there are no threads in simulated time."""
+        done = self.create_future()
+        done.set_result(func(*args))
+        return done
+
     async def create_datagram_endpoint(self, factory, local_addr=None, **kw):
         """A datagram socket of the simulated network."""
         proto = factory()
@@ -292,7 +299,7 @@
 
     def _kept(self, save):
         old = Disk.held.get(self.folder)
-        Disk.held[self.folder] = (save.register, save.data if save.data is not None else old and old[1])
+        Disk.held[self.folder] = (save.register, save.data if save.data is not None else old[1] if old else EMPTY)
         self.done([save])
 
     async def stop(self):
--- /dev/null
+++ b/tests/test_control_orders.py
@@ -0,0 +1,242 @@
+"""The handler of orders alone: a ledger that decides, hangs or loses as told; simulated time."""
+
+import asyncio
+import json
+import unittest
+import zlib
+from datetime import timedelta
+from types import SimpleNamespace
+from unittest import mock
+
+from rehearsal.virtual import world
+from sparloom.controller import control, state
+from sparloom.controller.control import Control
+from sparloom.controller.orders import Verdict, judge, read_order
+from sparloom.controller.state import History, State, fingerprint
+from sparloom.feed import UNSURE
+from sparloom.ledger.records import Data
+from sparloom.policy import check, parse
+
+from .rig import POLICY, route
+
+MS = timedelta(milliseconds=1)
+
+
+class Core:
+    """A primary whose confirmations come at once and whose writes end when told."""
+
+    def __init__(self):
+        me = SimpleNamespace(id=1, control="127.0.0.1:1")
+        self.named, self.leads = me, True
+        self.ledger = SimpleNamespace(member=me, leading=lambda: self.leads, primary=lambda: self.named)
+        self.swim = SimpleNamespace(table={})
+        self.data, self.write_under_way, self.confirms = Data(1, 0, 0, b""), None, True
+
+    async def confirm(self, wait):
+        if self.confirms:
+            await asyncio.sleep(0.001)
+            return self.data
+        await asyncio.sleep(wait.total_seconds())
+        return None
+
+    async def write(self, revision, blob, wait):
+        if self.write_under_way is not None:
+            return None
+        new = Data(1, self.data.number + 1, revision, blob)
+        self.write_under_way = (new, asyncio.get_running_loop().create_future())
+        return await self.write_under_way[1]
+
+    def end_write(self, handler, decided):
+        (new, done), self.write_under_way = self.write_under_way, None
+        if decided:
+            self.data = new
+            handler.news(new)
+        done.set_result(new if decided else None)
+
+
+class Request:
+    """An operator's call, as the handler reads it."""
+
+    def __init__(self, method, base, change):
+        self.method, self.raw, self.content = method, json.dumps(change).encode(), self
+        self.headers, self.content_length = {"If-Match": str(base)}, None
+        self.left = False
+        self.transport = SimpleNamespace(is_closing=lambda: self.left)
+
+    async def readany(self):
+        raw, self.raw = self.raw, b""
+        return raw
+
+
+def revision(number, *routes):
+    return {**POLICY, "revision": number, "routes": list(routes)}
+
+
+class Orders(unittest.TestCase):
+    """Each story runs in simulated time; ``self.send`` gives a task whose result is the status."""
+
+    def play(self, story):
+        async def run():
+            self.core = Core()
+            bounds = SimpleNamespace(acknowledge=timedelta(seconds=4), contact=timedelta(seconds=3))
+            self.sureness = UNSURE
+            shop = SimpleNamespace(renew=lambda *args: None, sureness=lambda: self.sureness)
+            self.handler = Control(SimpleNamespace(bounds=bounds), self.core, shop)
+            self.handler.news(self.core.data)
+            await story()
+
+        with world(1) as self.loop:
+            self.loop.run_until_complete(run())
+
+    def send(self, method, base, change):
+        request = Request(method, base, change)
+        call = self.handler._get if method == "GET" else self.handler._change
+
+        async def answered():
+            return (await call(request)).status
+
+        task = asyncio.ensure_future(answered())
+        task.request = request
+        return task
+
+    async def take(self, *numbers):
+        for base, number in zip((self.handler.decided.state.revision, *numbers), numbers, strict=False):
+            task = self.send("PUT", base, revision(number))
+            await asyncio.sleep(0.01)
+            self.core.end_write(self.handler, True)
+            self.assertEqual(await task, 200)
+
+    def test_the_same_order_waits_for_its_first_sending(self):
+        async def story():
+            for decided, status in ((True, 200), (False, 503)):
+                base = self.handler.decided.state.revision
+                tasks = [self.send("PUT", base, revision(base + 3)) for _ in range(2)]
+                await asyncio.sleep(0.1)
+                self.assertFalse(any(t.done() for t in tasks))
+                self.core.end_write(self.handler, decided)
+                self.assertEqual([await t for t in tasks], [status, status])
+
+        self.play(story)
+
+    def test_no_refusal_while_a_write_is_under_way(self):
+        async def story():
+            first = self.send("PUT", 0, revision(3))
+            await asyncio.sleep(0.01)
+            rival = self.send("PUT", 0, revision(3, route("x", "/x/")))
+            await asyncio.sleep(0.1)
+            self.assertFalse(rival.done())
+            self.core.end_write(self.handler, True)
+            self.assertEqual([await first, await rival], [200, 412])
+
+        self.play(story)
+
+    def test_a_lost_write_leaves_its_base_to_the_next_one(self):
+        async def story():
+            first = self.send("PUT", 0, revision(3))
+            await asyncio.sleep(0.01)
+            rival = self.send("PUT", 0, revision(4))
+            self.core.end_write(self.handler, False)
+            self.assertEqual(await first, 503)
+            await asyncio.sleep(0.01)
+            self.core.end_write(self.handler, True)
+            self.assertEqual(await rival, 200)
+
+        self.play(story)
+
+    def test_calls_behind_a_hung_write_are_answered_before_callers_move_on(self):
+        async def story():
+            began = self.loop.time()
+            tasks = [self.send("PUT", 0, revision(3 + i % 4)) for i in range(8)]
+            self.assertEqual({await t for t in tasks}, {503})
+            self.assertLess(self.loop.time() - began, 1.0)
+            self.core.end_write(self.handler, True)
+            self.assertEqual(await self.send("PUT", 0, revision(3)), 200)
+
+        self.play(story)
+
+    def test_a_call_whose_client_left_is_not_carried_out(self):
+        async def story():
+            first = self.send("PUT", 0, revision(3))
+            await asyncio.sleep(0.01)
+            gone = self.send("PUT", 0, revision(4))
+            await asyncio.sleep(0.01)
+            gone.request.left = True
+            self.core.end_write(self.handler, False)
+            self.assertEqual([await first, await gone], [503, 503])
+            self.assertIsNone(self.core.write_under_way)
+
+        self.play(story)
+
+    def test_nothing_rests_on_undecided_or_unconfirmed_state(self):
+        async def story():
+            await self.take(3)
+            decided = self.core.data
+            self.core.data = Data(1, 9, 7, State(revision(7)).pack())
+            for call in (("GET", 0, {}), ("PUT", 3, revision(9)), ("PUT", 7, revision(9)), ("PUT", 0, revision(7))):
+                self.assertEqual(await self.send(*call), 503, call)
+            self.core.data, self.core.confirms = decided, False
+            for call in (("GET", 0, {}), ("PUT", 0, revision(9)), ("PUT", 3, revision(2)), ("PUT", 0, revision(3))):
+                self.assertEqual(await self.send(*call), 503, call)
+
+        self.play(story)
+
+    def test_redirects_only_to_a_primary_that_was_confirmed_of_late(self):
+        async def story():
+            self.core.leads, self.core.named = False, SimpleNamespace(id=2, control="127.0.0.2:1")
+            self.assertEqual(await self.send("GET", 0, {}), 503)
+            self.sureness = 200
+            self.assertEqual(await self.send("GET", 0, {}), 307)
+            self.sureness = 2000
+            self.assertEqual(await self.send("PUT", 0, revision(3)), 503)
+            self.assertEqual(await self.send("PUT", 0, b"x".decode()), 400)
+
+        self.play(story)
+
+    def test_old_orders_are_acknowledged_again_or_left_unclear(self):
+        async def story():
+            with mock.patch.object(state, "REMEMBERED", 3):
+                await self.take(2, 4, 6, 8, 10, 12)
+                answers = [await self.send("PUT", n - 2, revision(n)) for n in (2, 4, 6, 8, 10, 12)]
+                self.assertEqual(answers, [503, 503, 503, 200, 200, 200])
+                self.assertEqual(await self.send("PUT", 6, revision(9)), 412)
+                self.assertEqual(await self.send("PUT", 8, revision(10, route("x", "/x/"))), 412)
+                self.assertEqual(await self.send("PUT", 12, revision(5)), 400)
+
+        self.play(story)
+
+
+class States(unittest.TestCase):
+    def test_the_memory_is_bounded_in_bytes(self):
+        past = History()
+        for number in range(1, state.REMEMBERED + 11):
+            past = past.add(number, b"%012d" % number)
+        self.assertEqual((len(past), past.forgotten_through), (state.REMEMBERED, 10))
+        self.assertLess(len(State({}, past).pack()), 42000)
+        self.assertEqual(State.unpack(State({}, past).pack()).history, past)
+        self.assertEqual(past.fingerprint_of(11), b"%012d" % 11)
+
+    def test_state_of_the_first_version_is_read_and_its_past_left_unclear(self):
+        old = zlib.compress(json.dumps([POLICY | {"revision": 5}, [["PUTab", 5], ["PATCHcd", 3]], 7]).encode())
+        new = State.unpack(old)
+        self.assertEqual((new.revision, new.router_count), (5, 7))
+        orders = (("0", POLICY | {"revision": 5}), ("0", POLICY | {"revision": 3}), ("5", POLICY | {"revision": 6}))
+        verdicts = [judge(new, read_order("PUT", b, json.dumps(d).encode()).unwrap()).verdict for b, d in orders]
+        self.assertEqual(verdicts, [Verdict.TAKEN, Verdict.FORGOTTEN, Verdict.NEW])
+        with self.assertRaises(ValueError):
+            State.unpack(b"\x09" + bytes(40))
+
+    def test_an_edit_of_another_base_is_another_order(self):
+        self.assertNotEqual(fingerprint("PATCH", 1, {}), fingerprint("PATCH", 2, {}))
+        self.assertEqual(fingerprint("PUT", 1, {}), fingerprint("PUT", 2, {}))
+
+    def test_what_no_program_can_hold_is_invalid(self):
+        for text in (b'{"revision": 18446744073709551616}', b'{"revision": 1, "x": NaN}', b"[" * 5000):
+            self.assertEqual(read_order("PUT", "0", text).value_or(None), None, text[:40])
+        for base in ("", "x", "\u00b2", "9" * 5000, "-1"):
+            self.assertIsNone(read_order("PUT", base, json.dumps(POLICY).encode()).value_or(None), base[:9])
+        for edit in ({"timeoutMs": 1e999}, {"targetMs": 1e300}):
+            text = json.dumps({**POLICY, "routes": [route("x", "/x/", **edit)]}).replace("Infinity", "1e999")
+            self.assertIsNone(parse(text.encode()).bind(check).value_or(None))
+        engine = {**POLICY, "services": [{"name": "s", "engine": {"slots": "many"}}]}
+        self.assertIsNone(check(engine).value_or(None))
+        self.assertGreater(control.ANSWER_WITHIN, 100 * MS)
--- a/tests/test_relay_loop.py
+++ b/tests/test_relay_loop.py
@@ -83,7 +83,7 @@
 
     async def put(self, policy, base=0):
         st = self.ctl.core.ledger.data
-        done = await self.ctl.core.write(policy["revision"], State.unpack(st.blob).then(policy, "m").pack(), BOUND)
+        done = await self.ctl.core.write(policy["revision"], State.unpack(st.blob).then(policy, b"m").pack(), BOUND)
         self.assertIsNotNone(done)
 
     async def test_news_goes_down_as_steps_and_the_relays_loss_is_mended(self):
