--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,4 +1,4 @@
-"""The rehearsal's command line: stories by default; point, scale and report by name."""
+"""The rehearsal's command line: stories by default; point, scale, history and report by name."""
 
 import os
 import sys
@@ -142,6 +142,27 @@
     return 0
 
 
+def history(*, seed: int = 1, seeds: int = 10, seconds: float = 30.0, replace: bool = False, controllers: int = 3):
+    """Play operators' calls at the real control handler under troubles, and check the recorded histories.
+
+    :param seed: the first seed; the same seed plays the same luck
+    :param seeds: how many seeds to play
+    :param seconds: simulated seconds of trouble
+    :param replace: machines lose their disks and are replaced as well
+    :param controllers: controllers
+    """
+    from .operators import REPLACING, Plan, play_history
+
+    troubles = {"troubles": REPLACING} if replace else {}
+    bad = 0
+    for s in range(seed, seed + seeds):
+        played = play_history(s, Plan(seconds=seconds, controllers=controllers, **troubles))
+        bad += played.fault is not None
+        print(f"seed {s}: {'held' if played.fault is None else 'did not hold: ' + played.fault} ({played.summary()})")
+    print(f"{seeds - bad} held, {bad} did not")
+    return 1 if bad else 0
+
+
 def report(*files: str, x: str = "size.nodes", picture: str = ""):
     """Print and draw the slopes of a run.
 
@@ -158,10 +179,10 @@
 
 
 def main():
-    """Runs the command that is named, or the stories; a point's sets keep one order, so that its seed tells all."""
+    """Runs the command that is named, or the stories; sets keep one order where a seed tells all."""
     logging.set_verbosity(logging.ERROR)
-    named = {"play": play, "point": point, "scale": scale, "pieces": pieces, "report": report}
-    if sys.argv[1:2] == ["point"] and "PYTHONHASHSEED" not in os.environ:
+    named = {"play": play, "point": point, "scale": scale, "pieces": pieces, "history": history, "report": report}
+    if sys.argv[1:2] in (["point"], ["history"]) and "PYTHONHASHSEED" not in os.environ:
         os.execve(
             sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"}
         )
