Ledger: copies that are slow everywhere are given the time they need

Cause: a backup that had not confirmed within the patience was replaced, though bytes still moved; with every link that thin, or every disk that slow, view followed view and nothing was served. Change: the time for a copy doubles with each backup that was slow rather than silent, up to sixteen times, and halves again with quick copies.

--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -16,6 +16,8 @@
 from .views import majority, next_roster, quorum
 
 SENT_HEARTBEATS = 30
+# How often the time for a copy may double where links or disks are slow, as a factor.
+MOST_COPY_FACTOR = 16
 
 
 class Phase(Enum):
@@ -67,6 +69,16 @@
         """Whether the view is active, so that calls may be answered."""
         return self.phase is Phase.SERVING
 
+    @property
+    def copy_span(self):
+        """How long a holder may take for a copy; it grows where every copy is slow."""
+        return self.ledger.spans.patience * self.ledger.copy_factor
+
+    def _copied(self, since):
+        """All holders have the copy that began then: a quick one makes the time for the next shorter again."""
+        if self.ledger.now - since < self.copy_span / 4:
+            self.ledger.copy_factor = max(1, self.ledger.copy_factor // 2)
+
     def excuse(self, paused):
         """The primary's own process stood still for a while."""
         self.heard = {member_id: at + paused for member_id, at in self.heard.items()}
@@ -100,10 +112,12 @@
         if any(self.kept.get(holder) != self.ledger.data.number for holder in self.view.holders):
             return []
         if self.phase is Phase.COPYING:
+            self._copied(self.began)
             self.phase, self.resent_at = Phase.ACTIVATING, self.ledger.now
             return self._activate(self.view.members)
         if self.write is None:
             return []
+        self._copied(self.write_at)
         write, self.write = self.write, None
         self.decided = self.ledger.data
         return [Decided(write, self.decided)]
@@ -159,7 +173,7 @@
         if self.serving and self._unanswered() > spans.patience:
             ledger.wait(spans.patience)
             return ledger.step_down()
-        if not self.serving and ledger.now - self.began > spans.stuck * 2:
+        if not self.serving and ledger.now - self.began > max(spans.stuck * 2, self.copy_span * 2):
             ledger.wait(spans.patience * ledger.rng.random())
             return ledger.step_down()
         actions = self._heartbeat()
@@ -231,11 +245,16 @@
 
     # -- repair ---------------------------------------------------------------
     def _replace_silent(self):
-        """A backup that is silent while the view comes up is replaced."""
-        silent = [i for i in self.view.backups if i not in self.kept]
-        if self.phase is Phase.COPYING and silent and self.ledger.now - self.began > self.ledger.spans.patience:
+        """A backup that is silent, or slow to save, while the view comes up is replaced."""
+        if self.phase is not Phase.COPYING:
+            return []
+        lacking = [i for i in self.view.backups if i not in self.kept]
+        near = self._near_voters()
+        silent = [i for i in lacking if i not in near]
+        waited = self.ledger.now - self.began
+        if silent and waited > self.ledger.spans.patience:
             return self._replace(silent)
-        return []
+        return self._replace(lacking, disk=True) if lacking and waited > self.copy_span else []
 
     def _near_voters(self):
         """The other voters that have answered in this epoch, and lately."""
@@ -251,6 +270,8 @@
         ledger = self.ledger
         for member_id in bad:
             ledger.membership.suspect(member_id, ledger.now, disk)
+        if disk:
+            ledger.copy_factor = min(ledger.copy_factor * 2, MOST_COPY_FACTOR)
         able = set(self._near_voters()) - set(bad)
         if len(able) < min(ledger.replicas, len(self.view.roster) - 1):
             return []
@@ -258,9 +279,10 @@
 
     def _repair(self):
         ledger, spans = self.ledger, self.ledger.spans
-        slow = self.write is not None and ledger.now - self.write_at > spans.patience
-        if slow and self.me not in self.kept and ledger.now - self.write_at > spans.patience * 2:
+        waited = ledger.now - self.write_at if self.write is not None else timedelta(0)
+        if self.me not in self.kept and waited > spans.patience * 2:
             return ledger.save_failed(ledger.now)
+        slow = waited > self.copy_span
         silent = [i for i in self.view.backups if self.late(i, spans.patience)]
         unsaved = [i for i in self.view.backups if slow and self.kept.get(i) != ledger.data.number]
         bad = silent or unsaved
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -58,6 +58,7 @@
     attempts: int = 0
     joined_at: timedelta = NEVER
     change_after: timedelta = NEVER
+    copy_factor: int = 1
 
     @classmethod
     def start(cls, member, kept, first_start, spans, rng, replicas, genesis, now):
--- a/rehearsal/core.py
+++ b/rehearsal/core.py
@@ -31,6 +31,7 @@
         self.decided, self.lost, self.confirmed = {}, set(), {}
         self.acked, self.ids, self.lives = [], count(100), count()
         self.left = {}
+        self.copy_delay = 0 * MS
         self.seeds = [(n, 1) for n in seeds or names]
         for n in names:
             self.boot(n, first=True)
@@ -126,6 +127,8 @@
         if (n, to) in self.cuts or lost:
             return
         delay = 0 * MS if n == to else (1 + 2 * self.rng.random()) * MS
+        if isinstance(record, Copy) and n != to:
+            delay += self.copy_delay
         self.at(delay, lambda: self._arrive(to, life, record))
 
     def _arrive(self, to, life, record):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -141,6 +141,21 @@
             self.assertIsNotNone(c.leader())
             self.assertTrue(c.write(8))
 
+    def test_copies_that_are_slow_everywhere_are_given_the_time_they_need(self):
+        """A link so thin that no backup confirms within the patience: views followed each other for ever."""
+        for seed in range(4):
+            c = Core(seed=seed)
+            c.run(2500)
+            self.assertTrue(c.write(5))
+            c.copy_delay = timedelta(milliseconds=2000)
+            c.kill(c.leader())
+            c.run(15000)
+            self.assertIsNotNone(c.leader())
+            self.assertEqual(c.nodes[c.leader()][0].decided.revision, 5)
+            c.boot(min(c.off))
+            c.run(3000)
+            self.assertTrue(c.write(7, wait=9000) or c.write(8, wait=9000) or c.write(9, wait=9000))
+
     def test_stalled_backup_is_replaced_by_the_witness(self):
         for seed in range(6):
             c = Core(seed=seed)
