--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,4 +1,4 @@
-"""The rehearsal's command line: stories by default; point, scale, history and report by name."""
+"""The rehearsal's command line: stories by default; check, point, scale, history and report by name."""
 
 import os
 import sys
@@ -8,6 +8,7 @@
 
 from sparloom import __version__
 
+from .check.command import check
 from .play import STORIES
 from .play import play as play_one
 
@@ -181,7 +182,15 @@
 def main():
     """Runs the command that is named, or the stories; sets keep one order where a seed tells all."""
     logging.set_verbosity(logging.ERROR)
-    named = {"play": play, "point": point, "scale": scale, "pieces": pieces, "history": history, "report": report}
+    named = {
+        "play": play,
+        "point": point,
+        "scale": scale,
+        "pieces": pieces,
+        "history": history,
+        "report": report,
+        "check": check,
+    }
     if sys.argv[1:2] in (["point"], ["history"]) and "PYTHONHASHSEED" not in os.environ:
         os.execve(
             sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"}
--- /dev/null
+++ b/rehearsal/check/starts.py
@@ -0,0 +1,86 @@
+"""States from which searches and walks begin: each is reached by the fair schedule and a few set moves."""
+
+from .history import Violation
+from .moves import At
+from .world import World
+
+START_MS = 3000
+
+
+def _acknowledge(world):
+    """One change is acknowledged by the primary."""
+    before = len(world.history.acknowledged)
+    world.order(world.primary())
+    if not world.run(START_MS, lambda now: len(now.history.acknowledged) > before):
+        raise Violation("a write on a quiet core is not acknowledged")
+
+
+def first(scope):
+    """All disks are empty, nothing was sent yet."""
+    return World.begin(scope)
+
+
+def ready(scope):
+    """A primary in a settled view, with one acknowledged change.
+
+    >>> from .world import Scope
+    >>> len(ready(Scope()).history.acknowledged)
+    1
+    """
+    world = World.begin(scope)
+    if not world.run(START_MS, lambda now: now.primary() is not None):
+        raise Violation(f"no primary within {START_MS} ms of the first start")
+    _acknowledge(world)
+    world.run(700)
+    return world
+
+
+def primary_lost(scope):
+    """The primary's process has just ended; its disk stays."""
+    world = ready(scope)
+    At("kill", world.primary()).play(world)
+    world.run(600)
+    return world
+
+
+def replaced(scope):
+    """A member was lost for good, and an empty machine came before anyone called the lost one dead."""
+    world = ready(scope)
+    lost = next(name for name in reversed(scope.members) if name != world.primary())
+    At("remove", lost).play(world)
+    world.run(300)
+    At("join", "x").play(world)
+    return world
+
+
+def exchanged(scope):
+    """An empty machine has come, and the primary was asked to leave."""
+    world = ready(scope)
+    At("join", "x").play(world)
+    world.run(1000)
+    name = world.primary()
+    if name is not None and not world.nodes[name].leaving:
+        At("leave", name).play(world)
+    return world
+
+
+def undecided(scope):
+    """A write waits for a backup whose disk hangs."""
+    world = ready(scope)
+    name = world.primary()
+    for other in world.up():
+        if other != name:
+            At("stall", other).play(world)
+    world.order(name)
+    world.run(100)
+    return world
+
+
+STARTS = {
+    "first": first,
+    "ready": ready,
+    "primary-lost": primary_lost,
+    "replaced": replaced,
+    "exchanged": exchanged,
+    "undecided": undecided,
+}
