--- /dev/null
+++ b/tests/test_ledger_machines.py
@@ -0,0 +1,199 @@
+"""Rule-based machines over a simulated core: machines come, go, are wiped, replaced and cut off, several at once.
+
+Troubles stay within what is tolerated: at most as many machines at once as there are backups, and as many disks
+between two repairs; power may be lost everywhere at any time. ``SPARLOOM_EXAMPLES`` plays more, with fresh luck.
+"""
+
+import os
+import unittest
+
+from hypothesis import HealthCheck, note, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from rehearsal.check.history import Violation
+from tests.watched_core import WatchedCore
+
+EXAMPLES = int(os.environ.get("SPARLOOM_EXAMPLES", "0"))
+SERVE_MS, WRITE_MS, REPAIR_MS = 6000, 4500, 12000
+MORE_MACHINES = "nopqrstuvwxyz"
+PICK = st.integers(0, 8)
+
+
+class CoreMachine(RuleBasedStateMachine):
+    """A core of three that bears one trouble at a time."""
+
+    members, replicas = "abc", 1
+
+    def __init__(self):
+        super().__init__()
+        self.core, self.trouble, self.lost = None, set(), set()
+
+    @initialize(seed=st.integers(0, 1 << 16))
+    def begin(self, seed):
+        """All disks are empty; the first primary comes up."""
+        self.core = WatchedCore(self.members, replicas=self.replicas, seed=seed, loss=0.01)
+        self.check(self.core.until(5000, lambda: self.core.leader() is not None), "no first primary")
+        self.check(self.core.acknowledges(WRITE_MS), "no first write")
+
+    def check(self, holds, what):
+        """Fails with the timeline."""
+        if not holds:
+            raise Violation(f"{what}\n{self.core.timeline()}")
+
+    def pick(self, index, among):
+        """One of some names."""
+        names = sorted(among)
+        return names[index % len(names)] if names else None
+
+    def may_trouble(self, n):
+        """Whether one more machine may be in trouble now; a lost disk counts until all is whole again."""
+        if self.lost and self.core.whole():
+            self.trouble, self.lost = self.trouble - self.lost, set()
+        return n is not None and len(self.trouble | self.lost | {n}) <= self.replicas
+
+    # -- time and calls -------------------------------------------------------
+    @rule(ms=st.integers(1, 60))
+    def a_moment(self, ms):
+        """Time passes, less than the machine's spans."""
+        self.core.run(ms * 10)
+
+    @rule(ms=st.sampled_from((700, 1600, 2500)))
+    def a_while(self, ms):
+        """Time passes, beyond one of the machine's spans."""
+        self.core.run(ms)
+
+    @rule(index=PICK, after=st.integers(0, 60))
+    def order(self, index, after):
+        """A client asks any member for a change."""
+        n = self.pick(index, self.core.here())
+        if n is not None:
+            self.core.tell("order", n)
+            self.core.order(n)
+        self.core.run(after)
+
+    @rule(after=st.integers(0, 60))
+    def order_at_leader(self, after):
+        """A client asks the primary for a change."""
+        n = self.core.leader()
+        if n is not None:
+            self.core.tell("order", n)
+            self.core.order(n)
+        self.core.run(after)
+
+    # -- troubles ---------------------------------------------------------------
+    @rule(index=PICK)
+    def kill(self, index):
+        """A process ends; its disk stays."""
+        n = self.pick(index, self.core.here())
+        if self.may_trouble(n):
+            self.trouble.add(n)
+            self.core.do("kill", n)
+
+    @rule()
+    def power(self):
+        """All lose power, and all machines start again."""
+        names = [n for n in self.core.nodes if n not in self.core.off]
+        for n in names:
+            self.core.do("kill", n)
+        self.core.run(300)
+        for n in names:
+            self.core.do("boot", n)
+
+    @rule(index=PICK, word=st.sampled_from(("wipe", "remove")))
+    def lose_disk(self, index, word):
+        """A disk is lost, of a machine that comes back or not."""
+        n = self.pick(index, self.core.here())
+        if self.may_trouble(n):
+            self.lost.add(n)
+            self.core.lose(word, n)
+
+    @rule(index=PICK, way=st.sampled_from(("cut", "cut-in", "cut-out", "stall")))
+    def hinder(self, index, way):
+        """Links or the disk of a machine fail for a while."""
+        n = self.pick(index, self.core.here())
+        if self.may_trouble(n):
+            self.trouble.add(n)
+            self.core.do(way, n)
+
+    @rule()
+    def mend(self):
+        """What hinders machines ends, and those that are down start."""
+        self.core.mend()
+        self.trouble = set()
+
+    @precondition(lambda self: len(self.core.nodes) < len(self.members) + len(MORE_MACHINES))
+    @rule()
+    def new_machine(self):
+        """An empty machine at a new address, one more than needed at most."""
+        if len(self.core.here()) <= len(self.members):
+            n = MORE_MACHINES[len(self.core.nodes) - len(self.members)]
+            self.core.do("boot", n)
+
+    @rule(index=PICK)
+    def planned_leave(self, index):
+        """A machine leaves as planned, when another one is there for it."""
+        n = self.pick(index, self.core.here())
+        if len(self.core.here()) > len(self.members) and not self.trouble and self.core.whole():
+            self.core.do("leave", n)
+
+    @rule(index=PICK)
+    def old_disk_returns(self, index):
+        """A machine that left comes back with its old disk."""
+        n = self.pick(index, [n for n in self.core.left if n in self.core.off])
+        if n is not None:
+            self.core.do("boot", n)
+
+    # -- what must hold ---------------------------------------------------------
+    @rule()
+    def serves_under_tolerated_trouble(self):
+        """While no more is in trouble than tolerated, a primary serves."""
+        self.core.tell("serves", self.members[0])
+        self.check(self.core.until(SERVE_MS, lambda: self.core.leader() is not None), "no primary under a trouble")
+        self.check(self.core.acknowledges(WRITE_MS), "no write under a trouble")
+
+    @rule()
+    def repairs(self):
+        """Once troubles end and there are machines enough, all is whole again."""
+        self.mend()
+        while len(self.core.here()) < len(self.members):
+            self.new_machine()
+        self.core.tell("repairs", self.members[0])
+        self.check(self.core.until(REPAIR_MS, self.core.whole), f"not whole after {REPAIR_MS} ms")
+        self.lost = set()
+
+    def teardown(self):
+        """At the end: repair, then the loss of as many machines as tolerated."""
+        if self.core is None:
+            return
+        note(self.core.timeline())
+
+
+class CoreOfFive(CoreMachine):
+    """A core of five that bears two troubles at once."""
+
+    members, replicas = "abcde", 2
+
+
+def _settings(examples, steps):
+    return settings(
+        max_examples=EXAMPLES or examples,
+        stateful_step_count=steps,
+        deadline=None,
+        derandomize=not EXAMPLES,
+        database=None,
+        print_blob=bool(EXAMPLES),
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+class ThreeMembers(CoreMachine.TestCase):
+    settings = _settings(40, 30)
+
+
+class FiveMembers(CoreOfFive.TestCase):
+    settings = _settings(12, 30)
+
+
+if __name__ == "__main__":
+    unittest.main()
