--- a/rehearsal/check/world.py
+++ b/rehearsal/check/world.py
@@ -84,6 +84,20 @@
     writing: bytes = b""
 
 
+def ask(method, *arguments):
+    """Calls the machine; an exception out of it is a violation too.
+
+    >>> ask({}.popitem)
+    Traceback (most recent call last):
+    ...
+    rehearsal.check.history.Violation: the machine raises KeyError
+    """
+    try:
+        return method(*arguments)
+    except Exception as error:
+        raise Violation(f"the machine raises {type(error).__name__}") from error
+
+
 @define(slots=True)
 class World:
     """One state of everything.
@@ -208,33 +222,33 @@
         """A record arrives."""
         if self.nodes[message.target].ledger is not None:
             node = self.own(message.target)
-            self.act(node, node.ledger.receive(node.now, message.record))
+            self.act(node, ask(node.ledger.receive, node.now, message.record))
 
     def tick(self, name, span):
         """A member's own clock moves on."""
         node = self.own(name)
         node.now += span
         if node.ledger is not None:
-            self.act(node, node.ledger.tick(node.now))
+            self.act(node, ask(node.ledger.tick, node.now))
 
     def saved(self, name):
         """The oldest save under way is on disk."""
         node = self.own(name)
         save = node.saves.pop(0)
         node.disk = adapter.on_disk(save, node.disk)
-        self.act(node, node.ledger.saved(node.now, save))
+        self.act(node, ask(node.ledger.saved, node.now, save))
 
     def save_failed(self, name):
         """The oldest save under way is refused by the disk; it is tried again before those behind it."""
         node = self.own(name)
-        self.act(node, node.ledger.save_failed(node.now))
+        self.act(node, ask(node.ledger.save_failed, node.now))
 
     def order(self, name):
         """A client asks a member for a change: a confirmed read first."""
         node = self.own(name)
         number, self.next_order = self.next_order, self.next_order + 2
         self.orders[number] = Order(name, node.life, self.history.newest())
-        actions = node.ledger.read(node.now, number)
+        actions = ask(node.ledger.read, node.now, number)
         if actions is None:
             del self.orders[number]
         self.act(node, actions or [])
@@ -243,7 +257,7 @@
         """A member is asked to leave as planned."""
         node = self.own(name)
         node.leaving = True
-        self.act(node, node.ledger.leave(node.now))
+        self.act(node, ask(node.ledger.leave, node.now))
 
     def act(self, node, actions):
         """Carries out a member's actions; what it sends to itself arrives at once."""
@@ -279,7 +293,7 @@
         out = []
         for target in targets:
             if target == node.name:
-                out += node.ledger.receive(node.now, action.record) or []
+                out += ask(node.ledger.receive, node.now, action.record) or []
             elif target in self.nodes and (node.name, target) not in self.cuts:
                 self._post(Message(node.name, target, action.record))
         return out
@@ -315,7 +329,7 @@
         self.history = self.history.show(order.floor, data.blob)
         self._on_every_holder(adapter.leading_view(node.ledger), data, "shown by a confirmed read")
         blob = data.blob + b"%d." % action.id
-        actions = node.ledger.write(node.now, action.id + 1, data.revision + 1, blob)
+        actions = ask(node.ledger.write, node.now, action.id + 1, data.revision + 1, blob)
         if actions is not None:
             self.orders[action.id + 1] = evolve(order, writing=blob)
         return actions
