--- a/tests/watched_core.py
+++ b/tests/watched_core.py
@@ -72,9 +72,9 @@
         """What a client may rely on is on the disk of every holder that still has its disk."""
         for n, member in self.members.items():
             disk = self.disks.get(n)
-            if member.id in view.holders and n not in self.removed and disk and disk[0].id == member.id:
-                if disk[1].stamp < data.stamp:
-                    raise Violation(f"{data.blob.decode()!r} is decided, but it is not on the disk of {n}")
+            holds = member.id in view.holders and n not in self.removed and disk and disk[0].id == member.id
+            if holds and disk[1].stamp < data.stamp:
+                raise Violation(f"{data.blob.decode()!r} is decided, but it is not on the disk of {n}")
 
     # -- what happens -------------------------------------------------------
     def tell(self, word, n):
