--- a/rehearsal/check/adapter.py
+++ b/rehearsal/check/adapter.py
@@ -65,6 +65,11 @@
     return ledger.leadership.view if ledger.leading() else None
 
 
+def elected_view(ledger):
+    """The view that a machine leads or brings up, or None."""
+    return ledger.leadership.view if ledger.leadership else None
+
+
 def settled(ledger):
     """Whether the view that a machine leads needs no earlier roster any more."""
     return ledger.leadership.complete()
--- a/rehearsal/check/command.py
+++ b/rehearsal/check/command.py
@@ -13,6 +13,7 @@
 def check(
     *,
     members: int = 3,
+    replicas: int = 0,
     depth: int = 12,
     deviations: int = 2,
     settle_every: int = 40,
@@ -25,6 +26,7 @@
     """Check the control state's machine: all deviations from a fair run within bounds, then long seeded walks.
 
     :param members: members of the first roster
+    :param replicas: copies beside the primary's (0: as many as losses leave a majority)
     :param depth: moves in a row that are searched from each start
     :param deviations: moves other than the fair one within that depth; as many as the depth for all interleavings
     :param settle_every: of so many states one, by the seed, is played on without troubles until all is whole (0: none)
@@ -38,7 +40,7 @@
     if unknown or not 1 <= members <= len(NAMES):
         print(f"no start is named {start}; there are: {', '.join(STARTS)}" if unknown else "members: 1 to 9")
         return 2
-    scope = Scope(NAMES[:members], replicas=(members - 1) // 2)
+    scope = Scope(NAMES[:members], replicas=replicas or (members - 1) // 2)
     bounds = Bounds(depth, deviations, settle_every, seed, most_states)
     bad = 0
     for name in [start] if start else STARTS:
--- a/rehearsal/check/starts.py
+++ b/rehearsal/check/starts.py
@@ -2,7 +2,7 @@
 
 from .history import Violation
 from .moves import At
-from .world import World
+from .world import STEP, World
 
 START_MS = 3000
 
@@ -64,6 +64,31 @@
     return world
 
 
+def deposed(scope):
+    """The primary's process stood still; the others have a new primary, which has acknowledged a change."""
+    world = ready(scope)
+    old = world.primary()
+    At("cut", old).play(world)
+    for _ in range(60):
+        for name in world.up():
+            if name != old:
+                world.tick(name, STEP)
+        world.run(0)
+        if world.primary() not in (None, old):
+            _acknowledge_now(world)
+            return world
+    raise Violation("no new primary while the old one stands still")
+
+
+def _acknowledge_now(world):
+    """One change is acknowledged while no time passes."""
+    before = len(world.history.acknowledged)
+    world.order(world.primary())
+    world.run(0)
+    if len(world.history.acknowledged) == before:
+        raise Violation("a new primary acknowledges no change")
+
+
 def undecided(scope):
     """A write waits for a backup whose disk hangs."""
     world = ready(scope)
@@ -83,4 +108,5 @@
     "replaced": replaced,
     "exchanged": exchanged,
     "undecided": undecided,
+    "deposed": deposed,
 }
--- a/rehearsal/check/world.py
+++ b/rehearsal/check/world.py
@@ -9,12 +9,13 @@
 
 from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send
 
-from . import adapter
+from . import adapter, durable
 from .copying import Interner, canonical, clone
 from .history import History, Violation
 
 STEP = timedelta(milliseconds=100)
 NEWCOMERS = "xyzuvw"
+MOST_MOVES = 500
 
 
 @frozen
@@ -67,6 +68,7 @@
     gone: bool = False
     leaving: bool = False
     left: bool = False
+    elected: int = 0
 
     def key(self):
         """A hashable form of all that decides its future."""
@@ -278,12 +280,17 @@
                 self.stop(node.name)
                 node.left = True
                 return
+        elected = adapter.elected_view(node.ledger)
+        if elected is not None and elected.epoch > node.elected:
+            node.elected = elected.epoch
+            self._on_majorities(elected, lambda register: register.promised, "promised the epoch of a new primary")
         view = adapter.leading_view(node.ledger)
         if view is not None:
             self.history = self.history.leads(view.epoch, (node.name, node.life))
 
     def _send(self, node, action):
         """Puts a record on its way; gives the actions of one that goes to its sender."""
+        durable.check(node.name, action.record, node.disk)
         if action.to is CONTROLLERS:
             targets = [n for n in self.nodes if n != node.name]
         elif action.to is SEEDS:
@@ -314,6 +321,7 @@
         view = adapter.leading_view(node.ledger)
         self._on_every_holder(view, action.data, "decided")
         if action.id == 0:
+            self._on_majorities(view, lambda register: register.view_epoch, "marked the view that is served")
             self.history = self.history.new_primary(view.epoch, action.data.blob)
         elif action.id in self.orders:
             order = self.orders.pop(action.id)
@@ -345,13 +353,21 @@
             if holder.disk is None or holder.disk[1].stamp < data.stamp:
                 raise Violation(f"state {data.blob.decode()!r} was {what}, but it is not on the disk of {holder.name}")
 
+    def _on_majorities(self, view, epoch_of, what):
+        """A majority of each roster has something on disk; those lost since may have had it."""
+        for roster in view.rosters:
+            voters = [self.holder(identity) for identity in roster]
+            done = sum(node is None or bool(node.disk) and epoch_of(node.disk[0]) >= view.epoch for node in voters)
+            if 2 * done <= len(roster):
+                raise Violation(f"only {done} of {len(roster)} voters have {what}")
+
     # -- the fair schedule -----------------------------------------------------
     def run(self, ms, until=None):
         """Plays the fair schedule for a number of ms, or until something holds."""
         from .moves import Pass, fair
 
         passed = timedelta(0)
-        for _ in range(100 * ms):
+        for _ in range(MOST_MOVES + 100 * ms):
             if until is not None and until(self):
                 return True
             move = fair(self)
