--- a/rehearsal/check/starts.py
+++ b/rehearsal/check/starts.py
@@ -64,6 +64,21 @@
     return world
 
 
+def lost_and_leaving(scope):
+    """A backup was lost for good, two empty machines have come, and the primary is asked to leave."""
+    world = ready(scope)
+    primary = world.primary()
+    backup = world.holder(world.nodes[primary].ledger.leadership.view.backups[0]).name
+    At("remove", backup).play(world)
+    world.run(100)
+    At("join", "x").play(world)
+    At("join", "y").play(world)
+    world.run(0)
+    if world.nodes[primary].ledger is not None:
+        At("leave", primary).play(world)
+    return world
+
+
 def deposed(scope):
     """The primary's process stood still; the others have a new primary, which has acknowledged a change."""
     world = ready(scope)
@@ -109,4 +124,5 @@
     "exchanged": exchanged,
     "undecided": undecided,
     "deposed": deposed,
+    "lost-and-leaving": lost_and_leaving,
 }
--- /dev/null
+++ b/tests/test_ledger_found.py
@@ -0,0 +1,102 @@
+"""What the model checker found in the ledger machine, each as short as it could be made."""
+
+import unittest
+
+from rehearsal.check import Scope, World
+from rehearsal.check.moves import At, Deliver, Power, fair
+from rehearsal.check.settle import settle
+from rehearsal.check.starts import ready
+from rehearsal.core import Core
+from rehearsal.timeline import play
+
+
+def play_until(world, holds, skipped=lambda message: False, most=400):
+    """The fair schedule, but for messages that are lost, until something holds."""
+    for _ in range(most):
+        if holds(world):
+            return
+        move = fair(world)
+        if isinstance(move, Deliver) and skipped(move.message):
+            world.flight.remove(move.message)
+        else:
+            move.play(world)
+    raise AssertionError("not reached")
+
+
+class FoundByTheChecker(unittest.TestCase):
+    def play(self, text, seeds=range(6)):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                play(self, Core("abc", seed=seed), text)
+
+    def test_a_member_that_was_cut_off_for_a_moment_holds_the_next_copy(self):
+        for seed in range(6):
+            core = Core("abc", seed=seed)
+            core.run(2500)
+            primary = core.leader()
+            backup = next(n for n in core.holders() if n != primary)
+            witness = next(n for n in "abc" if n not in core.holders())
+            core.cut(witness)
+            core.run(1700)
+            core.heal()
+            core.run(700)
+            core.wipe(backup)
+            core.run(2000)
+            self.assertTrue(core.write(5), f"seed {seed}")
+
+    def test_the_only_holder_may_lead_though_it_has_not_marked_the_view(self):
+        world = World.begin(Scope())
+
+        def to_backup(message):
+            return type(message.record).__name__ == "Activate" and message.record.view.backups[0] == (
+                world.nodes[message.target].member.id
+            )
+
+        play_until(world, lambda now: now.primary(), to_backup)
+        primary = world.primary()
+        Power().play(world)
+        At("wipe", primary).play(world)
+        settle(world, then_lose=False)
+
+    def test_a_leaving_primary_that_hears_nobody_does_not_call_its_leave_complete(self):
+        for seed in range(6):
+            core = Core("abc", seed=seed)
+            core.run(2500)
+            primary = core.leader()
+            core.cut(primary)
+            core.leave(primary)
+            core.run(2500)
+            self.assertNotIn(primary, core.left)
+
+    def test_a_leaving_primary_keeps_its_own_seat_until_another_leads(self):
+        self.play("""
+            ms    a     b     c     x     y     any
+            2500  lead  .     .     .     .     write=5
+            2600  .     wipe  .     .     .     .
+            2700  .     .     .     boot  boot  .
+            2710  leave .     .     .     .     .
+            9000  .     .     .     .     .     leads+has=5
+            9100  .     .     .     .     .     write=7
+        """)
+
+    def test_a_founder_that_knows_no_view_does_not_leave_at_once(self):
+        world = World.begin(Scope())
+        play_until(world, lambda now: all(node.ledger.hellos for node in now.nodes.values()))
+        At("leave", "a").play(world)
+        self.assertFalse(world.nodes["a"].left)
+
+    def test_a_leaving_witness_waits_for_the_newcomer(self):
+        world = ready(Scope())
+        primary = world.primary()
+        holders = world.nodes[primary].ledger.leadership.view.holders
+        witness = next(n for n, node in world.nodes.items() if node.member.id not in holders)
+        At("leave", witness).play(world)
+        world.run(200)
+        At("join", "x").play(world)
+        world.run(4000)
+        At("remove", primary).play(world)
+        settle(world, then_lose=False)
+
+
+if __name__ == "__main__":
+    unittest.main()
