--- a/tests/test_ledger_machines.py
+++ b/tests/test_ledger_machines.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from hypothesis import HealthCheck, note, settings
+from hypothesis import HealthCheck, Phase, note, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule, run_state_machine_as_test
 
@@ -211,11 +211,11 @@
 
 
 class ThreeMembers(CoreMachine.TestCase):
-    settings = _settings(30, 25)
+    settings = _settings(120, 30)
 
 
 class FiveMembers(CoreOfFive.TestCase):
-    settings = _settings(6, 20)
+    settings = _settings(40, 30)
 
 
 def _confirm_the_newest(self, confirm=Leadership._confirm):
@@ -225,7 +225,7 @@
 class Mutated(unittest.TestCase):
     def test_a_machine_that_shows_undecided_data_is_caught(self):
         with mock.patch.object(Leadership, "_confirm", _confirm_the_newest), self.assertRaises(Violation):
-            run_state_machine_as_test(CoreMachine, settings=_settings(20, 25))
+            run_state_machine_as_test(CoreMachine, settings=settings(_settings(30, 25), phases=[Phase.generate]))
 
 
 if __name__ == "__main__":
