--- a/rehearsal/check/settle.py
+++ b/rehearsal/check/settle.py
@@ -60,8 +60,9 @@
 def settle(world, then_lose=True):
     """Ends all troubles on a copy of a world; raises a violation unless all comes back.
 
-    >>> from .world import Scope, World
-    >>> world = World.begin(Scope()); world.run(3000); settle(world, then_lose=False)
+    >>> from .starts import ready
+    >>> from .world import Scope
+    >>> settle(ready(Scope()), then_lose=False)
     """
     world = world.copy()
     end_troubles(world)
--- a/rehearsal/check/shrink.py
+++ b/rehearsal/check/shrink.py
@@ -53,10 +53,10 @@
 def as_plan(start, trace):
     """The plan of a trace: None for each fair move.
 
-    >>> from .moves import Pass
+    >>> from .moves import At
     >>> from .world import Scope, World
-    >>> as_plan(World.begin(Scope()), [Pass()])
-    [None]
+    >>> as_plan(World.begin(Scope()), [At("saved", "a"), At("kill", "b")])
+    [None, At(what='kill', node='b')]
     """
     world, plan = start.copy(), []
     for move in trace:
--- a/rehearsal/check/world.py
+++ b/rehearsal/check/world.py
@@ -104,7 +104,7 @@
 class World:
     """One state of everything.
 
-    >>> world = World.begin(Scope()); world.run(3000); world.primary() is not None
+    >>> World.begin(Scope()).run(3000, until=lambda world: world.primary() is not None)
     True
     """
 
