--- /dev/null
+++ b/rehearsal/check/starts.py
@@ -0,0 +1,128 @@
+"""States from which searches and walks begin: each is reached by the fair schedule and a few set moves."""
+
+from .history import Violation
+from .moves import At
+from .world import STEP, World
+
+START_MS = 3000
+
+
+def _acknowledge(world):
+    """One change is acknowledged by the primary."""
+    before = len(world.history.acknowledged)
+    world.order(world.primary())
+    if not world.run(START_MS, lambda now: len(now.history.acknowledged) > before):
+        raise Violation("a write on a quiet core is not acknowledged")
+
+
+def first(scope):
+    """All disks are empty, nothing was sent yet."""
+    return World.begin(scope)
+
+
+def ready(scope):
+    """A primary in a settled view, with one acknowledged change.
+
+    >>> from .world import Scope
+    >>> len(ready(Scope()).history.acknowledged)
+    1
+    """
+    world = World.begin(scope)
+    if not world.run(START_MS, lambda now: now.primary() is not None):
+        raise Violation(f"no primary within {START_MS} ms of the first start")
+    _acknowledge(world)
+    world.run(700)
+    return world
+
+
+def primary_lost(scope):
+    """The primary's process has just ended; its disk stays."""
+    world = ready(scope)
+    At("kill", world.primary()).play(world)
+    world.run(600)
+    return world
+
+
+def replaced(scope):
+    """A member was lost for good, and an empty machine came before anyone called the lost one dead."""
+    world = ready(scope)
+    lost = next(name for name in reversed(scope.members) if name != world.primary())
+    At("remove", lost).play(world)
+    world.run(300)
+    At("join", "x").play(world)
+    return world
+
+
+def exchanged(scope):
+    """An empty machine has come, and the primary was asked to leave."""
+    world = ready(scope)
+    At("join", "x").play(world)
+    world.run(1000)
+    name = world.primary()
+    if name is not None and not world.nodes[name].leaving:
+        At("leave", name).play(world)
+    return world
+
+
+def lost_and_leaving(scope):
+    """A backup was lost for good, two empty machines have come, and the primary is asked to leave."""
+    world = ready(scope)
+    primary = world.primary()
+    backup = world.holder(world.nodes[primary].ledger.leadership.view.backups[0]).name
+    At("remove", backup).play(world)
+    world.run(100)
+    At("join", "x").play(world)
+    At("join", "y").play(world)
+    world.run(0)
+    if world.nodes[primary].ledger is not None:
+        At("leave", primary).play(world)
+    return world
+
+
+def deposed(scope):
+    """The primary's process stood still; the others have a new primary, which has acknowledged a change."""
+    world = ready(scope)
+    old = world.primary()
+    At("cut", old).play(world)
+    for _ in range(60):
+        for name in world.up():
+            if name != old:
+                world.tick(name, STEP)
+        world.run(0)
+        if world.primary() not in (None, old):
+            _acknowledge_now(world)
+            return world
+    raise Violation("no new primary while the old one stands still")
+
+
+def _acknowledge_now(world):
+    """One change is acknowledged while no time passes."""
+    before = len(world.history.acknowledged)
+    world.order(world.primary())
+    world.run(0)
+    if len(world.history.acknowledged) == before:
+        raise Violation("a new primary acknowledges no change")
+
+
+def undecided(scope):
+    """A write waits for a backup whose disk hangs."""
+    world = ready(scope)
+    name = world.primary()
+    for other in world.up():
+        if other != name:
+            At("stall", other).play(world)
+    world.order(name)
+    world.run(100)
+    return world
+
+
+STARTS = {
+    "first": first,
+    "ready": ready,
+    "primary-lost": primary_lost,
+    "replaced": replaced,
+    "exchanged": exchanged,
+    "undecided": undecided,
+    "deposed": deposed,
+    "lost-and-leaving": lost_and_leaving,
+}
