--- a/rehearsal/timeline.py
+++ b/rehearsal/timeline.py
@@ -7,10 +7,22 @@
     6000  .        lead/c   .
 
 A cell holds commands (kill boot wipe cut cut-in cut-out heal stall flow
-write=N leave) or claims (lead, idle, has=N, up). ``any`` as the last column
+write=N leave yield) or claims (lead, idle, has=N, up). ``any`` as the last column
 takes claims about the whole: leads, has=N, none.
 """
 
+EVENTS = {
+    "kill": lambda core, n: core.kill(n),
+    "boot": lambda core, n: core.boot(n),
+    "wipe": lambda core, n: core.wipe(n),
+    "cut": lambda core, n: core.cut(n),
+    "cut-in": lambda core, n: core.cut(n, way="in"),
+    "cut-out": lambda core, n: core.cut(n, way="out"),
+    "stall": lambda core, n: core.stall(n),
+    "flow": lambda core, n: core.flow(n),
+    "leave": lambda core, n: core.leave(n),
+}
+
 
 def rows(text):
     """The head and the rows of a timeline."""
@@ -48,16 +60,10 @@
             raise ValueError(word)
         return
     led = core.nodes[n][0] if n in core.nodes else None
+    if cmd in EVENTS:
+        EVENTS[cmd](core, n)
+        return
     acts = {
-        "kill": lambda: core.kill(n),
-        "boot": lambda: core.boot(n),
-        "wipe": lambda: core.wipe(n),
-        "cut": lambda: core.cut(n),
-        "cut-in": lambda: core.cut(n, way="in"),
-        "cut-out": lambda: core.cut(n, way="out"),
-        "stall": lambda: core.stall(n),
-        "flow": lambda: core.flow(n),
-        "leave": lambda: core.leave(n),
         "yield": lambda: core.act(n, led.hand_over(core.now)),
         "write": lambda: test.assertTrue(core.write(int(arg), n), f"{at}: acknowledged"),
         "unwritten": lambda: test.assertFalse(core.write(int(arg), n, 800), f"{at}: must not acknowledge"),
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -31,15 +31,7 @@
 
 class Answers(Case):
     async def test_the_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(self):
-        for word in ("othershed", "othermoved", "namelessbad"):
-            for path in ("/once/x", "/unsafe/x"):
-                with self.subTest(word=word, path=path):
-                    n = len(self.got)
-                    self.script(word)
-                    a = await self.rig.send(path)
-                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
-                    for p in self.rig.know.fleet.posts.values():
-                        p.clear()
+        await self.each_is_sent_once("othershed", "othermoved", "namelessbad")
 
     async def test_a_connection_with_a_refusal_left_on_it_is_not_taken_up_again(self):
         for i in range(8):
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -54,7 +54,19 @@
         return Pulse(epoch, number, age, int(steady() / MS))
 
 
-class Router(Case):
+class ForeignRecords:
+    """What a follower makes of records that are none of the feed; ``start`` follows the one that the test plays."""
+
+    async def test_what_is_none_of_the_feed_ends_the_connection(self):
+        for record in (Follow("r", 0, 0, 0, 0), Change(7, 9, 9, 0, 0, b"")):
+            with self.subTest(record=record):
+                task, frames, _ = await self.start()
+                await frames.write(record)
+                with self.assertRaises(Broken):
+                    await task
+
+
+class Router(ForeignRecords, Case):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.know = Know(self.up)
@@ -102,16 +114,8 @@
         await self.send(frames, self.pulse(2, 9))
         self.assertEqual((self.know.policy.revision, self.follow.shelf.stamp(POLICY)), (7, (3, 7)))
 
-    async def test_what_is_none_of_the_feed_ends_the_connection(self):
-        for record in (Follow("r", 0, 0, 0, 0), Change(7, 9, 9, 0, 0, b"")):
-            with self.subTest(record=record):
-                task, frames, _ = await self.start()
-                await frames.write(record)
-                with self.assertRaises(Broken):
-                    await task
-
 
-class Controller(Case):
+class Controller(ForeignRecords, Case):
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.shop = Shop(self.up)
@@ -137,11 +141,3 @@
         await frames.write(Change(POLICY, 1, 1, 0, 0, b"torn"))
         await task
         self.assertEqual((self.shop.shelf.stamp(POLICY), self.shop.afresh), ((0, 0), {POLICY}))
-
-    async def test_what_is_none_of_the_feed_ends_the_connection(self):
-        for record in (Follow("r", 0, 0, 0, 0), Change(7, 9, 9, 0, 0, b"")):
-            with self.subTest(record=record):
-                task, frames, _ = await self.start()
-                await frames.write(record)
-                with self.assertRaises(Broken):
-                    await task
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -31,6 +31,18 @@
         for r in self.rig.runners:
             r.script = line
 
+    async def each_is_sent_once(self, *words):
+        """What meets one of these may have run: it goes to one runner and ends without a promise."""
+        for word in words:
+            for path in ("/once/x", "/unsafe/x"):
+                with self.subTest(word=word, path=path):
+                    n = len(self.got)
+                    self.script(word)
+                    a = await self.rig.send(path)
+                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
+                    for p in self.rig.know.fleet.posts.values():
+                        p.clear()
+
 
 class Passing(Case):
     async def test_a_stream_comes_through_unchanged(self):
@@ -203,15 +215,7 @@
         self.assertEqual((a.status, len(self.got)), (503, 2))
 
     async def test_what_may_have_run_is_not_sent_again_nor_promised(self):
-        for word in ("reset", "busy", "noseal", "otherid", "junk"):
-            for path in ("/once/x", "/unsafe/x"):
-                with self.subTest(word=word, path=path):
-                    n = len(self.got)
-                    self.script(word)
-                    a = await self.rig.send(path)
-                    self.assertEqual((a.status, len(self.got) - n), (502, 1))
-                    for p in self.rig.know.fleet.posts.values():
-                        p.clear()
+        await self.each_is_sent_once("reset", "busy", "noseal", "otherid", "junk")
 
     async def test_safe_asks_are_sent_again(self):
         self.script("reset")
--- a/tests/watched_core.py
+++ b/tests/watched_core.py
@@ -4,6 +4,7 @@
 
 from rehearsal.check.history import History, Violation
 from rehearsal.core import Core
+from rehearsal.timeline import EVENTS
 from sparloom.ledger import Confirmed, Decided, Lost
 
 
@@ -84,18 +85,7 @@
     def do(self, word, n):
         """Carries out a word of the timelines at a member."""
         self.tell(word, n)
-        events = {
-            "kill": lambda: self.kill(n),
-            "boot": lambda: self.boot(n),
-            "wipe": lambda: self.wipe(n),
-            "cut": lambda: self.cut(n),
-            "cut-in": lambda: self.cut(n, way="in"),
-            "cut-out": lambda: self.cut(n, way="out"),
-            "stall": lambda: self.stall(n),
-            "flow": lambda: self.flow(n),
-            "leave": lambda: self.leave(n),
-        }
-        events[word]()
+        EVENTS[word](self, n)
 
     def lose(self, word, n):
         """Loses a disk; a machine that is ``removed`` never comes back."""
