Requests that a router has read are answered, refused or rightly broken off

The end of a drain. A request that came as the last one ended was passed on and cut 0.1 s later (two of 200 moments at a busy loop); late requests were carried and cut at nine tenths of the grace period; those in line got no answer; resting connections were never told to end. 2.

--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -16,6 +16,8 @@
 from types import SimpleNamespace
 from typing import ClassVar
 
+from aiohttp.connector import aiohappyeyeballs
+
 from sparloom.controller import core
 from sparloom.ledger.records import EMPTY
 from sparloom.link import clock, sockets
@@ -41,7 +43,7 @@
     def select(self, timeout):
         if timeout is None:
             raise Stuck("all wait and nothing is due")
-        self.loop.now += timeout
+        self.loop.now += max(timeout, self.loop.turn)
         return ()
 
 
@@ -218,16 +220,16 @@
 
 
 class Loop(asyncio.BaseEventLoop):
-    """The event loop; ``net`` is its network.
+    """The event loop; ``net`` is its network, ``turn`` the seconds that each of its turns takes at least.
 
     >>> loop = Loop(random.Random(1)); loop.run_until_complete(asyncio.sleep(3600)); loop.time() - START
     3600.0
     >>> loop.close()
     """
 
-    def __init__(self, rng, delay=lambda a, b: 0.0005, loss=0.0):
+    def __init__(self, rng, delay=lambda a, b: 0.0005, loss=0.0, turn=0.0):
         super().__init__()
-        self.now = START
+        self.now, self.turn = START, turn
         self._selector = _Jump(self)
         self.net, self.ends = Network(self, rng, delay, loss), 40000
 
@@ -256,12 +258,23 @@
 
     async def create_server(self, factory, host=None, port=None, *, sock=None, **kw):
         """A listening socket of the simulated network."""
-        addr = sock.getsockname() if sock is not None else (host, port)
+        host, port = sock.getsockname() if sock is not None else (host, port)
+        addr = (host, port or self._free_port())
         self.net.servers[addr] = (factory, copy_context())
         return _Server(self.net, addr)
 
-    async def create_connection(self, factory, host=None, port=None, **kw):
+    def _free_port(self):
+        self.ends += 1
+        return self.ends
+
+    @staticmethod
+    async def start_connection(addr_infos, **kw):
+        """A socket that is to be connected to the first address; stands for the HTTP client's own dialling."""
+        return _Socket(*addr_infos[0][4])
+
+    async def create_connection(self, factory, host=None, port=None, *, sock=None, **kw):
         """A connection over the simulated network; hangs when the other host is away."""
+        host, port = sock.getsockname() if sock is not None else (host, port)
         me, to = HOST.get(), (host, port)
         while not self.net.joined(me, host):
             await asyncio.sleep(GIVE_UP)
@@ -269,9 +282,9 @@
         make, context = self.net.servers.get(to, (None, None))
         if make is None:
             raise ConnectionRefusedError(f"nobody listens at {host}:{port}")
-        self.ends += 1
-        a = _Stream(self.net, (me, self.ends), to, factory())
-        b = _Stream(self.net, to, (me, self.ends), make())
+        mine = (me, self._free_port())
+        a = _Stream(self.net, mine, to, factory())
+        b = _Stream(self.net, to, mine, make())
         a.other, b.other = b, a
         a.proto.connection_made(a)
         self.call_soon(b.proto.connection_made, b, context=context)
@@ -323,9 +336,11 @@
 
 
 @contextmanager
-def world(seed, delay=lambda a, b: 0.0005, loss=0.0):
+def world(seed, delay=lambda a, b: 0.0005, loss=0.0, turn=0.0):
     """A loop in whose time, network and luck the services run; gives the loop.
 
+    ``turn``: the seconds that each turn of the loop takes at least, as on a busy machine.
+
     >>> from sparloom.link import steady
     >>> with world(1) as loop:
     ...     steady().total_seconds()
@@ -339,7 +354,7 @@
         def __init__(self, x=None):
             super().__init__(luck.random() if x is None else x)
 
-    loop = Loop(random.Random(luck.random()), delay, loss)
+    loop = Loop(random.Random(luck.random()), delay, loss, turn)
     Disk.held = {}
     with ExitStack() as stack:
         for obj, name, val in (
@@ -348,6 +363,7 @@
             (os, "urandom", luck.randbytes),
             (sockets, "take", _Socket),
             (core, "Disk", Disk),
+            (aiohappyeyeballs, "start_connection", loop.start_connection),
         ):
             stack.enter_context(swapped(obj, name, val))
         try:
--- /dev/null
+++ b/sparloom/router/connections.py
@@ -0,0 +1,81 @@
+"""Clients' connections: which of them rest, how long they may, and how they end."""
+
+import asyncio
+from datetime import timedelta
+
+from aiohttp import web
+
+from sparloom.link import steady
+
+# A connection is kept at least so long, whatever the configuration allows.
+LEAST_IDLE = timedelta(seconds=75)
+OPTIONS = {"max_field_size": 65536, "max_line_size": 65536}
+# The library's own bound is fixed when a connection opens, so it is set out of reach.
+LIBRARY_KEEPALIVE_S = 1e6
+# Attributes of the library that have no public name.
+_NEEDED = {"_waiter", "_messages"}
+
+
+class ClientConnection(web.RequestHandler):
+    """One client's connection; ``touched``: when it last did something."""
+
+    __slots__ = ("partial", "touched")
+
+    def __init__(self, server):
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=LIBRARY_KEEPALIVE_S,
+            **OPTIONS,
+        )
+        self.partial, self.touched = False, steady()
+
+    @property
+    def keepalive_timeout(self):
+        """For how many seconds it may be idle, by the configuration of this moment."""
+        return self._manager.idle_bound().total_seconds()
+
+    @property
+    def resting(self):
+        """Whether no request is in hand here, and none of which a part has been read."""
+        waiting = self._waiter is not None and not self._waiter.done()
+        return waiting and not self._messages and not self.partial
+
+    def data_received(self, data):
+        """Bytes came: they belong to a request that is not whole until it is taken."""
+        self.partial, self.touched = True, steady()
+        super().data_received(data)
+
+    def request_taken(self):
+        """A request was read whole."""
+        self.partial = False
+
+    def request_ended(self):
+        """Its answer is made."""
+        self.touched = steady()
+
+
+class ClientServer(web.Server):
+    """Serves clients; ``idle_bound()``: how long a connection may be idle now."""
+
+    def __init__(self, handler, idle_bound):
+        super().__init__(handler, handler_cancellation=True)
+        if not _NEEDED <= set(web.RequestHandler.__slots__):
+            raise RuntimeError("this version of aiohttp does not tell which connections rest")
+        self.idle_bound = idle_bound
+
+    def __call__(self):
+        """The protocol of a new connection."""
+        return ClientConnection(self)
+
+    def end_rested(self, span):
+        """Closes each connection on which nothing has been under way for a span."""
+        oldest = steady() - span
+        for connection in self.connections:
+            if connection.resting and connection.touched <= oldest:
+                connection.force_close()
+
+    def end_idle(self):
+        """Closes each connection that has rested for longer than it may."""
+        self.end_rested(self.idle_bound())
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -1,4 +1,4 @@
-"""The address that requesters call, and the one that the platform asks for readiness."""
+"""The address that clients call, and the one that the platform asks for readiness."""
 
 import asyncio
 from datetime import timedelta
@@ -12,36 +12,33 @@
 from sparloom.metering import figures
 
 from .ask import make, time_left
-from .carry import Carry
+from .connections import LEAST_IDLE, ClientServer
+from .ending import Ending
+from .forwarding import Forwarding
+from .outcomes import Outcome, Outcomes
 
-IDLE = timedelta(seconds=75)
-OPTIONS = {"max_field_size": 65536, "max_line_size": 65536}
-
-
-class ClientServer(web.Server):
-    """Serves clients; ``idle()``: how long a connection that is opened now may be idle."""
-
-    def __init__(self, handler, idle):
-        super().__init__(handler, handler_cancellation=True)
-        self.idle = idle
-
-    def __call__(self):
-        """The protocol of a new connection."""
-        idle = self.idle().total_seconds()
-        return web.RequestHandler(
-            self, loop=asyncio.get_running_loop(), access_log=None, keepalive_timeout=idle, **OPTIONS
-        )
+IDLE_SWEEP = timedelta(seconds=1)
+DRAIN_POLL = timedelta(milliseconds=25)
+# While the router ends, a connection that has rested for so long is ended; a new one has as long to send its request.
+DRAIN_REST = timedelta(milliseconds=250)
+NOT_KNOWN_YET = "0.2"
 
 
 class Front(Service):
-    """Takes asks and sends replies."""
+    """Takes requests and sends replies."""
 
     def __init__(self, up, know):
         super().__init__()
         self.up, self.know = up, know
-        self.stopping, self.open = False, 0
-        self.idle = asyncio.Event()
-        self.runners = []
+        self.ending = None
+        self.forwarding = set()
+        self.outcomes = Outcomes()
+        self.client_server, self.runners = None, []
+
+    @property
+    def stopping(self):
+        """Whether this router is about to end."""
+        return self.ending is not None
 
     async def on_start(self):
         await self.serve(web.Server(self._ready, access_log=None), bind(self.up.listen.readiness))
@@ -49,12 +46,19 @@
 
     def clients(self):
         """The server for clients."""
-        return ClientServer(self._handle, self.idle_bound)
+        self.client_server = ClientServer(self._handle, self.idle_bound)
+        return self.client_server
 
     def idle_bound(self):
         """How long a client's connection is kept idle: never less than the configuration allows."""
         policy = self.know.policy
-        return IDLE if policy is None else max(IDLE, policy.caps.idle)
+        return LEAST_IDLE if policy is None else max(LEAST_IDLE, policy.caps.idle)
+
+    @Service.task
+    async def _end_idle(self):
+        while not self.should_stop:
+            await asyncio.sleep(IDLE_SWEEP.total_seconds())
+            self.client_server.end_idle()
 
     async def serve(self, server, sock):
         """Serves on a listening socket."""
@@ -91,39 +95,54 @@
             "divisor": k.crowd.divisor,
             "relays": {r: "relay" for r in k.tier.relays},
             "tier": k.serve.told(),
+            "requests": self.outcomes.figures(),
             "meter": figures(),
         }
 
     async def _handle(self, req):
-        self.open += 1
-        self.idle.clear()
+        connection = req.protocol
         try:
             resp = await self._take(req)
             if self.stopping and not resp.prepared:
                 resp.force_close()
             return resp
         finally:
-            self.open -= 1
-            if not self.open:
-                self.idle.set()
+            connection.request_ended()
 
     async def _take(self, req):
         now, k = steady(), self.know
         await k.wait_known(time_left(req.headers, self.up.bounds.contact))
         policy = k.policy
         if policy is None:
-            return web.Response(status=503, headers={"Retry-After": "0.2"})
+            return web.Response(status=503, headers={"Retry-After": NOT_KNOWN_YET})
         caps = policy.caps
         if sum(len(a) + len(b) + 4 for a, b in req.raw_headers) > caps.head:
             return web.Response(status=431)
         body, bad = await self._body(req, caps)
         if bad:
             return bad
+        req.protocol.request_taken()
         route = k.policy.match(req.headers.get("Host", ""), req.raw_path.partition("?")[0])
         if route is None:
             return web.Response(status=404)
         ask = make(req, body, route, k.policy, now)
-        return await Carry(k, req, ask, lambda: self.stopping).run()
+        return await self._forward(Forwarding(k, req, ask, lambda: self.stopping))
+
+    async def _forward(self, forwarding):
+        """Forwards a request, or refuses it where this router ends before it may."""
+        self.forwarding.add(forwarding)
+        try:
+            if self.ending and not self.ending.admits(steady(), forwarding.ask.horizon):
+                return forwarding.refuse()
+            return await forwarding.run()
+        finally:
+            self.forwarding.discard(forwarding)
+            self._count(forwarding)
+
+    def _count(self, forwarding):
+        self.outcomes.add(forwarding.outcome)
+        if forwarding.outcome is Outcome.UNANSWERED:
+            logging.warning("front: request %s ended without an answer.", forwarding.ask.id)
 
     async def _body(self, req, caps):
         if (req.content_length or 0) > caps.body:
@@ -146,17 +165,28 @@
         r.force_close()
         return r
 
+    # -- a planned end --------------------------------------------------------
     async def drain(self):
-        """Unready, then finishes what is in hand within the grace."""
-        self.stopping = True
-        loop = asyncio.get_running_loop()
-        end = loop.time() + self.up.bounds.grace.total_seconds() * 0.9
-        logging.info("front: unready; %d asks are in hand.", self.open)
-        await asyncio.sleep(min(3.0, self.up.bounds.grace.total_seconds() / 3))
-        while self.open and loop.time() < end:
-            try:
-                async with asyncio.timeout(max(0.01, end - loop.time())):
-                    await self.idle.wait()
-            except TimeoutError:
-                break
-            await asyncio.sleep(0.1)
+        """Unready at once; then ends each connection as its requests are done, within the grace period."""
+        self.ending = Ending.of(steady(), self.up.bounds.grace)
+        logging.info("front: unready; %d requests are in hand.", len(self.forwarding))
+        await asyncio.sleep((self.ending.takes_until - steady()).total_seconds())
+        await self._finish(self.ending.breaks_off)
+        logging.info("front: %d requests are broken off.", len(self.forwarding))
+        for forwarding in list(self.forwarding):
+            forwarding.expire()
+        await self._stop_listening()
+        await self._finish(self.ending.ends)
+
+    async def _finish(self, until):
+        """Waits until no client is connected, and ends the connections on which nothing is under way."""
+        while steady() < until:
+            self.client_server.end_rested(DRAIN_REST)
+            await asyncio.sleep(DRAIN_POLL.total_seconds())
+            if not self.client_server.connections:
+                return
+
+    async def _stop_listening(self):
+        for runner in self.runners:
+            for site in list(runner.sites):
+                await site.stop()
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -48,13 +48,15 @@
     without an id, in the answer's place; the request runs all the same),
     leftover (a refusal that stays behind the answer on the connection),
     endless (a refusal whose body never ends), shedshort (one that is cut short),
-    raw (the bytes of ``raw``, and a close).
+    raw (the bytes of ``raw``, and a close), late (says nothing for ``silence``
+    seconds, then ok), still (the same after two events).
     """
 
     id: str = "i-1"
     events: int = 5
     script: list = field(factory=list)
     pause: float = 0.0
+    silence: float = 1.0
     raw: bytes = b""
     got: list = field(factory=list)
     pipes: int = 0
@@ -106,8 +108,8 @@
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"] if chunked else []
         w.write(("\r\n".join(lines) + "\r\n\r\n").encode())
 
-    async def _events(self, g, w, upto=None):
-        first = int(g.head("Last-Event-Id") or 0) + 1
+    async def _events(self, g, w, upto=None, since=0):
+        first = max(since, int(g.head("Last-Event-Id") or 0)) + 1
         for i in range(first, (upto or self.events) + 1):
             ev = b"id: %d\ndata: piece %d\n\n" % (i, i)
             w.write(b"%x\r\n%s\r\n" % (len(ev), ev))
@@ -121,6 +123,19 @@
         await w.drain()
         return True
 
+    async def _late(self, g, w):
+        await asyncio.sleep(self.silence)
+        return await self._ok(g, w)
+
+    async def _still(self, g, w):
+        self._start(g, w)
+        await self._events(g, w, upto=2)
+        await asyncio.sleep(self.silence)
+        await self._events(g, w, since=2)
+        w.write(b"0\r\n\r\n")
+        await w.drain()
+        return True
+
     async def _plain(self, g, w, status, more=()):
         w.write(
             f"HTTP/1.1 {status}\r\n{ID}: {g.head(ID)}\r\n{''.join(m + chr(13) + chr(10) for m in more)}Content-Length: 0\r\n\r\n".encode()
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,192 @@
+"""A router that is told to end: every request that it has read is answered, refused, or rightly broken off."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from rehearsal.clients import Client, PlannedEnd, Tally
+from rehearsal.virtual import world
+
+from .rig import POLICY, Rig, route
+
+LONG = {**POLICY, "routes": [route("once", "/once/", timeoutMs=20000, gapTargetMs=20000)]}
+GRACE = timedelta(seconds=8)
+STEP = 0.05
+
+
+class Drain(unittest.TestCase):
+    """Each play has a world of its own; SIGTERM comes one second after its start."""
+
+    def play(self, story, runners=2, turn=0.0):
+        """Runs a story beside a router that ends; gives the tally of its requests."""
+        with world(1, turn=turn) as loop:
+            return loop.run_until_complete(self._play(story, runners))
+
+    async def _play(self, story, runners):
+        self.loop = asyncio.get_running_loop()
+        self.tally = Tally()
+        async with Rig(runners, LONG) as self.rig:
+            self.term = self.loop.time() + 1.0
+            self.end = PlannedEnd(self.term, GRACE)
+            parts = [asyncio.ensure_future(part) for part in (story(), self._router())]
+            async with asyncio.timeout(60):
+                await asyncio.gather(*parts)
+        return self.tally
+
+    async def _router(self):
+        await self.until(0.0)
+        await self.rig.front.drain()
+        await self.rig.front.on_stop()
+        self.ended = self.loop.time() - self.term
+
+    async def until(self, after_term):
+        """Waits for a moment, in seconds after SIGTERM."""
+        await asyncio.sleep(max(0.0, self.term + after_term - self.loop.time()))
+
+    async def client(self):
+        return await Client.connect("127.0.0.1", self.rig.port)
+
+    async def ask(self, client, path="/once/x", id="a1", **kw):
+        """One request, counted in the tally."""
+        outcome = await client.send(path, id, **kw)
+        passed_on = any(got.head("X-Sparloom-Attempt-Id") == id for r in self.rig.runners for got in r.got)
+        self.tally.add(outcome, passed_on, self.end)
+        return outcome
+
+    def script(self, word, silence=1.0):
+        for runner in self.rig.runners:
+            runner.script, runner.silence = [word] * 99, silence
+
+    # -- a request at every moment -------------------------------------------
+    def at(self, moment, word="late", silence=1.5, before=True, turn=0.0, **kw):
+        """A play with one request at a moment after SIGTERM, on a connection that was used before."""
+
+        async def story():
+            client = await self.client()
+            if before:
+                await self.ask(client, id="before")
+            self.script(word, silence)
+            await self.until(moment)
+            if client.open:
+                await self.ask(client, id="late", **kw)
+
+        return self.play(story, turn=turn)
+
+    def test_a_request_at_any_moment_on_a_kept_connection_is_answered_or_refused(self):
+        for step in range(-20, 170):
+            with self.subTest(moment=step * STEP):
+                self.assertEqual(self.at(step * STEP).lost, [])
+
+    def test_a_busy_event_loop_as_the_last_connections_end(self):
+        for step in range(200):
+            moment = 2.4 + step * 0.004
+            with self.subTest(moment=moment):
+                self.assertEqual(self.at(moment, turn=0.004).lost, [])
+
+    def test_a_request_of_many_packets_at_any_moment(self):
+        for step in range(-20, 170, 3):
+            with self.subTest(moment=step * STEP):
+                self.assertEqual(self.at(step * STEP, pause=0.3).lost, [])
+
+    def test_what_a_runner_never_answers_is_broken_off_in_the_last_part_of_the_grace_only(self):
+        for step in range(-20, 170, 3):
+            with self.subTest(moment=step * STEP):
+                self.assertEqual(self.at(step * STEP, silence=30, left_ms=10000).lost, [])
+
+    def test_a_stream_that_never_ends(self):
+        for step in range(-20, 170, 3):
+            with self.subTest(moment=step * STEP):
+                self.assertEqual(self.at(step * STEP, "still", silence=30, left_ms=10000).lost, [])
+
+    def test_what_can_not_end_in_time_is_refused_at_once(self):
+        async def story():
+            self.script("late", 1.5)
+            await self.until(2.0)
+            other = asyncio.ensure_future(self.ask(await self.client(), id="taken"))
+            await self.until(3.4)
+            await self.ask(await self.client(), id="late", left_ms=5000)
+            await other
+
+        tally = self.play(story)
+        self.assertEqual([o.id for o in tally.answered], ["taken"])
+        self.assertEqual([o.refused for o in tally.refused], [True])
+        late = tally.refused[0]
+        self.assertLess(late.ended - late.sent, 0.05)
+        self.assertTrue(late.closes)
+
+    def test_what_is_sure_to_end_in_time_is_still_served(self):
+        async def story():
+            client = await self.client()
+            await self.until(2.5)
+            self.script("late", 0.4)
+            first = asyncio.ensure_future(self.ask(client, id="first"))
+            await self.until(2.8)
+            brief = await self.ask(await self.client(), id="brief", left_ms=2000)
+            self.assertEqual(brief.status, 200)
+            self.assertEqual((await first).status, 200)
+
+        self.assertEqual(len(self.play(story).answered), 2)
+
+    # -- connections ----------------------------------------------------------
+    def test_the_next_request_after_a_stream_that_was_under_way(self):
+        async def story(length):
+            client = await self.client()
+            self.script("still", length)
+            await self.until(-0.5)
+            for i in range(20):
+                if client.open:
+                    await self.ask(client, id=f"r{i}")
+
+        for tenths in range(1, 80, 4):
+            with self.subTest(length=tenths / 10):
+                self.assertEqual(self.play(lambda t=tenths: story(t / 10)).lost, [])
+
+    def test_busy_clients_on_kept_connections_and_new_ones(self):
+        async def client(k):
+            conn = await self.client()
+            for i in range(200):
+                await asyncio.sleep(0.03 + 0.011 * k)
+                if not conn.open:
+                    try:
+                        conn = await self.client()
+                    except ConnectionRefusedError:
+                        return
+                await self.ask(conn, id=f"c{k}-{i}")
+
+        async def story():
+            self.script("late", 0.3)
+            await asyncio.gather(*(client(k) for k in range(12)))
+
+        tally = self.play(story)
+        self.assertEqual(tally.lost, [])
+        self.assertGreater(len(tally.answered), 100)
+
+    def test_idle_connections_are_ended_before_the_process_is(self):
+        async def story():
+            client = await self.client()
+            await self.ask(client)
+            await client.next_end()
+            self.closed = self.loop.time() - self.term
+
+        self.play(story)
+        self.assertLess(2.0, self.closed)
+        self.assertLessEqual(self.closed, self.ended)
+        self.assertLess(self.ended, 3.5)
+
+    def test_those_that_wait_in_line_are_refused_before_the_process_ends(self):
+        async def story():
+            self.script("late", 30)
+            await self.until(1.0)
+            clients = [await self.client() for _ in range(40)]
+            await asyncio.gather(*(self.ask(c, id=f"w{i}", left_ms=20000) for i, c in enumerate(clients)))
+
+        tally = self.play(story)
+        self.assertEqual(tally.lost, [])
+        self.assertLess(self.ended, GRACE.total_seconds())
+
+    def test_nothing_in_hand_ends_soon(self):
+        async def story():
+            pass
+
+        self.play(story)
+        self.assertLess(self.ended, 3.2)
