Control state: the first roster is known beforehand, so a founder may be lost at any moment

Cause: the first roster formed only once each founder had said hello. A core of five with three founders wanted three copies of a roster of three, so one loss during the first start ended it too.

Change: a founder's id follows from the seeds that all get at the first start, so each founder knows the first roster; hellos are waited for a moment only. A growing roster wants as many copies as losses it bears; others than machines of the first start may fill it up. A leaving member is released only once those that stay are a majority that has answered since (found by the checker's new closing faults). The checker now loses power everywhere and disks with it in each sampled state, from the first start on, and parts cores into halves. SIGHUP during a start is held.

--- a/libs/ledger/__init__.py
+++ b/libs/ledger/__init__.py
@@ -4,6 +4,7 @@
 from .machine import Ledger
 from .records import EMPTY, Data, Member, Register, View
 from .store import Store
+from .views import founder_id
 
 __all__ = [
     "CONTROLLERS",
@@ -22,4 +23,5 @@
     "Spans",
     "Store",
     "View",
+    "founder_id",
 ]
--- a/libs/ledger/leadership.py
+++ b/libs/ledger/leadership.py
@@ -13,7 +13,7 @@
 from .actions import NEVER, Confirmed, Decided, Lost, Send
 from .election import RosterPlan
 from .records import Activate, Copy, Data, Heartbeat, Kept
-from .views import majority, next_roster, quorum
+from .views import copies_wanted, majority, next_roster, quorum
 
 SENT_HEARTBEATS = 30
 # How often the time for a copy may double where links or disks are slow, as a factor.
@@ -52,6 +52,7 @@
     write_at: timedelta = timedelta(0)
     reads: dict = field(factory=dict)
     decided: Data | None = None
+    leave_asked: dict = field(factory=dict)
     change_since: timedelta | None = None
 
     @property
@@ -273,7 +274,7 @@
         if disk:
             ledger.copy_factor = min(ledger.copy_factor * 2, MOST_COPY_FACTOR)
         able = set(self._near_voters()) - set(bad)
-        if len(able) < min(ledger.replicas, len(self.view.roster) - 1):
+        if len(able) < copies_wanted(ledger.replicas, len(self.view.roster)):
             return []
         return ledger.renew(None)
 
@@ -317,17 +318,20 @@
         dead = {i for i in ids if self.late(i, spans.dead)}
         # Its own seat is given away by its successor, never by itself.
         leaving = ledger.leaving_members() & set(ids) - {self.me}
-        roster = next_roster(self.view, ledger.membership.ready(self.view.epoch), dead, leaving, len(near) == len(ids))
+        learners = ledger.membership.ready(self.view.epoch)
+        wanted = 2 * ledger.replicas + 1
+        roster = next_roster(self.view, learners, dead, leaving, len(near) == len(ids), wanted)
         if roster is None or not majority(near, ids):
             return None
-        able = set(near) | {member.id for member, _ in ledger.membership.ready(self.view.epoch)}
+        able = set(near) | {member.id for member, _ in learners}
         return roster if majority(able, [member.id for member in roster]) else None
 
     def may_release(self, member_id):
         """Whether a leaving member may end: nothing rests on it, or nobody could take its place.
 
         A newcomer that is about to ask for its seat is waited for: it asks
-        more often than once in ``patience``.
+        more often than once in ``patience``. Those that stay must be a
+        majority, and each must have answered just now.
         """
         if member_id not in self.view.ids:
             return self.complete()
@@ -335,10 +339,18 @@
             return False
         if self.ledger.now - self.ledger.membership.leaving[member_id].since < self.ledger.spans.patience:
             return False
-        if member_id not in self.view.holders:
-            return True
-        others = set(self.view.ids) - self.ledger.leaving_members()
-        return not others
+        staying = set(self.view.ids) - self.ledger.leaving_members()
+        if member_id in self.view.holders:
+            return not staying
+        return not staying or majority(staying & self._answered_since_asked(member_id), self.view.ids)
+
+    def _answered_since_asked(self, member_id):
+        """The voters that have answered a heartbeat sent after this leaving member asked the time before."""
+        asked = self.leave_asked.get(member_id)
+        self.leave_asked[member_id] = self.sequence + 1
+        if asked is None:
+            return set()
+        return {i for i, sequence in self.acks.items() if sequence >= asked}
 
     # -- calls ----------------------------------------------------------------
     def begin_write(self, write, revision, blob):
--- a/libs/ledger/machine.py
+++ b/libs/ledger/machine.py
@@ -23,7 +23,7 @@
     Yield,
 )
 from .replica import Replica
-from .views import epoch_after
+from .views import epoch_after, first_view, founder_id
 
 # How much of the patience a member waits before it stands, by what it was in the last view.
 PRIMARY_PATIENCE, HOLDER_PATIENCE, WITNESS_PATIENCE, LEAVING_PATIENCE = 0.6, 1.0, 2.2, 4.0
@@ -32,6 +32,8 @@
 HEARS_PRIMARY = 0.6
 YIELD_COPIES = 3
 ATTEMPTS_BEFORE_JOIN = 3
+# How many dead spans a founder waits for those that it has not heard of.
+FOUNDER_PATIENCE = 2
 
 
 @define(slots=True, eq=False)
@@ -44,6 +46,7 @@
     replicas: int = 1
     genesis: frozenset = frozenset()
     now: timedelta = timedelta(0)
+    since: timedelta = timedelta(0)
     heard: timedelta = NEVER
     heartbeat_epoch: int = 0
     quiet_until: timedelta = timedelta(0)
@@ -64,19 +67,20 @@
     def start(cls, member, kept, first_start, spans, rng, replicas, genesis, now):
         """A member as its disk left it; ``kept`` is None on an empty disk.
 
-        ``genesis`` holds the (host, port) pairs that form the first roster.
+        ``genesis`` holds the (host, port) pairs that form the first roster; a
+        founder's id is its ``founder_id``.
 
         >>> from .actions import Spans
         >>> from .records import Member
         >>> import random
-        >>> spans, me = Spans.of(timedelta(seconds=3)), Member(1, "h", 1, "z", "")
+        >>> spans, me = Spans.of(timedelta(seconds=3)), Member(founder_id([("h", 1)], "h", 1), "h", 1, "z", "")
         >>> ledger = Ledger.start(me, None, True, spans, random.Random(1), 1, {("h", 1)}, timedelta(0))
         >>> ledger.founder, ledger.leading()
         (True, False)
         """
         register, data = kept or (Register(member.id, first_start, 0, [], False, 0), EMPTY)
         replica = Replica(member, register, data, register if kept else None)
-        ledger = cls(replica, spans, rng, replicas, frozenset(genesis), now, heard=now)
+        ledger = cls(replica, spans, rng, replicas, frozenset(genesis), now, since=now, heard=now)
         ledger.highest_epoch = register.promised
         ledger.quiet_until = now + spans.patience / 2
         if register.view:
@@ -114,7 +118,8 @@
     @property
     def founder(self):
         """Whether this member belongs to the first roster."""
-        return self.register.fresh and (self.member.host, self.member.port) in self.genesis
+        address = (self.member.host, self.member.port)
+        return self.register.fresh and address in self.genesis and self.member.id == founder_id(self.genesis, *address)
 
     @property
     def voter(self):
@@ -147,11 +152,12 @@
         return now - self.leadership.confirmed
 
     def genesis_view(self):
-        """The first roster, once all of its members have said hello."""
-        members = [member for member, _ in self.hellos.values()]
-        if not self.genesis or sorted((m.host, m.port) for m in members) != sorted(self.genesis):
-            return None
-        return View(0, 0, [], sorted(members, key=lambda member: member.id), [])
+        """The first roster, for a member of it; None for any other member."""
+        return first_view(self.genesis, [member for member, _ in self.hellos.values()]) if self.founder else None
+
+    def _waited_for_founders(self):
+        """Whether all founders have said hello, or those that have not are waited for no more."""
+        return len(self.hellos) == len(self.genesis) or self.now - self.since > self.spans.dead * FOUNDER_PATIENCE
 
     def leaving_members(self):
         """The ids of members that are about to end."""
@@ -245,15 +251,16 @@
         return [*(Send(member, join) for member in known), Send(CONTROLLERS, join)]
 
     def _genesis_tick(self):
+        if self.durable is None:
+            return []
         actions = []
-        if self.durable is not None and self.now - self.joined_at > self.spans.resend:
+        if self.now - self.joined_at > self.spans.resend:
             self.joined_at = self.now
             actions = [Send(SEEDS, Hello(self.member, self.register.fresh, True))]
-        genesis = self.genesis_view()
-        if genesis is None or self.durable is None:
-            return actions
-        turn = self.spans.patience * genesis.ids.index(self.member.id) if self.member.id in genesis.ids else None
-        if turn is not None and self.now >= self.quiet_until + turn:
+        turn = (
+            self.spans.patience * sorted(self.hellos).index(self.member.id) if self.member.id in self.hellos else None
+        )
+        if turn is not None and self._waited_for_founders() and self.now >= self.quiet_until + turn:
             actions += self.stand()
         return actions
 
--- a/libs/ledger/views.py
+++ b/libs/ledger/views.py
@@ -1,10 +1,14 @@
 """Pure functions about views: majorities, backups, rosters."""
 
+from hashlib import blake2b
+
 from attrs import define
 
-from .records import Roster, View
+from .records import Member, Roster, View
 
 MOST_VOTERS = 9
+# Ids of founders have this bit; those drawn by lot are shorter.
+FOUNDER_BIT = 1 << 60
 
 
 def majority(ids, roster):
@@ -47,6 +51,31 @@
         return (self.view.ids,) if self.settled else self.view.rosters
 
 
+def founder_id(genesis, host, port):
+    """The id of the machine that has a seat of the first roster, from the (host, port) pairs of all its seats.
+
+    All founders know it beforehand, so the first roster is one and the same for
+    all of them, whether or not each has been heard of. A machine that has lost
+    its disk gets another id, and is no founder any more.
+
+    >>> founder_id([("h", 1)], "h", 1) == founder_id([("h", 1), ("h", 2)], "h", 1)
+    False
+    """
+    text = repr((sorted(genesis), host, port))
+    return int.from_bytes(blake2b(text.encode(), digest_size=7).digest()) | FOUNDER_BIT
+
+
+def first_view(genesis, known):
+    """The view before the first one: the first roster, with what its ``known`` members say of themselves.
+
+    >>> [member.host for member in first_view([("h", 1), ("g", 1)], []).roster]
+    ['g', 'h']
+    """
+    members = {member.id: member for member in known}
+    seats = ((founder_id(genesis, host, port), host, port) for host, port in sorted(genesis))
+    return View(0, 0, [], [members.get(id) or Member(id, host, port, "", "") for id, host, port in seats], [])
+
+
 def find_basis(promises, genesis):
     """The newest reported view, or the first roster where none was reported; None without either.
 
@@ -59,6 +88,19 @@
     return Basis(newest, any(p.settled for p in promises if p.view and p.view.epoch == newest.epoch))
 
 
+def copies_wanted(replicas, voters):
+    """How many backups a roster of so many voters has, where ``replicas`` losses are tolerated in the end.
+
+    A roster that is still growing bears fewer losses than that, as its
+    majority is lost with them. Copies for more would only keep a lost member
+    from being done without. One copy is always wanted.
+
+    >>> [copies_wanted(2, voters) for voters in (1, 2, 3, 4, 5, 7)], copies_wanted(1, 4)
+    ([0, 1, 1, 1, 2, 2], 1)
+    """
+    return min(replicas, voters - 1, max(1, (voters - 1) // 2))
+
+
 def choose_backups(primary, roster, able, prefer, replicas, suspected=frozenset()):
     """Picks backups among those able: other zones first, old holders first.
 
@@ -68,7 +110,7 @@
     >>> choose_backups(1, [], {1}, (), 0)
     []
     """
-    wanted = max(0, min(replicas, len(roster) - 1))
+    wanted = copies_wanted(replicas, len(roster))
     zone = {member.id: member.zone for member in roster}
     pool = [member.id for member in roster if member.id != primary and member.id in able]
     chosen, zones = [], {zone.get(primary)}
@@ -93,13 +135,14 @@
     return View(epoch, primary, list(backups), list(roster), previous)
 
 
-def next_roster(view, learners, dead, leaving, all_near):
+def next_roster(view, learners, dead, leaving, all_near, wanted=0):
     """The roster that should follow, or None when it is right as it is.
 
     ``learners``: (member, fresh) of those that hold the active view on disk.
     A learner takes its own wiped seat at once, else a dead member's seat, else
-    a leaving one's. The roster grows only by machines of the first start,
-    while all of its members are near; an even roster drops a dead member.
+    a leaving one's. The roster grows only while all of its members are near:
+    by machines of the first start, and by any others up to the ``wanted``
+    number of voters. An even roster drops a dead member.
 
     >>> next_roster(View(1, 1, [], [], []), [], set(), set(), True) is None
     True
@@ -117,7 +160,9 @@
             spare.remove(best)
             roster[roster.index(gone)] = best[0]
     if all_near and not dead:
-        roster += [learner for learner, fresh in spare if fresh][: MOST_VOTERS - len(roster)]
+        for learner, fresh in spare:
+            if fresh and len(roster) < MOST_VOTERS or len(roster) < wanted:
+                roster.append(learner)
     left = [m for m in roster if m.id in dead]
     if left and len(roster) % 2 == 0:
         roster.remove(left[0])
--- a/rehearsal/check/moves.py
+++ b/rehearsal/check/moves.py
@@ -99,6 +99,15 @@
     world.flight = [m for m in world.flight if (m.source, m.target) not in world.cuts]
 
 
+def _split(world, name):
+    """The members are parted into halves: this one and those behind it in order, and the rest."""
+    names = list(world.nodes)
+    start = names.index(name)
+    one = {names[(start + i) % len(names)] for i in range(len(names) // 2)}
+    world.cuts |= {pair for a in one for b in names if b not in one for pair in ((a, b), (b, a))}
+    world.flight = [m for m in world.flight if (m.source, m.target) not in world.cuts]
+
+
 def _wipe(world, name):
     if whole(world):
         world.lost_disks = 0
@@ -136,6 +145,7 @@
     "cut": lambda world, name: _cut(world, name, "both"),
     "cut-in": lambda world, name: _cut(world, name, "in"),
     "cut-out": lambda world, name: _cut(world, name, "out"),
+    "split": _split,
     "heal": lambda world, name: setattr(world, "cuts", frozenset()),
     "stall": lambda world, name: _set_stalled(world, name, True),
     "flow": lambda world, name: _set_stalled(world, name, False),
@@ -152,6 +162,7 @@
     "cut": "cuts",
     "cut-in": "cuts",
     "cut-out": "cuts",
+    "split": "cuts",
     "stall": "stalls",
 }
 
@@ -173,6 +184,19 @@
     return all(world.holder(i).disk[1].stamp >= decided for i in view.holders if world.holder(i).disk)
 
 
+def disks_lost(world):
+    """How many disks are lost that no repair has made good yet.
+
+    A machine that ended before its first save is as good as lost, and so is
+    one that has left as planned until all is whole without it.
+    """
+    if whole(world):
+        return 0
+    founders = (world.nodes[name] for name in world.scope.members)
+    unsaved = sum(node.ledger is None and node.disk is None and not node.wiped for node in founders)
+    return world.lost_disks + unsaved + sum(node.left for node in world.nodes.values())
+
+
 def fair(world):
     """The move of the fair schedule: messages in order, then saves, then time."""
     if world.flight:
@@ -216,12 +240,7 @@
             yield At("boot", name)
         else:
             yield from _running_moves(world, name, node)
-        if (
-            _may(world, "wipes")
-            and node.disk
-            and world.history.primaries
-            and (world.lost_disks < world.scope.replicas or whole(world))
-        ):
+        if _may(world, "wipes") and node.disk and disks_lost(world) < world.scope.replicas:
             yield At("wipe", name)
             yield At("remove", name)
 
@@ -251,6 +270,8 @@
         yield At("leave", name)
     if not world.cuts and _may(world, "cuts"):
         yield from (At(way, name) for way in ("cut", "cut-in", "cut-out"))
+        if len(world.nodes) > 3:
+            yield At("split", name)
 
 
 def _whole_moves(world):
--- a/rehearsal/check/settle.py
+++ b/rehearsal/check/settle.py
@@ -3,7 +3,7 @@
 from itertools import combinations
 
 from .history import Violation
-from .moves import At, whole
+from .moves import At, disks_lost, whole
 from .world import NEWCOMERS
 
 PRIMARY_MS = 8000
@@ -57,13 +57,42 @@
     return [set(names) for names in combinations(here, world.scope.replicas)]
 
 
+def closing_losses(world):
+    """Every set of members whose disks may be lost in this very state, none included.
+
+    No more disks are lost than are tolerated, those counted that no repair has made good yet.
+    """
+    left = world.scope.replicas - disks_lost(world)
+    with_disks = [name for name, node in world.nodes.items() if node.disk and not node.gone and not node.left]
+    return [set(names) for size in range(left + 1) for names in combinations(with_disks, size)]
+
+
+def close(world, names):
+    """All lose power at once and some lose their disks, in whatever state they are; then all must come back."""
+    world = world.copy()
+    running = [name for name, node in world.nodes.items() if not node.gone and not node.left]
+    for name in running:
+        world.stop(name)
+    for name in sorted(names):
+        world.wipe(name)
+    world.flight, world.orders, world.cuts = [], {}, frozenset()
+    for name in running:
+        world.boot(name)
+    lost = " and ".join(sorted(names)) or "no one"
+    serves(world, f"after all lost power and {lost} the disk")
+
+
 def settle(world, then_lose=True):
     """Ends all troubles on a copy of a world; raises a violation unless all comes back.
 
+    So it must after a closing fault right now, too.
+
     >>> from .starts import ready
     >>> from .world import Scope
     >>> settle(ready(Scope()), then_lose=False)
     """
+    for names in closing_losses(world):
+        close(world, names)
     world = world.copy()
     end_troubles(world)
     serves(world, "after all troubles ended")
--- a/rehearsal/check/world.py
+++ b/rehearsal/check/world.py
@@ -7,7 +7,7 @@
 
 from attrs import define, evolve, field, frozen
 
-from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send
+from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send, founder_id
 
 from . import adapter, durable
 from .copying import Interner, canonical, clone
@@ -65,6 +65,7 @@
     now: timedelta = timedelta(0)
     life: int = 0
     stalled: bool = False
+    wiped: bool = False
     gone: bool = False
     leaving: bool = False
     left: bool = False
@@ -72,7 +73,7 @@
 
     def key(self):
         """A hashable form of all that decides its future."""
-        flags = (self.name, self.life, self.stalled, self.gone, self.leaving, self.left)
+        flags = (self.name, self.life, self.stalled, self.wiped, self.gone, self.leaving, self.left)
         return (*flags, *(canonical(v, self.now) for v in (self.member, self.ledger, self.disk, self.saves)))
 
 
@@ -180,11 +181,14 @@
         """
         node = self.own(name)
         never_led = not self.history.primaries
-        first_start = first_start or (node.disk is None and name in self.scope.members and never_led)
+        founder = name in self.scope.members and not node.wiped
+        first_start = first_start or (node.disk is None and founder and never_led)
+        genesis = {(n, 1) for n in self.scope.members}
         if node.disk is None and not first_start:
             self.identities += 1
             node.member = evolve(node.member, id=self.identities)
-        genesis = {(n, 1) for n in self.scope.members}
+        elif node.disk is None and (name, 1) in genesis:
+            node.member = evolve(node.member, id=founder_id(genesis, name, 1))
         node.life += 1
         node.leaving = node.left = False
         node.ledger = adapter.start(
@@ -204,7 +208,7 @@
         """Ends a process and empties its disk; its identity is gone with it."""
         self.stop(name)
         node = self.nodes[name]
-        node.disk, node.member = None, evolve(node.member, id=0)
+        node.disk, node.member, node.wiped = None, evolve(node.member, id=0), True
 
     def up(self):
         """The names of the members that run."""
--- a/rehearsal/core.py
+++ b/rehearsal/core.py
@@ -4,7 +4,20 @@
 from datetime import timedelta
 from itertools import count
 
-from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send, Spans
+from sparloom.ledger import (
+    CONTROLLERS,
+    SEEDS,
+    Confirmed,
+    Decided,
+    Ledger,
+    Left,
+    Lost,
+    Member,
+    Save,
+    Send,
+    Spans,
+    founder_id,
+)
 from sparloom.ledger.records import Copy
 
 from .clock import MS, Clock
@@ -40,7 +53,9 @@
         """Starts a member with what its disk holds; a name not used before is a new machine."""
         disk = self.disks.get(n)
         if disk is None:
-            self.members[n] = Member(next(self.ids), n, 1, self.zones.get(n, "z" + n), n + ":9")
+            founder = first and (n, 1) in self.seeds
+            id = founder_id(self.seeds, n, 1) if founder else next(self.ids)
+            self.members[n] = Member(id, n, 1, self.zones.get(n, "z" + n), n + ":9")
         luck = random.Random(self.rng.random())
         ledger = Ledger.start(self.members[n], disk, first, SPANS, luck, self.replicas, self.seeds, self.now)
         life = next(self.lives)
--- a/rehearsal/virtual.py
+++ b/rehearsal/virtual.py
@@ -295,6 +295,7 @@
     """A simulated disk: what was put is kept and told 5 ms later."""
 
     held: ClassVar[dict] = {}
+    set_aside = False
 
     def __init__(self, folder, loop, done, failed):
         self.folder, self.loop, self.done = folder, loop, done
--- a/sparloom/controller/__main__.py
+++ b/sparloom/controller/__main__.py
@@ -3,8 +3,9 @@
 import sys
 
 if len(sys.argv) < 2:
-    from sparloom.early import leave_out, listen
+    from sparloom.early import hold_hangups, leave_out, listen
 
+    hold_hangups()
     leave_out()
     listen(("control",))
 
--- a/sparloom/controller/core.py
+++ b/sparloom/controller/core.py
@@ -9,7 +9,20 @@
 from absl import logging
 from mode import Service
 
-from sparloom.ledger import CONTROLLERS, SEEDS, Confirmed, Decided, Ledger, Left, Lost, Member, Save, Send, Spans
+from sparloom.ledger import (
+    CONTROLLERS,
+    SEEDS,
+    Confirmed,
+    Decided,
+    Ledger,
+    Left,
+    Lost,
+    Member,
+    Save,
+    Send,
+    Spans,
+    founder_id,
+)
 from sparloom.ledger.records import Copy
 from sparloom.link import Datagrams, Frames, bind, dial, steady
 from sparloom.members import CONTROLLER, Ack, Compare, Peer, Ping, PingRequest, Swim, Times
@@ -32,7 +45,7 @@
         self.port = up.controller_port
         self.key = f"{up.ip}:{self.port}"
         self.waits, self.ids, self.pipes = {}, 0, {}
-        self.ledger = self.net = self.disk = None
+        self.ledger = self.net = self.disk = self.swim = None
         self.left = asyncio.Event()
 
     @property
@@ -44,19 +57,15 @@
         up, loop, rng = self.up, asyncio.get_running_loop(), random.Random()
         self.disk = Disk(up.data, loop, self._saved, self._failed)
         kept = await self.disk.load()
-        id = kept[0].id if kept else int.from_bytes(os.urandom(7)) | 1
+        # A disk that held something unreadable may have promised something: its machine is no founder.
+        first_start = up.first_start and not self.disk.set_aside
+        genesis = {(s.host, self.port) for s in up.seeds}
+        id = kept[0].id if kept else self._new_id(genesis if first_start else ())
         control = str(up.listen.control or "")
         me = Member(id, up.ip, self.port, up.zone, control)
-        self.ledger = Ledger.start(
-            me,
-            kept,
-            up.first_start,
-            Spans.of(up.bounds.contact),
-            rng,
-            up.tolerated.copies,
-            {(s.host, self.port) for s in up.seeds},
-            steady(),
-        )
+        spans = Spans.of(up.bounds.contact)
+        copies = up.tolerated.copies
+        self.ledger = Ledger.start(me, kept, first_start, spans, rng, copies, genesis, steady())
         peer = Peer(self.key, CONTROLLER, up.zone, control, int.from_bytes(os.urandom(7)), 0, 0)
         self.swim = Swim(peer, self.seeds, Times.of(up.bounds.contact), rng)
         self.prefixes = Remember(up.data, lambda to, rec: self.net.send(to, rec), up.bounds.contact.total_seconds() / 2)
@@ -69,6 +78,12 @@
             self._act([self.ledger.save()])
         logging.info("core: member %x starts, %s.", id, "with its disk" if kept else "with an empty disk")
 
+    def _new_id(self, genesis):
+        """The id of a member with an empty disk: a founder's own, or one drawn by lot."""
+        if (self.up.ip, self.port) in genesis:
+            return founder_id(genesis, self.up.ip, self.port)
+        return int.from_bytes(os.urandom(7)) | 1
+
     async def on_stop(self):
         for s in self.swim.leave():
             self.net.send(s.to, s.rec)
--- a/sparloom/controller/disk.py
+++ b/sparloom/controller/disk.py
@@ -1,6 +1,7 @@
 """The thread that owns the disk: saves in order, many at a time, never in the event loop's way."""
 
 import asyncio
+import os
 import queue
 import sqlite3
 import threading
@@ -8,6 +9,7 @@
 from absl import logging
 
 from sparloom.ledger import Store
+from sparloom.ledger.store import SET_ASIDE
 
 RETRY_S = 0.1
 STOP_POLL_S = 0.005
@@ -29,6 +31,11 @@
         self.store = None
         self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
 
+    @property
+    def set_aside(self):
+        """Whether the folder holds a file that could not be read and was set aside."""
+        return os.path.exists(os.path.join(self.folder, SET_ASIDE))
+
     async def load(self):
         """What the disk holds, or None; waits while the disk refuses or hangs."""
         warned = False
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -6,6 +6,7 @@
 from absl import logging
 from mode import Service
 
+from sparloom.early import hangup_came
 from sparloom.link import Watch
 from sparloom.meter import interval
 from sparloom.metering import Metering
@@ -47,7 +48,8 @@
             logging.warning("startup: %s", new.failure())
             return
         self.up = self.core.up = new.unwrap()
-        self.core.swim.seeds = self.core.seeds
+        if self.core.swim is not None:
+            self.core.swim.seeds = self.core.seeds
         logging.info("startup: the file was read again.")
 
     @Service.task
@@ -66,6 +68,8 @@
         loop.add_signal_handler(sig, end.set)
     loop.add_signal_handler(signal.SIGHUP, ctl.reread)
     await ctl.start()
+    if hangup_came():
+        ctl.reread()
     await end.wait()
     logging.info("controller: stops.")
     await ctl.core.leave(up.bounds.grace * LEAVE_PART)
--- a/sparloom/early.py
+++ b/sparloom/early.py
@@ -6,10 +6,12 @@
 """
 
 import os
+import signal
 import socket
 import sys
 
 HELD = {}
+HANGUPS = []
 NEVER = ("ssl", "_ssl")
 
 
@@ -25,6 +27,20 @@
         sys.modules.setdefault(name, None)
 
 
+def hold_hangups():
+    """Keeps SIGHUP from ending a program that is still being loaded; ``hangup_came`` tells of it later."""
+    signal.signal(signal.SIGHUP, lambda number, frame: HANGUPS.append(number))
+
+
+def hangup_came():
+    """Whether SIGHUP came while the program was loaded: its settings may have changed since they were read.
+
+    >>> hangup_came()
+    False
+    """
+    return bool(HANGUPS)
+
+
 def listen(names):
     """Binds the named listen addresses of the startup file, where that works.
 
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -39,6 +39,7 @@
         self.budgets, self.born = {}, steady()
         self.crowd, self.lines = Crowd(con), Lines(self)
         self.known = asyncio.Event()
+        self.swim = None
         self.rng, self.tier, self.members = random.Random(), Tier(), None
         self.follow, self.tell, self.prefixes = Follow(self), Tell(self), Prefixes(self)
         self.serve = Serve(self, self.follow)
--- a/sparloom/router/program.py
+++ b/sparloom/router/program.py
@@ -6,6 +6,7 @@
 from absl import logging
 from mode import Service
 
+from sparloom.early import hangup_came
 from sparloom.link import Watch
 from sparloom.meter import interval
 from sparloom.metering import Metering
@@ -38,7 +39,8 @@
             logging.warning("startup: %s", new.failure())
             return
         self.up = self.know.up = self.front.up = new.unwrap()
-        self.know.swim.seeds = self.know.seeds
+        if self.know.swim is not None:
+            self.know.swim.seeds = self.know.seeds
         logging.info("startup: the file was read again.")
 
     @Service.task
@@ -57,6 +59,8 @@
         loop.add_signal_handler(sig, end.set)
     loop.add_signal_handler(signal.SIGHUP, rt.reread)
     await rt.start()
+    if hangup_came():
+        rt.reread()
     await end.wait()
     await rt.front.drain()
     logging.info("router: stops.")
--- a/tests/test_ledger_found.py
+++ b/tests/test_ledger_found.py
@@ -97,6 +97,45 @@
         At("remove", primary).play(world)
         settle(world, then_lose=False)
 
+    def test_a_founder_whose_disk_is_lost_at_any_moment_of_the_first_start(self):
+        for names, replicas, seeds in (("abc", 1, "abc"), ("abcde", 2, "abc")):
+            for lost in "abc":
+                for moment in (1, 15, 25, 40, 80, 300, 700, 1500, 2500, 4000):
+                    for seed in range(2):
+                        with self.subTest(names=names, lost=lost, moment=moment, seed=seed):
+                            self._first_start_with_a_loss(Core(names, replicas, seed, seeds=seeds), lost, moment)
+
+    def _first_start_with_a_loss(self, core, lost, moment):
+        core.run(moment)
+        core.wipe(lost)
+        core.run(700)
+        core.boot(lost)
+        core.run(9000 - moment)
+        self.assertTrue(core.write(5))
+        core.run(4000)
+        self.assertEqual(core.voters(), set(core.names))
+        self.assertEqual(len(core.holders()), core.replicas + 1)
+
+    def test_a_founder_that_starts_late(self):
+        for seed in range(4):
+            core = Core("abc", seed=seed)
+            core.cut("c")
+            core.run(6000)
+            self.assertTrue(core.write(5), f"seed {seed}")
+            core.heal()
+            core.run(4000)
+            self.assertEqual(core.voters(), {"a", "b", "c"}, f"seed {seed}")
+            core.wipe(core.leader())
+            core.run(3000)
+            self.assertTrue(core.write(7), f"seed {seed}")
+
+    def test_a_founder_alone_begins_nothing(self):
+        core = Core("abc")
+        core.cut("a")
+        core.cut("b")
+        core.run(9000)
+        self.assertIsNone(core.leader())
+
 
 if __name__ == "__main__":
     unittest.main()
