--- a/sparloom/router/connections.py
+++ b/sparloom/router/connections.py
@@ -69,13 +69,15 @@
         """The protocol of a new connection."""
         return ClientConnection(self)
 
-    def end_rested(self, span):
-        """Closes each connection on which nothing has been under way for a span."""
-        oldest = steady() - span
+    def end_resting(self):
+        """Closes each connection on which nothing is under way."""
         for connection in self.connections:
-            if connection.resting and connection.touched <= oldest:
+            if connection.resting:
                 connection.force_close()
 
     def end_idle(self):
         """Closes each connection that has rested for longer than it may."""
-        self.end_rested(self.idle_bound())
+        oldest = steady() - self.idle_bound()
+        for connection in self.connections:
+            if connection.resting and connection.touched < oldest:
+                connection.force_close()
--- a/sparloom/router/ending.py
+++ b/sparloom/router/ending.py
@@ -2,9 +2,11 @@
 
 The platform asks each second whether a router is ready, and after two misses
 sends it no new connection. So requests are taken for some three seconds more.
-From then on a request is carried only if it is sure to end before the process
-does; any other one is refused at once, so that its client turns to another
-router. What is under way has nearly all of the grace period.
+From then on no connection is opened, and those that rest are ended: a request
+that crosses such an end was not read, and its client turns to another router.
+One that comes behind another on its connection is carried only if it is sure
+to end before the process does, and refused at once otherwise. What is under
+way has nearly all of the grace period.
 """
 
 from datetime import timedelta
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -19,8 +19,6 @@
 
 IDLE_SWEEP = timedelta(seconds=1)
 DRAIN_POLL = timedelta(milliseconds=25)
-# While the router ends, a connection that has rested for so long is ended; a new one has as long to send its request.
-DRAIN_REST = timedelta(milliseconds=250)
 NOT_KNOWN_YET = "0.2"
 
 
@@ -33,7 +31,8 @@
         self.ending = None
         self.forwarding = set()
         self.outcomes = Outcomes()
-        self.client_server, self.runners = None, []
+        self.client_server = self.client_runner = None
+        self.runners = []
 
     @property
     def stopping(self):
@@ -42,7 +41,11 @@
 
     async def on_start(self):
         await self.serve(web.Server(self._ready, access_log=None), bind(self.up.listen.readiness))
-        await self.serve(self.clients(), bind(self.up.listen.front))
+        await self.serve_clients(bind(self.up.listen.front))
+
+    async def serve_clients(self, sock):
+        """Serves clients on a listening socket."""
+        self.client_runner = await self.serve(self.clients(), sock)
 
     def clients(self):
         """The server for clients."""
@@ -66,6 +69,7 @@
         await run.setup()
         await web.SockSite(run, sock).start()
         self.runners.append(run)
+        return run
 
     async def on_stop(self):
         for r in self.runners:
@@ -167,26 +171,27 @@
 
     # -- a planned end --------------------------------------------------------
     async def drain(self):
-        """Unready at once; then ends each connection as its requests are done, within the grace period."""
+        """Unready at once; later listens no more and ends each connection as its requests are done."""
         self.ending = Ending.of(steady(), self.up.bounds.grace)
         logging.info("front: unready; %d requests are in hand.", len(self.forwarding))
         await asyncio.sleep((self.ending.takes_until - steady()).total_seconds())
+        await self._stop_listening()
         await self._finish(self.ending.breaks_off)
-        logging.info("front: %d requests are broken off.", len(self.forwarding))
+        if self.forwarding:
+            logging.warning("front: %d requests are broken off.", len(self.forwarding))
         for forwarding in list(self.forwarding):
             forwarding.expire()
-        await self._stop_listening()
         await self._finish(self.ending.ends)
 
+    async def _stop_listening(self):
+        """Opens no connection to a client any more; the platform may still ask for readiness."""
+        for site in list(self.client_runner.sites):
+            await site.stop()
+
     async def _finish(self, until):
-        """Waits until no client is connected, and ends the connections on which nothing is under way."""
+        """Waits until no client is connected; ends the connections on which nothing is under way."""
         while steady() < until:
-            self.client_server.end_rested(DRAIN_REST)
+            self.client_server.end_resting()
             await asyncio.sleep(DRAIN_POLL.total_seconds())
             if not self.client_server.connections:
                 return
-
-    async def _stop_listening(self):
-        for runner in self.runners:
-            for site in list(runner.sites):
-                await site.stop()
