--- a/libs/ledger/views.py
+++ b/libs/ledger/views.py
@@ -98,7 +98,7 @@
     >>> [copies_wanted(2, voters) for voters in (1, 2, 3, 4, 5, 7)], copies_wanted(1, 4)
     ([0, 1, 1, 1, 2, 2], 1)
     """
-    return min(replicas, voters - 1, max(1, (voters - 1) // 2))
+    return max(0, min(replicas, voters - 1, max(1, (voters - 1) // 2)))
 
 
 def choose_backups(primary, roster, able, prefer, replicas, suspected=frozenset()):
--- a/rehearsal/clients.py
+++ b/rehearsal/clients.py
@@ -13,11 +13,12 @@
 class Outcome:
     """What a client saw of one request; times in seconds of the loop.
 
-    ``sent``: when its last byte went out; ``waits``: for how long its client waits at most;
-    ``ended``: when its answer was whole, or its connection ended.
+    ``began`` and ``sent``: when its first and its last byte went out; ``waits``: for how long its
+    client waits at most; ``ended``: when its answer was whole, or its connection ended.
     """
 
     id: str
+    began: float
     sent: float
     waits: float = 5.0
     status: int = 0
@@ -30,7 +31,7 @@
     def refused(self):
         """Whether it was turned away with a time to come back.
 
-        >>> Outcome("a", 0.0, status=503, whole=True, retry_after=True).refused
+        >>> Outcome("a", 0.0, 0.0, status=503, whole=True, retry_after=True).refused
         True
         """
         return self.whole and self.status == 503 and self.retry_after
@@ -56,11 +57,12 @@
             f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: {id}\r\n"
             f"X-Sparloom-Deadline-Remaining: {left_ms}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
+        began = loop.time()
         self.writer.write(head.encode())
         if pause:
             await asyncio.sleep(pause)
         self.writer.write(body)
-        outcome = Outcome(id, loop.time(), left_ms / 1000)
+        outcome = Outcome(id, began, loop.time(), left_ms / 1000)
         try:
             await self._answer(outcome)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -97,7 +99,7 @@
     """A planned end of the router: when it was told, and how long it may take; what may be lost around it.
 
     >>> end = PlannedEnd(10.0, timedelta(seconds=6))
-    >>> end.excuses(Outcome("a", sent=12.0, ended=15.5)), end.excuses(Outcome("a", sent=13.5, ended=15.5))
+    >>> end.excuses(Outcome("a", 12.0, sent=12.0, ended=15.5)), end.excuses(Outcome("a", 13.5, sent=13.5, ended=15.5))
     (True, False)
     """
 
@@ -108,7 +110,7 @@
 
     def excuses(self, outcome):
         """Whether a request was sent so early and worked on so late that it may be broken off, or its time was over."""
-        if outcome.ended - outcome.sent >= outcome.waits:
+        if outcome.ended - outcome.began >= outcome.waits:
             return True
         last_part = self.at + self.grace.total_seconds() * 5 / 6
         return outcome.sent <= self.at + self.still_sent and outcome.ended >= last_part
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,6 +1,7 @@
 """A router that is told to end: every request that it has read is answered, refused, or rightly broken off."""
 
 import asyncio
+import random
 import unittest
 from datetime import timedelta
 
@@ -170,6 +171,36 @@
         self.assertEqual(tally.lost, [])
         self.assertGreater(len(tally.answered), 100)
 
+    def test_clients_of_all_sorts_on_links_and_loops_of_all_speeds(self):
+        for seed, (delay, turn) in enumerate(((0.0005, 0.0), (0.02, 0.002), (0.05, 0.006)) * 6):
+            with (
+                self.subTest(seed=seed, delay=delay, turn=turn),
+                world(seed, lambda a, b, d=delay: d, turn=turn) as loop,
+            ):
+                luck = random.Random(seed)
+                tally = loop.run_until_complete(self._play(lambda luck=luck: self._all_sorts(luck), 2))
+                self.assertEqual(tally.lost, [])
+                self.assertLess(self.ended, GRACE.total_seconds())
+
+    async def _all_sorts(self, luck):
+        for runner in self.rig.runners:
+            runner.script = luck.choices(("late", "still", "ok", "shed"), k=2000)
+            runner.silence = luck.uniform(0.2, 2.5)
+        await asyncio.gather(*(self._one_of_all_sorts(luck, k) for k in range(14)))
+
+    async def _one_of_all_sorts(self, luck, k):
+        client, count = await self.client(), 0
+        while self.loop.time() < self.term + GRACE.total_seconds():
+            await asyncio.sleep(luck.random() * 0.4)
+            if not client.open:
+                try:
+                    client = await self.client()
+                except ConnectionRefusedError:
+                    return
+            count += 1
+            waits = luck.choice((800, 2000, 5000, 10000))
+            await self.ask(client, id=f"c{k}-{count}", left_ms=waits, pause=luck.choice((0, 0, 0.05)))
+
     def test_idle_connections_are_ended_before_the_process_is(self):
         async def story():
             client = await self.client()
