--- a/tests/test_ledger_found.py
+++ b/tests/test_ledger_found.py
@@ -129,6 +129,26 @@
             core.run(3000)
             self.assertTrue(core.write(7), f"seed {seed}")
 
+    def test_a_leaver_is_not_released_beside_a_member_that_was_just_lost(self):
+        for seed in range(6):
+            core = Core("abcd", seed=seed)
+            core.run(4500)
+            leaver, lost = (n for n in "abcd" if n not in core.holders())
+            core.leave(leaver)
+            core.run(560)
+            core.wipe(lost)
+            core.run(500)
+            self.assertNotIn(leaver, core.left, f"seed {seed}")
+
+    def test_a_leaver_is_released_soon_while_the_others_answer(self):
+        for seed in range(6):
+            core = Core("abcd", seed=seed)
+            core.run(4500)
+            leaver = next(n for n in "abcd" if n not in core.holders())
+            core.leave(leaver)
+            core.run(1300)
+            self.assertIn(leaver, core.left, f"seed {seed}")
+
     def test_a_founder_alone_begins_nothing(self):
         core = Core("abc")
         core.cut("a")
