A connection rests whenever no part of a request is unread, after a refusal too

Cause: a mark that a request is read in part was taken back only once a request was forwarded. After a 503 without a configuration, a 404 or a 413 the connection never rested: it was ended neither by the idle bound nor early in a planned end. Change: the mark is set from whether bytes came and still no request is in hand. Result: three tests in tests/test_drain.py.

--- a/sparloom/router/connections.py
+++ b/sparloom/router/connections.py
@@ -17,7 +17,11 @@
 
 
 class ClientConnection(web.RequestHandler):
-    """One client's connection; ``touched``: when it last did something."""
+    """One client's connection.
+
+    ``touched``: when it last did something. ``partial``: a part of a request's
+    head came while none was in hand.
+    """
 
     __slots__ = ("partial", "touched")
 
@@ -39,17 +43,18 @@
     @property
     def resting(self):
         """Whether no request is in hand here, and none of which a part has been read."""
-        waiting = self._waiter is not None and not self._waiter.done()
-        return waiting and not self._messages and not self.partial
+        return self._waits and not self.partial
+
+    @property
+    def _waits(self):
+        """Whether the next request is waited for, and none has come."""
+        return self._waiter is not None and not self._waiter.done() and not self._messages
 
     def data_received(self, data):
-        """Bytes came: they belong to a request that is not whole until it is taken."""
-        self.partial, self.touched = True, steady()
+        """Bytes came; where still no request is in hand, they are a part of one."""
         super().data_received(data)
-
-    def request_taken(self):
-        """A request was read whole."""
-        self.partial = False
+        self.touched = steady()
+        self.partial = self._waits
 
     def request_ended(self):
         """Its answer is made."""
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -125,7 +125,6 @@
         body, bad = await self._body(req, caps)
         if bad:
             return bad
-        req.protocol.request_taken()
         route = k.policy.match(req.headers.get("Host", ""), req.raw_path.partition("?")[0])
         if route is None:
             return web.Response(status=404)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -213,6 +213,45 @@
         self.assertLessEqual(self.closed, self.ended)
         self.assertLess(self.ended, 3.5)
 
+    def test_a_connection_rests_after_a_refusal_too(self):
+        async def story():
+            client = await self.client()
+            self.rig.know.policy, policy = None, self.rig.know.policy
+            self.assertEqual((await client.send("/once/x", "a1", pause=0.01)).status, 503)
+            self.rig.know.policy = policy
+            self.assertEqual((await client.send("/none/", "a2", pause=0.01)).status, 404)
+            self.assertEqual([c.resting for c in self.rig.front.client_server.connections], [True])
+
+        self.play(story)
+        self.assertLess(self.ended, 3.2)
+
+    def test_a_part_of_a_head_is_no_rest_but_holds_up_no_end(self):
+        async def story():
+            client = await self.client()
+            client.writer.write(b"POST /once/x HTTP/1.1\r\nHost: h.ex")
+            await self.until(0.1)
+            self.assertEqual([c.resting for c in self.rig.front.client_server.connections], [False])
+            await client.next_end()
+
+        self.play(story)
+        self.assertLess(self.ended, GRACE.total_seconds())
+
+    def test_an_idle_connection_is_ended_by_the_bound_of_this_moment(self):
+        async def story():
+            client = await self.client()
+            await self.ask(client)
+            server = self.rig.front.client_server
+            server.idle_bound = lambda: timedelta(seconds=0.4)
+            await asyncio.sleep(0.3)
+            server.end_idle()
+            await asyncio.sleep(0.01)
+            self.assertEqual(len(server.connections), 1)
+            await asyncio.sleep(0.2)
+            server.end_idle()
+            await client.next_end()
+
+        self.play(story)
+
     def test_those_that_wait_in_line_are_refused_before_the_process_ends(self):
         async def story():
             self.script("late", 30)
