--- /dev/null
+++ b/sparloom/archive.py
@@ -0,0 +1,124 @@
+"""Loads modules from one archive that the build has made.
+
+A start loads some four hundred modules. Looking each of them up on the disk
+and compiling again what libraries generate as source text takes a third of its
+processor time, and after a loss of all power every machine of a fleet spends
+that time while clients wait. The archive holds the byte code of all these
+modules, the places of the extension modules, and the byte code of generated
+source texts. It is made by ``sparloom.packing`` and bound to one version of
+Python; where it is missing or made for another version, modules are loaded in
+the ordinary way.
+"""
+
+import marshal
+import os
+import sys
+from importlib.machinery import ExtensionFileLoader, ModuleSpec
+
+PATH = os.path.join("target", "programs.bin")
+GENERATORS = ("attr._make",)
+SIZE_BYTES = 8
+
+
+def version():
+    """What the archive must have been made for: the interpreter, its library and its byte code."""
+    return (sys.implementation.cache_tag, sys.version, os.path.dirname(os.__file__))
+
+
+class Archive:
+    """An importer for ``sys.meta_path``.
+
+    ``index``: ``modules`` (name: file, is it a package, place), ``extensions``
+    (name: file) and ``generated`` (source, file name: place); a place is the
+    offset and the size of marshalled byte code. Byte code is read when it is
+    asked for, so that what is never used takes no memory.
+    """
+
+    def __init__(self, descriptor, base, index):
+        self._descriptor, self._base = descriptor, base
+        self._modules, self._extensions = index["modules"], index["extensions"]
+        self._generated = index["generated"]
+
+    @classmethod
+    def open(cls, path=PATH):
+        """The archive at a path; None where there is none, or one for another version of Python.
+
+        >>> Archive.open("/nowhere") is None
+        True
+        """
+        try:
+            descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            return None
+        try:
+            size = int.from_bytes(os.pread(descriptor, SIZE_BYTES, 0))
+            index = marshal.loads(os.pread(descriptor, size, SIZE_BYTES))
+            if index["version"] == version():
+                return cls(descriptor, SIZE_BYTES + size, index)
+        except (EOFError, ValueError, TypeError, KeyError, OSError):
+            pass
+        os.close(descriptor)
+        return None
+
+    def close(self):
+        """Frees what it holds; nothing is read from it any more."""
+        self._modules, self._extensions, self._generated = {}, {}, {}
+        os.close(self._descriptor)
+
+    def _code(self, place):
+        offset, size = place
+        return marshal.loads(os.pread(self._descriptor, size, self._base + offset))
+
+    # -- the importer's protocol ----------------------------------------------
+    def find_spec(self, name, path=None, target=None):
+        """The spec of a module that the archive knows; else None."""
+        entry = self._modules.get(name)
+        if entry is not None:
+            file, is_package, _ = entry
+            spec = ModuleSpec(name, self, origin=os.path.abspath(file), is_package=is_package)
+            spec.has_location = True
+            if is_package:
+                spec.submodule_search_locations.append(os.path.dirname(spec.origin))
+            return spec
+        file = self._extensions.get(name)
+        if file is not None:
+            file = os.path.abspath(file)
+            return ModuleSpec(name, ExtensionFileLoader(name, file), origin=file)
+        return None
+
+    def create_module(self, spec):
+        """Leaves the making of the module to the import system."""
+
+    def exec_module(self, module):
+        """Runs a module's byte code; one that generates source gets a ``compile`` that knows the archive."""
+        name = module.__spec__.name
+        if name in GENERATORS:
+            module.__dict__["compile"] = self.compile
+        exec(self._code(self._modules[name][2]), module.__dict__)
+
+    def compile(self, source, filename, mode, **options):
+        """The built-in ``compile``, without the work where the archive holds the result."""
+        place = self._generated.get((source, filename)) if mode == "exec" and not options else None
+        return compile(source, filename, mode, **options) if place is None else self._code(place)
+
+
+def install(path=PATH):
+    """Lets modules come from the archive from now on; gives the archive, or None where it can't be used.
+
+    >>> install("/nowhere") is None
+    True
+    """
+    archive = Archive.open(path)
+    if archive is not None:
+        sys.meta_path.insert(0, archive)
+    return archive
+
+
+def release():
+    """Closes the archives in use, once a program is loaded.
+
+    >>> release()
+    """
+    for archive in [finder for finder in sys.meta_path if isinstance(finder, Archive)]:
+        sys.meta_path.remove(archive)
+        archive.close()
--- a/sparloom/command.py
+++ b/sparloom/command.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from sparloom import __version__, meter
+from sparloom.archive import release
 from sparloom.startup import read, where
 
 
@@ -51,7 +52,9 @@
         from sparloom.router.program import serve
     else:
         from sparloom.controller.program import serve
+    release()
     gc.freeze()
+    gc.enable()
     try:
         asyncio.run(serve(up.unwrap(), path))
     except OSError as e:
--- a/sparloom/early.py
+++ b/sparloom/early.py
@@ -9,22 +9,43 @@
 import signal
 import socket
 import sys
+from types import ModuleType
 
 HELD = {}
 HANGUPS = []
-NEVER = ("ssl", "_ssl")
+OPTIONAL = ("ssl", "_ssl", "_hashlib")
+PLACEHOLDERS = {"croniter": (), "croniter.croniter": ("croniter",)}
 
 
-def leave_out(names=NEVER):
-    """Keeps optional modules that are never used from being loaded; libraries do without them.
+def leave_out(optional=OPTIONAL, placeholders=PLACEHOLDERS):
+    """Keeps modules that are never used from being loaded.
 
-    Neither program speaks TLS. Loading it all the same costs a fifth of a start,
-    since two contexts read the machine's certificates, and a tenth of the memory.
+    Libraries do without the ``optional`` ones. Neither program speaks TLS:
+    loading it all the same costs a fifth of a start, since two contexts read the
+    machine's certificates, and a tenth of the memory. The digests in use are
+    Python's own.
 
-    >>> leave_out(())
+    A module with a placeholder is imported by a library that it is no part of
+    the use of: ``mode`` loads a reader of cron tables, which loads time zones
+    and starts another program to learn what machine this is. The placeholder
+    has the imported names, with None for each.
+
+    >>> leave_out((), {})
     """
-    for name in names:
+    for name in optional:
         sys.modules.setdefault(name, None)
+    for name, attributes in placeholders.items():
+        module = sys.modules.setdefault(name, ModuleType(name))
+        for attribute in attributes:
+            if not hasattr(module, attribute):
+                setattr(module, attribute, None)
+
+
+def skip_mime_files():
+    """Lets the table of file types be the built-in one: no file is served, and the machine's lists are long."""
+    import mimetypes
+
+    mimetypes.knownfiles.clear()
 
 
 def hold_hangups():
--- /dev/null
+++ b/sparloom/packing.py
@@ -0,0 +1,125 @@
+"""Makes the archive of modules that ``sparloom.archive`` loads: ``python3 -S -m sparloom.packing``.
+
+The build calls it. It loads both programs as they load themselves, notes which
+modules that took and which source texts were generated and compiled on the
+way, and writes the byte code of all of them to one file.
+"""
+
+import gc
+import importlib.machinery
+import marshal
+import os
+import sys
+
+from sparloom.archive import GENERATORS, PATH, SIZE_BYTES, version
+from sparloom.early import leave_out, skip_mime_files
+
+PROGRAMS = ("sparloom.command", "sparloom.router.program", "sparloom.controller.program")
+LOADED_BEFORE = frozenset(("__main__", "sparloom", "sparloom.archive", "sparloom.packing", "sparloom.start"))
+
+
+class Recorder:
+    """Runs the generators of source with a ``compile`` that keeps what it made."""
+
+    def __init__(self):
+        self.generated = {}
+
+    def find_spec(self, name, path=None, target=None):
+        """The ordinary spec of a generator, with this recorder in its loader's place; else None."""
+        if name not in GENERATORS:
+            return None
+        spec = importlib.machinery.PathFinder.find_spec(name, path, target)
+        self._loader, spec.loader = spec.loader, self
+        return spec
+
+    def create_module(self, spec):
+        """Leaves the making of the module to the import system."""
+
+    def exec_module(self, module):
+        """Runs the generator's own code."""
+        module.__dict__["compile"] = self.compile
+        exec(self._loader.get_code(module.__spec__.name), module.__dict__)
+
+    def compile(self, source, filename, mode):
+        """The built-in ``compile``, and a note of the result."""
+        code = compile(source, filename, mode)
+        self.generated[source, filename] = code
+        return code
+
+
+class Writer:
+    """Collects pieces of byte code and tells each one's place."""
+
+    def __init__(self):
+        self.pieces, self.size = [], 0
+
+    def add(self, code):
+        """Takes a code object; gives its offset and size."""
+        piece = marshal.dumps(code)
+        place = (self.size, len(piece))
+        self.pieces.append(piece)
+        self.size += len(piece)
+        return place
+
+
+def relative(file):
+    """A file's path from the root of the project where it lies below it; else the whole path."""
+    file = os.path.abspath(file)
+    root = os.getcwd() + os.sep
+    return file.removeprefix(root)
+
+
+def compiled(file):
+    """The byte code of a source file."""
+    with open(file, "rb") as source:
+        return compile(source.read(), relative(file), "exec", dont_inherit=True)
+
+
+def loaded():
+    """The modules that were loaded from files, by name: their specs.
+
+    >>> "os" in loaded() or "os.path" in sys.modules
+    True
+    """
+    specs = {name: getattr(module, "__spec__", None) for name, module in sys.modules.items() if module is not None}
+    return {
+        name: spec
+        for name, spec in sorted(specs.items())
+        if spec is not None and spec.name == name and spec.has_location and name not in LOADED_BEFORE
+    }
+
+
+def pack(path=PATH):
+    """Loads the programs and writes the archive; gives how many modules are in it."""
+    gc.disable()
+    recorder = Recorder()
+    sys.meta_path.insert(0, recorder)
+    leave_out()
+    skip_mime_files()
+    for name in PROGRAMS:
+        importlib.import_module(name)
+    writer, modules, extensions = Writer(), {}, {}
+    for name, spec in loaded().items():
+        if spec.origin.endswith(".py"):
+            place = writer.add(compiled(spec.origin))
+            modules[name] = (relative(spec.origin), spec.submodule_search_locations is not None, place)
+        else:
+            extensions[name] = relative(spec.origin)
+    generated = {key: writer.add(code) for key, code in recorder.generated.items()}
+    index = {"version": version(), "modules": modules, "extensions": extensions, "generated": generated}
+    write(path, marshal.dumps(index), writer.pieces)
+    return len(modules) + len(extensions)
+
+
+def write(path, index, pieces):
+    """Writes the archive beside its place and then puts it there."""
+    os.makedirs(os.path.dirname(path) or ".", exist_ok=True)
+    with open(f"{path}.new", "wb") as file:
+        file.write(len(index).to_bytes(SIZE_BYTES))
+        file.write(index)
+        file.writelines(pieces)
+    os.replace(f"{path}.new", path)
+
+
+if __name__ == "__main__":
+    print(f"packing: {pack()} modules are in {PATH}.")
