--- a/sparloom/archive.py
+++ b/sparloom/archive.py
@@ -1,15 +1,17 @@
 """Loads modules from one archive that the build has made.
 
-A start loads some four hundred modules. Looking each of them up on the disk
-and compiling again what libraries generate as source text takes a third of its
-processor time, and after a loss of all power every machine of a fleet spends
-that time while clients wait. The archive holds the byte code of all these
-modules, the places of the extension modules, and the byte code of generated
-source texts. It is made by ``sparloom.packing`` and bound to one version of
-Python; where it is missing or made for another version, modules are loaded in
-the ordinary way.
+A start loads some four hundred modules. Looking each of them up on the disk,
+and compiling again what libraries generate as source text and their regular
+expressions, takes a third of its processor time, and after a loss of all power
+every machine of a fleet spends that time while clients wait. The archive holds
+the byte code of all these modules and of generated source texts, the places of
+the extension modules, and compiled patterns. It is made by
+``sparloom.packing`` and bound to one build of Python, since compiled patterns
+are that build's own matter; where it is missing or made for another one,
+modules are loaded in the ordinary way.
 """
 
+import _sre
 import marshal
 import os
 import sys
@@ -30,14 +32,16 @@
 
     ``index``: ``modules`` (name: file, is it a package, place), ``extensions``
     (name: file) and ``generated`` (source, file name: place); a place is the
-    offset and the size of marshalled byte code. Byte code is read when it is
-    asked for, so that what is never used takes no memory.
+    offset and the size of marshalled byte code. ``patterns`` (pattern, flags):
+    what the pattern's compiler hands to the matcher. Byte code is read when it
+    is asked for, so that what is never used takes no memory.
     """
 
     def __init__(self, descriptor, base, index):
         self._descriptor, self._base = descriptor, base
         self._modules, self._extensions = index["modules"], index["extensions"]
-        self._generated = index["generated"]
+        self._generated, self._patterns = index["generated"], index["patterns"]
+        self._compile_pattern = None
 
     @classmethod
     def open(cls, path=PATH):
@@ -62,7 +66,7 @@
 
     def close(self):
         """Frees what it holds; nothing is read from it any more."""
-        self._modules, self._extensions, self._generated = {}, {}, {}
+        self._modules, self._extensions, self._generated, self._patterns = {}, {}, {}, {}
         os.close(self._descriptor)
 
     def _code(self, place):
@@ -94,13 +98,33 @@
         name = module.__spec__.name
         if name in GENERATORS:
             module.__dict__["compile"] = self.compile
-        exec(self._code(self._modules[name][2]), module.__dict__)
+        exec(self._code(self._modules[name][2]), module.__dict__)  # noqa: S102 - what an importer is for
 
     def compile(self, source, filename, mode, **options):
         """The built-in ``compile``, without the work where the archive holds the result."""
         place = self._generated.get((source, filename)) if mode == "exec" and not options else None
         return compile(source, filename, mode, **options) if place is None else self._code(place)
 
+    def compile_pattern(self, pattern, flags=0):
+        """What ``re`` compiles a pattern with, without the work where the archive holds the result."""
+        compiled = self._patterns.get((pattern, int(flags))) if isinstance(pattern, (str, bytes)) else None
+        return self._compile_pattern(pattern, flags) if compiled is None else _sre.compile(pattern, *compiled)
+
+    # -- in use ---------------------------------------------------------------
+    def enter(self):
+        """Lets modules and patterns come from here from now on."""
+        sys.meta_path.insert(0, self)
+        import re._compiler
+
+        self._compile_pattern = re._compiler.compile
+        re._compiler.compile = self.compile_pattern
+
+    def leave(self):
+        """Takes back what ``enter`` did and closes the archive."""
+        sys.meta_path.remove(self)
+        sys.modules["re._compiler"].compile = self._compile_pattern
+        self.close()
+
 
 def install(path=PATH):
     """Lets modules come from the archive from now on; gives the archive, or None where it can't be used.
@@ -110,7 +134,7 @@
     """
     archive = Archive.open(path)
     if archive is not None:
-        sys.meta_path.insert(0, archive)
+        archive.enter()
     return archive
 
 
@@ -120,5 +144,4 @@
     >>> release()
     """
     for archive in [finder for finder in sys.meta_path if isinstance(finder, Archive)]:
-        sys.meta_path.remove(archive)
-        archive.close()
+        archive.leave()
--- a/sparloom/packing.py
+++ b/sparloom/packing.py
@@ -5,15 +5,19 @@
 way, and writes the byte code of all of them to one file.
 """
 
+import _sre
 import gc
 import importlib.machinery
 import marshal
 import os
+import re
+import re._compiler as pattern_compiler
 import sys
 
 from sparloom.archive import GENERATORS, PATH, SIZE_BYTES, version
 from sparloom.early import leave_out, skip_mime_files
 
+COMPILE_PATTERN = pattern_compiler.compile
 PROGRAMS = ("sparloom.command", "sparloom.router.program", "sparloom.controller.program")
 LOADED_BEFORE = frozenset(("__main__", "sparloom", "sparloom.archive", "sparloom.packing", "sparloom.start"))
 
@@ -38,7 +42,7 @@
     def exec_module(self, module):
         """Runs the generator's own code."""
         module.__dict__["compile"] = self.compile
-        exec(self._loader.get_code(module.__spec__.name), module.__dict__)
+        exec(self._loader.get_code(module.__spec__.name), module.__dict__)  # noqa: S102 - what an importer is for
 
     def compile(self, source, filename, mode):
         """The built-in ``compile``, and a note of the result."""
@@ -47,6 +51,39 @@
         return code
 
 
+class PatternRecorder:
+    """Stands for the matcher towards the compiler of patterns, and keeps what it was handed."""
+
+    def __init__(self):
+        self.patterns, self._handed = {}, None
+
+    def __getattr__(self, name):
+        return getattr(_sre, name)
+
+    def compile(self, pattern, flags, code, groups, group_index, index_group):
+        """The matcher's ``compile``, and a note of its arguments as plain numbers and strings."""
+        self._handed = (
+            int(flags),
+            [int(word) for word in code],
+            int(groups),
+            {name: int(number) for name, number in group_index.items()},
+            tuple(index_group),
+        )
+        return _sre.compile(pattern, flags, code, groups, group_index, index_group)
+
+    def compile_pattern(self, pattern, flags=0):
+        """The compiler of patterns, and a note of the result."""
+        compiled = COMPILE_PATTERN(pattern, flags)
+        if isinstance(pattern, (str, bytes)):
+            self.patterns[pattern, int(flags)] = self._handed
+        return compiled
+
+    def install(self):
+        """Records every pattern that is compiled from now on, also those that were compiled before."""
+        pattern_compiler._sre, pattern_compiler.compile = self, self.compile_pattern
+        re.purge()
+
+
 class Writer:
     """Collects pieces of byte code and tells each one's place."""
 
@@ -94,6 +131,8 @@
     gc.disable()
     recorder = Recorder()
     sys.meta_path.insert(0, recorder)
+    patterns = PatternRecorder()
+    patterns.install()
     leave_out()
     skip_mime_files()
     for name in PROGRAMS:
@@ -107,6 +146,7 @@
             extensions[name] = relative(spec.origin)
     generated = {key: writer.add(code) for key, code in recorder.generated.items()}
     index = {"version": version(), "modules": modules, "extensions": extensions, "generated": generated}
+    index["patterns"] = patterns.patterns
     write(path, marshal.dumps(index), writer.pieces)
     return len(modules) + len(extensions)
 
