--- a/libs/ledger/election.py
+++ b/libs/ledger/election.py
@@ -14,6 +14,23 @@
 from .records import PreVote, Seek, Yield
 from .views import choose_backups, find_basis, next_view, quorum
 
+# How long a quorum that has promised waits for the other members, as a part of the usual pause between sendings.
+ABSENT_WAIT = 0.75
+# The first pause between two sendings, as a part of the usual one.
+FIRST_PAUSE = 0.25
+
+
+def _due(ledger, began, sent_at):
+    """Whether records that lack an answer go out again.
+
+    Pauses begin short and grow with the age of the contest up to the usual one:
+    after a loss of all power those that are asked first may not listen yet, and
+    come up a moment later.
+    """
+    resend = ledger.spans.resend
+    pause = min(resend, max(resend * FIRST_PAUSE, sent_at - began))
+    return ledger.now - sent_at >= pause
+
 
 def _targets(ledger, answers, roster=()):
     """The other members whose word may be needed, by the views known here and reported in answers."""
@@ -43,7 +60,7 @@
         ledger = self.ledger
         if ledger.now - self.began > ledger.spans.stuck:
             return ledger.give_up()
-        if ledger.now - self.sent_at < ledger.spans.resend:
+        if not _due(ledger, self.began, self.sent_at):
             return []
         self.sent_at = ledger.now
         ask = PreVote(ledger.member, self.round)
@@ -105,7 +122,7 @@
         if not self.prepared:
             return []
         actions = []
-        if ledger.now - self.sent_at >= ledger.spans.resend:
+        if _due(ledger, self.began, self.sent_at):
             self.sent_at = ledger.now
             seek = Seek(ledger.member, self.epoch, self.forced)
             targets = _targets(ledger, self.promises, self.plan.roster if self.plan else ())
@@ -129,7 +146,7 @@
         basis = find_basis(promises.values(), ledger.genesis_view())
         if basis is None or not quorum(promises, basis.rosters):
             return []
-        waited = ledger.now - self.began >= ledger.spans.resend * 1.5
+        waited = ledger.now - self.began >= ledger.spans.resend * ABSENT_WAIT
         if not waited and self._awaited(basis) - set(promises):
             return []
         if not self._holds(basis, promises[ledger.member.id]):
--- a/sparloom/archive.py
+++ b/sparloom/archive.py
@@ -19,6 +19,7 @@
 
 PATH = os.path.join("target", "programs.bin")
 GENERATORS = ("attr._make",)
+MAGIC = b"sparloom programs 1\n"
 SIZE_BYTES = 8
 
 
@@ -27,12 +28,25 @@
     return (sys.implementation.cache_tag, sys.version, os.path.dirname(os.__file__))
 
 
+def unsalted(source):
+    """Generated source without the lines that hold but a number.
+
+    Such a line is the salt of a generated ``__hash__``; it is drawn anew by
+    each process, so two of them never generate quite the same text.
+
+    >>> unsalted("return hash((\\n    -17,\\n    self.a,\\n))")
+    'return hash((\\n    self.a,\\n))'
+    """
+    lines = source.split("\n")
+    return "\n".join(line for line in lines if not line.strip().rstrip(",").lstrip("-").isdigit())
+
+
 class Archive:
     """An importer for ``sys.meta_path``.
 
     ``index``: ``modules`` (name: file, is it a package, place), ``extensions``
-    (name: file) and ``generated`` (source, file name: place); a place is the
-    offset and the size of marshalled byte code. ``patterns`` (pattern, flags):
+    (name: file) and ``generated`` (unsalted source, file name: place); a place is
+    the offset and the size of marshalled byte code. ``patterns`` (pattern, flags):
     what the pattern's compiler hands to the matcher. Byte code is read when it
     is asked for, so that what is never used takes no memory.
     """
@@ -55,10 +69,12 @@
         except OSError:
             return None
         try:
-            size = int.from_bytes(os.pread(descriptor, SIZE_BYTES, 0))
-            index = marshal.loads(os.pread(descriptor, size, SIZE_BYTES))
-            if index["version"] == version():
-                return cls(descriptor, SIZE_BYTES + size, index)
+            head = os.pread(descriptor, len(MAGIC) + SIZE_BYTES, 0)
+            if head.startswith(MAGIC):
+                size = int.from_bytes(head[len(MAGIC) :])
+                index = marshal.loads(os.pread(descriptor, size, len(head)))
+                if index["version"] == version():
+                    return cls(descriptor, len(head) + size, index)
         except (EOFError, ValueError, TypeError, KeyError, OSError):
             pass
         os.close(descriptor)
@@ -102,7 +118,8 @@
 
     def compile(self, source, filename, mode, **options):
         """The built-in ``compile``, without the work where the archive holds the result."""
-        place = self._generated.get((source, filename)) if mode == "exec" and not options else None
+        known = isinstance(source, str) and mode == "exec" and not options
+        place = self._generated.get((unsalted(source), filename)) if known else None
         return compile(source, filename, mode, **options) if place is None else self._code(place)
 
     def compile_pattern(self, pattern, flags=0):
--- a/sparloom/packing.py
+++ b/sparloom/packing.py
@@ -14,7 +14,7 @@
 import re._compiler as pattern_compiler
 import sys
 
-from sparloom.archive import GENERATORS, PATH, SIZE_BYTES, version
+from sparloom.archive import GENERATORS, MAGIC, PATH, SIZE_BYTES, unsalted, version
 from sparloom.early import leave_out, skip_mime_files
 
 COMPILE_PATTERN = pattern_compiler.compile
@@ -47,7 +47,7 @@
     def compile(self, source, filename, mode):
         """The built-in ``compile``, and a note of the result."""
         code = compile(source, filename, mode)
-        self.generated[source, filename] = code
+        self.generated[unsalted(source), filename] = code
         return code
 
 
@@ -155,7 +155,7 @@
     """Writes the archive beside its place and then puts it there."""
     os.makedirs(os.path.dirname(path) or ".", exist_ok=True)
     with open(f"{path}.new", "wb") as file:
-        file.write(len(index).to_bytes(SIZE_BYTES))
+        file.write(MAGIC + len(index).to_bytes(SIZE_BYTES))
         file.write(index)
         file.writelines(pieces)
     os.replace(f"{path}.new", path)
--- a/sparloom/start.py
+++ b/sparloom/start.py
@@ -17,6 +17,7 @@
     this makes stays for good. ``sparloom.command`` turns it on again.
     """
     gc.disable()
+    sys.argv[0] = name
     if len(sys.argv) < 2:
         from sparloom.early import hold_hangups, leave_out, listen, skip_mime_files
 
@@ -29,17 +30,17 @@
     main(name)
 
 
-def start(arguments):
+def start():
     """Runs the program that the first argument names, from the archive where there is one."""
-    name = arguments[0] if arguments else ""
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
     if name not in LISTENS:
         sys.exit(f"usage: python3 -m sparloom.start {{{'|'.join(LISTENS)}}} [ARGUMENTS]")
     from sparloom.archive import install
 
     install()
-    sys.argv = [name, *arguments[1:]]
+    sys.argv = sys.argv[1:]
     launch(name)
 
 
 if __name__ == "__main__":
-    start(sys.argv[1:])
+    start()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -5,6 +5,8 @@
 import tomllib
 import unittest
 
+from sparloom.start import LISTENS
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 CLASSES = {"front", "core"}
 
@@ -33,12 +35,20 @@
         self.assertNotIn("requirements-tools", build)
         self.assertNotIn("tests", build)
 
-    def test_every_role_runs_a_module_that_exists(self):
+    def test_every_role_runs_a_program_that_exists_from_the_archive_that_the_build_makes(self):
+        self.assertTrue(self.deploy["build"].endswith("-m sparloom.packing"))
         for name, role in self.deploy["roles"].items():
             with self.subTest(name):
-                program, *options, module = role["run"].split()
+                program, *options, module, started = role["run"].split()
                 self.assertEqual((program, options[-1]), ("python3", "-m"))
-                self.assertIsNotNone(importlib.util.find_spec(module + ".__main__"))
+                self.assertIsNotNone(importlib.util.find_spec(module))
+                self.assertIn(started, LISTENS)
+                self.assertIsNotNone(importlib.util.find_spec(f"sparloom.{started}.__main__"))
+
+    def test_a_program_listens_at_what_its_role_serves(self):
+        for role in self.deploy["roles"].values():
+            started = role["run"].split()[-1]
+            self.assertLessEqual(set(role["serves"]), set(LISTENS[started]))
 
     def test_every_role_has_a_place_and_a_duty(self):
         served = []
