--- a/sparloom/packing.py
+++ b/sparloom/packing.py
@@ -115,7 +115,8 @@
 def loaded():
     """The modules that were loaded from files, by name: their specs.
 
-    >>> "os" in loaded() or "os.path" in sys.modules
+    >>> import json
+    >>> loaded()["json"].origin.endswith("__init__.py")
     True
     """
     specs = {name: getattr(module, "__spec__", None) for name, module in sys.modules.items() if module is not None}
@@ -126,29 +127,40 @@
     }
 
 
-def pack(path=PATH):
-    """Loads the programs and writes the archive; gives how many modules are in it."""
+def load_programs():
+    """Loads the programs as a start does; gives the generated code and the compiled patterns that this took."""
     gc.disable()
-    recorder = Recorder()
+    recorder, patterns = Recorder(), PatternRecorder()
     sys.meta_path.insert(0, recorder)
-    patterns = PatternRecorder()
     patterns.install()
     leave_out()
     skip_mime_files()
     for name in PROGRAMS:
         importlib.import_module(name)
-    writer, modules, extensions = Writer(), {}, {}
-    for name, spec in loaded().items():
-        if spec.origin.endswith(".py"):
-            place = writer.add(compiled(spec.origin))
-            modules[name] = (relative(spec.origin), spec.submodule_search_locations is not None, place)
-        else:
-            extensions[name] = relative(spec.origin)
-    generated = {key: writer.add(code) for key, code in recorder.generated.items()}
-    index = {"version": version(), "modules": modules, "extensions": extensions, "generated": generated}
-    index["patterns"] = patterns.patterns
+    return recorder.generated, patterns.patterns
+
+
+def pack(path=PATH):
+    """Loads the programs and writes the archive; gives how many modules are in it."""
+    generated, patterns = load_programs()
+    writer, specs = Writer(), loaded()
+    sources = {name: spec for name, spec in specs.items() if spec.origin.endswith(".py")}
+    index = {
+        "version": version(),
+        "modules": {
+            name: (
+                relative(spec.origin),
+                spec.submodule_search_locations is not None,
+                writer.add(compiled(spec.origin)),
+            )
+            for name, spec in sources.items()
+        },
+        "extensions": {name: relative(spec.origin) for name, spec in specs.items() if name not in sources},
+        "generated": {key: writer.add(code) for key, code in generated.items()},
+        "patterns": patterns,
+    }
     write(path, marshal.dumps(index), writer.pieces)
-    return len(modules) + len(extensions)
+    return len(specs)
 
 
 def write(path, index, pieces):
