Connections to machines that come up late are tried anew soon, not waited for a second

Two controllers had dialled the last primary before its machine had power; the opening packet was lost and the dial's bound was a fifth of the contact bound (1 s).

Change: a dial begins with a fortieth of the contact bound and grows by half with each try that took too long, for controllers and routers alike. A refusal at once does not make it longer.

Ruled out: the election (a primary served at 35.83 s) and the routers' own load (35.6 to 36.1 s).

--- a/libs/link/__init__.py
+++ b/libs/link/__init__.py
@@ -2,6 +2,6 @@
 
 from .clock import steady
 from .files import Watch
-from .sockets import Datagrams, Frames, bind, dial, tune
+from .sockets import Datagrams, DialPatience, Frames, bind, dial, tune
 
-__all__ = ["Datagrams", "Frames", "Watch", "bind", "dial", "steady", "tune"]
+__all__ = ["Datagrams", "DialPatience", "Frames", "Watch", "bind", "dial", "steady", "tune"]
--- a/libs/link/sockets.py
+++ b/libs/link/sockets.py
@@ -5,6 +5,8 @@
 import struct
 from datetime import timedelta
 
+from attrs import define, field
+
 from sparloom.early import take
 from sparloom.meter import here
 from sparloom.wire import Broken, pack, unpack
@@ -12,6 +14,7 @@
 _SIZE = struct.Struct("!I")
 MOST = 1 << 25
 CHUNK = 1 << 16
+GROWTH = 1.5
 
 
 def tune(sock, dead=timedelta(seconds=2)):
@@ -185,6 +188,47 @@
         self.writer.transport.abort()
 
 
+@define(slots=True)
+class DialPatience:
+    """How long connections may take to open: little at first, half as much again after each that took too long.
+
+    A machine without power swallows the opening packet, and the system sends
+    it again only after a second. To try anew is cheap and finds the machine as
+    soon as it listens; a peer that is far away gets the time that it needs.
+
+    >>> patience = DialPatience(timedelta(seconds=1), timedelta(seconds=3))
+    >>> patience.took_too_long(); patience.span
+    datetime.timedelta(seconds=1, microseconds=500000)
+    >>> patience.opened(); patience.span
+    datetime.timedelta(seconds=1)
+    """
+
+    first: timedelta
+    most: timedelta
+    span: timedelta = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.span = self.first
+
+    def opened(self):
+        """A connection came up."""
+        self.span = self.first
+
+    def took_too_long(self):
+        """A connection was not up in time."""
+        self.span = min(self.span * GROWTH, self.most)
+
+    async def dial(self, host, port):
+        """Opens a connection for records; raises OSError, or TimeoutError when it takes too long for now."""
+        try:
+            frames = await dial(host, port, self.span)
+        except TimeoutError:
+            self.took_too_long()
+            raise
+        self.opened()
+        return frames
+
+
 async def dial(host, port, wait):
     """Opens a connection for records within a time; raises OSError or TimeoutError."""
     async with asyncio.timeout(wait.total_seconds()):
--- a/sparloom/controller/shop.py
+++ b/sparloom/controller/shop.py
@@ -7,7 +7,7 @@
 
 from sparloom import news
 from sparloom.feed import POLICY, TOPICS, UNSURE, Change, Follow, Pulse, Shelf, Tracker
-from sparloom.link import dial, steady
+from sparloom.link import DialPatience, steady
 from sparloom.serving import MS, Bell, serve
 from sparloom.wire import Broken
 
@@ -24,6 +24,7 @@
         con = up.bounds.contact
         self.pulse, self.patience = con / 10, con / 3
         self.tracker = Tracker(con / 3, con / 3)
+        self.dialing = DialPatience(con / 40, con / 5)
 
     def put(self, topic, stamp, blob, step=None):
         """Takes a newer state and rings."""
@@ -81,7 +82,7 @@
             await asyncio.sleep(self.pulse.total_seconds() / 6)
 
     async def _from(self, to):
-        frames = await dial(to.host, to.port, self.pulse * 2)
+        frames = await self.dialing.dial(to.host, to.port)
         try:
             await frames.write(self.shelf.follow(self.up.node, self.afresh))
             self.tracker.start(steady())
--- a/sparloom/router/follow.py
+++ b/sparloom/router/follow.py
@@ -8,7 +8,7 @@
 
 from sparloom import news
 from sparloom.feed import POLICY, TOPICS, Change, Pulse, Shelf
-from sparloom.link import dial, steady
+from sparloom.link import DialPatience, steady
 from sparloom.members import CONTROLLER
 from sparloom.policy import build
 from sparloom.relay import GONE, Spans, Upstream
@@ -26,6 +26,7 @@
         self.know = know
         self.shelf, self.bell = Shelf(), Bell()
         self.upstream = Upstream(know.key, Spans.of(know.up.bounds.contact), know.rng)
+        self.dialing = DialPatience(know.up.bounds.contact / 40, self.upstream.spans.dial)
         self.raw, self.afresh = None, set()
         self.told = news.ZERO
 
@@ -55,7 +56,7 @@
     async def _from(self, to):
         host, _, port = to.rpartition(":")
         up = self.upstream
-        frames = await dial(host, int(port), up.spans.dial)
+        frames = await self.dialing.dial(host, int(port))
         try:
             await frames.write(self.shelf.follow(self.know.up.node, self.afresh))
             up.tracker.start(steady())
