Members' prompts kept apart: each life of a runner has one owner for each private part

Runners reuse what they keep whoever asks and the ids of parts may not be changed, so what keeps members apart is where a request may go.

Change: with the section 'isolation' of the startup file each life of a runner belongs, for each first part that is not public, to one member, by a weighted draw that every router comes to alike. Parts are told to others under keyed numbers of each member. Earlier settings named beside the new ones bind until all runners were replaced. Off without the section, so off in the deploy file. Found on the way: owners of routes were not worked out anew when the settings named other members.

--- a/libs/choice/kept.py
+++ b/libs/choice/kept.py
@@ -6,9 +6,11 @@
 from attrs import define, field
 
 
-def parse_parts(text):
+def parse_parts(text, key=b""):
     """The parts of a prompt: (chain number, tokens) pairs; a part is kept only behind those before it.
 
+    ``key``: numbers under different keys tell nothing of each other.
+
     >>> [n for _, n in parse_parts("a:3,b:4")], parse_parts("a:3")[0] == parse_parts("a:3,b:4")[0]
     ([3, 4], True)
     >>> parse_parts("junk")
@@ -20,7 +22,7 @@
         if not id or not n.isdigit():
             return ()
         chain = f"{chain},{id}" if chain else id
-        out.append((int.from_bytes(blake2b(chain.encode(), digest_size=8).digest()), int(n)))
+        out.append((int.from_bytes(blake2b(chain.encode(), digest_size=8, key=key).digest()), int(n)))
     return tuple(out)
 
 
--- /dev/null
+++ b/libs/isolation/__init__.py
@@ -0,0 +1,6 @@
+"""Keeps the prompts of members apart: which lives of runners may serve which member's prompt."""
+
+from .generation import COMMON, Generation, Isolation, part_ids
+from .settings import declared
+
+__all__ = ["COMMON", "Generation", "Isolation", "declared", "part_ids"]
--- a/libs/startup/checks.py
+++ b/libs/startup/checks.py
@@ -8,6 +8,8 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from sparloom import isolation
+from sparloom.isolation import Isolation
 from sparloom.shares.member import declared
 
 VARIABLE = "SPARLOOM_CONFIG"
@@ -110,6 +112,7 @@
     bounds: Bounds = field(factory=Bounds)
     cloud: CloudApi | None = None
     members: tuple = ()
+    isolation: Isolation | None = None
 
     @property
     def controller_port(self):
@@ -252,9 +255,17 @@
     return given.unwrap()
 
 
+def _isolation(table, members):
+    given = isolation.declared(table.get("isolation"), members)
+    if not isinstance(given, Success):
+        raise Bad(given.failure())
+    return given.unwrap()
+
+
 def _build(table):
     ports = _ports(table)
     cloud = _cloud(table)
+    members = _members(table)
     return Startup(
         node=_get(table, "nodeName", str, needed=True),
         role=_get(table, "role", str, ""),
@@ -271,7 +282,8 @@
         tolerated=_tolerated(table),
         bounds=_bounds(table),
         cloud=cloud,
-        members=_members(table),
+        members=members,
+        isolation=_isolation(table, members),
     )
 
 
--- a/rehearsal/__main__.py
+++ b/rehearsal/__main__.py
@@ -1,4 +1,4 @@
-"""The rehearsal's command line: stories by default; check, point, scale, history and report by name."""
+"""The rehearsal's command line: stories by default; check, point, scale, history, isolation and report by name."""
 
 import os
 import sys
@@ -164,6 +164,29 @@
     return 1 if bad else 0
 
 
+def isolation(*, seed: int = 1, seeds: int = 3, seconds: float = 45.0, without: bool = False):
+    """Play rivals' identical prompts over a fleet of real routers, through moves, restarts and changes.
+
+    The exit status is 0 when no part was found that a rival had left, nothing was lost or run twice,
+    and answer times told nothing.
+
+    :param seed: the first seed; the same seed plays the same luck
+    :param seeds: how many seeds to play
+    :param seconds: simulated seconds of traffic
+    :param without: with members' prompts not kept apart, to show that the play would find it
+    """
+    from .isolation import play_isolation
+
+    bad = 0
+    for s in range(seed, seed + seeds):
+        played = play_isolation(s, not without, seconds)
+        bad += not played.held
+        print(f"seed {s}: {'held' if played.held else 'did not hold'}")
+        print("".join(f"  {line}\n" for line in played.lines()), end="", flush=True)
+    print(f"{seeds - bad} held, {bad} did not")
+    return 1 if bad else 0
+
+
 def report(*files: str, x: str = "size.nodes", picture: str = ""):
     """Print and draw the slopes of a run.
 
@@ -188,10 +211,11 @@
         "scale": scale,
         "pieces": pieces,
         "history": history,
+        "isolation": isolation,
         "report": report,
         "check": check,
     }
-    if sys.argv[1:2] in (["point"], ["history"]) and "PYTHONHASHSEED" not in os.environ:
+    if sys.argv[1:2] in (["point"], ["history"], ["isolation"]) and "PYTHONHASHSEED" not in os.environ:
         os.execve(
             sys.executable, [sys.executable, "-m", "rehearsal", *sys.argv[1:]], {**os.environ, "PYTHONHASHSEED": "0"}
         )
--- a/rehearsal/clients.py
+++ b/rehearsal/clients.py
@@ -50,15 +50,19 @@
         """A client on a new connection."""
         return cls(*await asyncio.open_connection(host, port))
 
-    async def send(self, path, id, body=b"hello", left_ms=5000, pause=0.0):
+    async def send(self, path, id, body=b"hello", left_ms=5000, pause=0.0, host="h.example", heads=()):
         """Sends a request, with a pause in the middle of its bytes, and waits for its answer or the connection's end."""
         loop = asyncio.get_running_loop()
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: {id}\r\n"
-            f"X-Sparloom-Deadline-Remaining: {left_ms}\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
+        lines = [
+            f"POST {path} HTTP/1.1",
+            f"Host: {host}",
+            f"X-Sparloom-Attempt-Id: {id}",
+            f"X-Sparloom-Deadline-Remaining: {left_ms}",
+            f"Content-Length: {len(body)}",
+            *heads,
+        ]
         began = loop.time()
-        self.writer.write(head.encode())
+        self.writer.write("".join(f"{line}\r\n" for line in (*lines, "")).encode())
         if pause:
             await asyncio.sleep(pause)
         self.writer.write(body)
--- a/rehearsal/fleet.py
+++ b/rehearsal/fleet.py
@@ -193,6 +193,7 @@
     def __init__(self, loop, size, load=DEFAULT_LOAD, bounds=BOUNDS):
         self.loop, self.size, self.load, self.bounds = loop, size, load, bounds
         self.controllers, self.routers, self.revision, self.born = {}, {}, 0, 0
+        self.first_policy = policy(1, size.routes, size.slots)
 
     async def _on(self, host, svc):
         async def start():
@@ -214,15 +215,19 @@
             ip = self.size.controller(i)
             ctl = self.controllers[ip] = Controller(self._up(ip, "controller", i, ip), "")
             ctl.poller = _ListedHere(ctl.up, ctl.core, ctl.shop, ctl.control.routers)
-            ctl.poller.listing = entries(self.size.runners, self.size.zones, 0, self.size.slots)
+            ctl.poller.listing = self.listed()
             await self._on(ip, ctl)
         await asyncio.gather(*(self.boot(i, 2.0 * i / self.size.nodes) for i in range(self.size.nodes)))
         for _ in range(200):
-            if await self.change(policy(1, self.size.routes, self.size.slots), "PUT") is not None:
+            if await self.change(self.first_policy, "PUT") is not None:
                 return
             await asyncio.sleep(0.1)
         raise RuntimeError("no configuration was taken")
 
+    def listed(self):
+        """The platform's list at the start."""
+        return entries(self.size.runners, self.size.zones, 0, self.size.slots)
+
     async def boot(self, i, wait=0.0):
         """Starts the i-th router, with a new life."""
         await asyncio.sleep(wait)
--- a/sparloom/compare/beliefs.py
+++ b/sparloom/compare/beliefs.py
@@ -6,7 +6,7 @@
 from attrs import define
 from returns.result import Failure, Success
 
-TOPICS = ("policy", "revision", "runners", "fleet", "members", "counts", "shares", "relays")
+TOPICS = ("policy", "revision", "runners", "fleet", "members", "counts", "shares", "relays", "isolation")
 
 
 @define(frozen=True, slots=True)
--- a/sparloom/router/ask.py
+++ b/sparloom/router/ask.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from sparloom.choice import parse_parts
+from sparloom.isolation import part_ids
 from sparloom.recover.verdict import Head
 
 HOP = frozenset(
@@ -43,6 +44,8 @@
     came: timedelta
     horizon: timedelta
     parts: tuple
+    member: str = ""
+    part_ids: tuple = ()
     yields: bool = False
 
     @property
@@ -97,9 +100,10 @@
     return now + time_left(headers, route.timeout)
 
 
-def make(req, body, route, policy, now):
-    """An ask from what the server read."""
+def make(req, body, route, policy, now, member="", isolation=None):
+    """An ask from what the server read; with isolation its parts are numbered under its member's key."""
     heads = end_to_end(req.raw_headers)
+    prompt = heads.get(PARTS)
     return Ask(
         heads.get(ID, ""),
         req.method,
@@ -110,7 +114,9 @@
         policy,
         now,
         horizon_of(heads, route, now),
-        parse_parts(heads.get(PARTS)),
+        parse_parts(prompt, isolation.newest.part_key(member) if isolation else b""),
+        member,
+        part_ids(prompt) if isolation else (),
     )
 
 
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -67,7 +67,7 @@
         self.thread = Thread()
         self.service = self._choose_service()
         self.attempts, self.tried, self.reserved = 0, set(), False
-        self.worst = NOT_RUN
+        self.worst, self.allowed = NOT_RUN, None
         self.limit = self.ahead = None
         self.expired = False
         self.outcome = Outcome.UNANSWERED
@@ -77,6 +77,16 @@
         return self.ask.horizon - steady()
 
     # -- choosing -----------------------------------------------------------
+    def _runners(self):
+        """The runners of the service that may take this request; fewer where members' prompts are kept apart."""
+        runners, isolation = self.know.fleet.of(self.service), self.know.up.isolation
+        if isolation is None:
+            return runners
+        if self.allowed is None or self.allowed[0] is not runners or self.allowed[1] is not isolation:
+            allowed = isolation.allowed(self.ask.member, self.ask.part_ids, runners)
+            self.allowed = (runners, isolation, allowed)
+        return self.allowed[2]
+
     def _choose_service(self):
         split = self.ask.route.split
         if len(split) == 1:
@@ -109,7 +119,7 @@
     def _pick(self):
         """The best runner with room, and a slot there."""
         now = steady()
-        posts = {p.id: p for p in self.know.fleet.of(self.service)}
+        posts = {p.id: p for p in self._runners()}
         pipes = self.know.lines.connections(self.service)
         note("weighed runners", len(posts))
         for s in choose(self._stands(posts.values(), now), sum(n for _, n in self.ask.parts[:-1])):
@@ -148,7 +158,7 @@
             self.out is not None,
             self.left(),
             self.attempts == 0 or self.know.budget(self.service).allowed(steady(), self.know.nodes()),
-            any(p.id not in self.tried for p in self.know.fleet.of(self.service)),
+            any(p.id not in self.tried for p in self._runners()),
         )
 
     # -- the whole way ------------------------------------------------------
@@ -167,7 +177,7 @@
             self._drop_ahead()
 
     async def _run(self):
-        if not self.know.fleet.of(self.service):
+        if not self._runners():
             return self._give_up(GiveUp(503))
         try:
             async with asyncio.timeout(None) as self.limit:
--- a/sparloom/router/front.py
+++ b/sparloom/router/front.py
@@ -100,6 +100,8 @@
             "relays": {r: "relay" for r in k.tier.relays},
             "tier": k.serve.told(),
             "requests": self.outcomes.figures(),
+            "isolation": self.up.isolation.fingerprints() if self.up.isolation else [],
+            "runnersBeforeIsolation": k.lives_before_isolation(),
             "meter": figures(),
         }
 
@@ -128,7 +130,7 @@
         route = k.policy.match(req.headers.get("Host", ""), req.raw_path.partition("?")[0])
         if route is None:
             return web.Response(status=404)
-        ask = make(req, body, route, k.policy, now)
+        ask = make(req, body, route, k.policy, now, k.lines.member(route), self.up.isolation)
         return await self._forward(Forwarding(k, req, ask, lambda: self.stopping))
 
     async def _forward(self, forwarding):
--- a/sparloom/router/know.py
+++ b/sparloom/router/know.py
@@ -39,6 +39,7 @@
         self.budgets, self.born = {}, steady()
         self.crowd, self.lines = Crowd(con), Lines(self)
         self.known = asyncio.Event()
+        self.before_isolation = frozenset()
         self.swim = None
         self.rng, self.tier, self.members = random.Random(), Tier(), None
         self.follow, self.tell, self.prefixes = Follow(self), Tell(self), Prefixes(self)
@@ -62,6 +63,15 @@
             and (self.sure or steady() - self.born > self.up.bounds.contact * 2)
         )
 
+    def note_isolation(self, isolation):
+        """Notes which lives of runners are older than other settings of isolation, which are about to be used."""
+        if isolation != self.up.isolation:
+            self.before_isolation = frozenset(self.fleet.posts)
+
+    def lives_before_isolation(self):
+        """How many listed lives of runners are older than the settings of isolation, as far as this process knows."""
+        return len(self.before_isolation & self.fleet.posts.keys())
+
     def nodes(self):
         """How many routers the budgets are shared among; one that is cut off doesn't take itself for the only one."""
         return self.crowd.divisor
--- a/sparloom/router/line.py
+++ b/sparloom/router/line.py
@@ -17,18 +17,18 @@
 
     def __init__(self, know):
         self.know, self.gates, self.waits, self.ids = know, {}, {}, count(1)
-        self.told, self.members, self.parts, self.owners = None, (), {}, {}
+        self.told, self.members, self.parts, self.owners = (None, ()), (), {}, {}
         self.rooms, self.cons, self.wholes, self.others = {}, {}, {}, {}
 
     def _parts(self):
-        policy = self.know.policy
-        if self.told is not policy:
-            self.told = policy
-            self.members = members_of(policy, self.know.up.members)
+        policy, declared = self.know.policy, self.know.up.members
+        if self.told[0] is not policy or self.told[1] is not declared:
+            self.told = (policy, declared)
+            self.members = members_of(policy, declared)
             self.parts = {m.name: m.reserve for m in self.members}
             self.owners = (
                 {r.name: next((m.name for m in self.members if m.owns(r)), "") for r in policy.routes}
-                if self.know.up.members
+                if declared
                 else {}
             )
         return self.parts
--- a/sparloom/router/program.py
+++ b/sparloom/router/program.py
@@ -38,10 +38,15 @@
         if new.value_or(None) is None:
             logging.warning("startup: %s", new.failure())
             return
-        self.up = self.know.up = self.front.up = new.unwrap()
+        self.use(new.unwrap())
+        logging.info("startup: the file was read again.")
+
+    def use(self, up):
+        """Goes by other checked settings from now on."""
+        self.know.note_isolation(up.isolation)
+        self.up = self.know.up = self.front.up = up
         if self.know.swim is not None:
             self.know.swim.seeds = self.know.seeds
-        logging.info("startup: the file was read again.")
 
     @Service.task
     async def _watch(self):
