--- /dev/null
+++ b/fakes/task_runner.py
@@ -0,0 +1,273 @@
+"""A runner that starts tasks on order, holds them for a time, and lists their ends.
+
+All runners of a play share one ``RunLog``, which notes every start and end and
+names what must not happen: two runs of one task at once, a start after an end
+``done`` that was taken note of, or a start beyond the runner's capacity.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAXIMUM_HOLD_WAIT_MS = 2000
+DEFAULT_CAPACITY = {"cpu": 8000, "memoryRequestMb": 16000, "gpuCount": 0}
+
+
+@define(frozen=True, slots=True)
+class Work:
+    """What a task does once it is started.
+
+    Attributes
+    ----------
+    seconds
+        How long it works.
+    how
+        How it ends: ``done`` or ``failed``.
+    """
+
+    seconds: float = 0.05
+    how: str = "done"
+
+
+@define(slots=True, eq=False)
+class RunLog:
+    """What happened on all runners of a play.
+
+    Attributes
+    ----------
+    starts
+        (runner, task, run) of each start, in order.
+    done
+        Tasks that ended ``done`` on a runner.
+    noted
+        Tasks whose end ``done`` was taken note of.
+    faults
+        Sentences about what must not happen.
+    """
+
+    starts: list[tuple[str, str, int]] = field(factory=list)
+    done: set[str] = field(factory=set)
+    noted: set[str] = field(factory=set)
+    faults: list[str] = field(factory=list)
+    _running: dict[str, tuple[str, int]] = field(factory=dict)
+
+    def started(self, runner: str, task: str, run: int) -> None:
+        """Note a start, and what is wrong with it."""
+        if task in self._running:
+            self.faults.append(f"{task} run {run} starts at {runner} beside {self._running[task]}")
+        if task in self.noted:
+            self.faults.append(f"{task} run {run} starts at {runner} after it was done")
+        self.starts.append((runner, task, run))
+        self._running[task] = (runner, run)
+
+    def ended(self, runner: str, task: str, run: int, how: str) -> None:
+        """Note an end."""
+        if self._running.get(task) == (runner, run):
+            del self._running[task]
+        if how == "done":
+            self.done.add(task)
+
+
+@define(slots=True, eq=False)
+class _Run:
+    """A run under way on a runner."""
+
+    number: int
+    needs: dict[str, int]
+    timer: asyncio.TimerHandle
+
+
+@define(slots=True, eq=False)
+class TaskRunner:
+    """A fake runner for tasks.
+
+    Attributes
+    ----------
+    id, service
+        Its instance id, and the service that it belongs to.
+    log
+        Shared by all runners of a play.
+    work
+        Gives what a task does, by its name.
+    needs
+        Gives the resources of a task, by its name; nothing by default.
+    capacity, labels
+        What the platform lists of it.
+    refuses
+        Statuses of the next starts that are turned away; 0 leaves the order without an answer.
+    late_s
+        By how many seconds a start that is left without an answer is carried out late.
+    """
+
+    id: str
+    service: str
+    log: RunLog
+    work: Callable[[str], Work] = lambda _task: Work()
+    needs: Callable[[str], dict[str, int]] = lambda _task: {}
+    capacity: dict[str, int] = field(factory=lambda: dict(DEFAULT_CAPACITY))
+    labels: tuple[str, ...] = ("a", "r1-1")
+    refuses: list[int] = field(factory=list)
+    late_s: float = 0.2
+    draining: bool = False
+    port: int = 0
+    fence: int = 0
+    hold_until_ms: float = 0.0
+    running: dict[str, _Run] = field(factory=dict)
+    ends: list[list[Any]] = field(factory=list)
+    _last_end: int = 0
+    _stopped: dict[str, int] = field(factory=dict)
+    _changed: asyncio.Event = field(factory=asyncio.Event)
+    _server: web.ServerRunner | None = None
+    _lapse: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> TaskRunner:
+        """Listen; gives itself."""
+        self._server = web.ServerRunner(web.Server(self._handle, access_log=None), shutdown_timeout=0.01)
+        await self._server.setup()
+        await web.TCPSite(self._server, host, port).start()
+        self.port = self._server.addresses[0][1]
+        return self
+
+    async def stop(self) -> None:
+        """Stop at once: what runs here dies without an end."""
+        for task in list(self.running):
+            run = self.running.pop(task)
+            run.timer.cancel()
+            self.log.ended(self.id, task, run.number, "died")
+        if self._lapse is not None:
+            self._lapse.cancel()
+        if self._server is not None:
+            await self._server.cleanup()
+
+    def entry(self) -> dict[str, Any]:
+        """Return its entry in the platform's list."""
+        return {
+            "runnerId": self.id,
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "z1",
+            "revision": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "coldRemainingMs": 0,
+            "capacity": dict(self.capacity),
+            "labels": list(self.labels),
+        }
+
+    # -- calls ------------------------------------------------------------------
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.headers.get("X-Sparloom-Expected-Instance", self.id) != self.id:
+            return web.Response(status=421, headers={"X-Sparloom-Instance": self.id})
+        call = json.loads(await request.read() or b"{}")
+        if request.path == "/-/run-start":
+            return await self._order_start(call)
+        if request.path == "/-/run-stop":
+            return self._order_stop(call)
+        if request.path == "/-/hold":
+            return await self._order_hold(call)
+        return web.Response(status=404)
+
+    def _answer(self, status: int = 200, **body: Any) -> web.Response:
+        return web.json_response({"clockMs": int(self._clock_ms()), **body}, status=status)
+
+    def _clock_ms(self) -> float:
+        return asyncio.get_running_loop().time() * 1000
+
+    def _fenced(self, call: dict[str, Any]) -> bool:
+        """Whether a call comes from one whose fence is no longer the highest."""
+        if call.get("fenceNumber", 0) < self.fence:
+            return True
+        self.fence = call.get("fenceNumber", 0)
+        return False
+
+    async def _order_start(self, call: dict[str, Any]) -> web.Response:
+        status = self.refuses.pop(0) if self.refuses else None
+        if status == 0:
+            asyncio.get_running_loop().call_later(self.late_s, self._carry_out_start, call)
+            await asyncio.sleep(60)
+        if status is not None:
+            return web.Response(status=status)
+        reason = self._carry_out_start(call)
+        return self._answer(409, reason=reason) if reason else self._answer()
+
+    def _carry_out_start(self, call: dict[str, Any]) -> str | None:
+        """Start a run; return why not otherwise."""
+        if self._fenced(call):
+            return "fence"
+        task, number = call["task"], call["runId"]
+        if task in self.running and self.running[task].number == number:
+            self._hold_until(call["deadlineMs"])
+            return None
+        if number <= self._stopped.get(task, 0) or task in self.running:
+            return "old"
+        if call["deadlineMs"] <= self._clock_ms():
+            return "late"
+        needs = self.needs(task)
+        if not self._has_room(needs):
+            return "room"
+        self._hold_until(call["deadlineMs"])
+        work = self.work(task)
+        timer = asyncio.get_running_loop().call_later(work.seconds, self._end, task, work.how)
+        self.running[task] = _Run(number, needs, timer)
+        self.log.started(self.id, task, number)
+        return None
+
+    def _has_room(self, needs: dict[str, int]) -> bool:
+        used = [run.needs for run in self.running.values()]
+        return all(sum(u.get(k, 0) for u in used) + n <= self.capacity.get(k, 0) for k, n in needs.items())
+
+    def _order_stop(self, call: dict[str, Any]) -> web.Response:
+        if self._fenced(call):
+            return self._answer(409, reason="fence")
+        run = self.running.get(call["task"])
+        if run is not None and run.number == call["runId"]:
+            self._end(call["task"], "stopped")
+        return self._answer()
+
+    async def _order_hold(self, call: dict[str, Any]) -> web.Response:
+        if self._fenced(call):
+            return self._answer(409, reason="fence")
+        last_seen = call.get("lastSeen", 0)
+        self.log.noted |= {end[1] for end in self.ends if end[0] <= last_seen and end[3] == "done"}
+        self.ends = [end for end in self.ends if end[0] > last_seen]
+        if "deadlineMs" in call and self.running:
+            self._hold_until(call["deadlineMs"])
+        if not self.ends and call.get("waitMs"):
+            self._changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(call["waitMs"], MAXIMUM_HOLD_WAIT_MS) / 1000):
+                    await self._changed.wait()
+        running = [[task, run.number, "", 0] for task, run in self.running.items()]
+        return self._answer(running=running, endTime=self.ends[:500])
+
+    # -- time -------------------------------------------------------------------
+    def _hold_until(self, deadline_ms: float) -> None:
+        self.hold_until_ms = max(self.hold_until_ms, deadline_ms)
+        if self._lapse is not None:
+            self._lapse.cancel()
+        left_s = (self.hold_until_ms - self._clock_ms()) / 1000
+        self._lapse = asyncio.get_running_loop().call_later(left_s, self._lapsed)
+
+    def _lapsed(self) -> None:
+        for task in list(self.running):
+            self._end(task, "lapsed")
+
+    def _end(self, task: str, how: str) -> None:
+        run = self.running.pop(task, None)
+        if run is None:
+            return
+        run.timer.cancel()
+        self._stopped[task] = run.number
+        self._last_end += 1
+        self.ends.append([self._last_end, task, run.number, how, ""])
+        self.log.ended(self.id, task, run.number, how)
+        self._changed.set()
--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs over the whole way: router, controller, runners."""
