--- /dev/null
+++ b/sparloom/scheduler/runners.py
@@ -0,0 +1,272 @@
+"""Runners as the scheduler knows them: capacity, clock, how long they hold what runs there, and their runs."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from returns.result import Failure, Result, Success
+
+from .specification import Resources
+
+if TYPE_CHECKING:
+    from .jobs import Step, Task
+
+# A runner's clock may be slow by this part; with a margin.
+SLOW_CLOCK = 0.021
+# Added to the moment at which a hold has surely lapsed, in seconds.
+LAPSE_MARGIN_S = 0.25
+# A runner that turns starts away, or fails what it runs, is left alone for so long, and twice as long each time.
+FIRST_AVOIDANCE_S = 0.5
+LONGEST_AVOIDANCE_S = 8.0
+# So many runs in a row must fail until a runner is avoided.
+FAILURES_UNTIL_AVOIDED = 3
+
+
+@define(frozen=True, slots=True)
+class RunnerListing:
+    """A runner as the platform lists it.
+
+    Attributes
+    ----------
+    id
+        Names this instance; a restarted runner has another one.
+    service
+        The service that it belongs to.
+    address
+        HOST:PORT.
+    draining
+        Whether it takes no new runs.
+    capacity
+        What it has for tasks.
+    labels
+        Its kind and its rack.
+    """
+
+    id: str
+    service: str
+    address: str
+    draining: bool
+    capacity: Resources
+    labels: frozenset[str]
+
+
+def _listing(item: dict[str, Any]) -> RunnerListing:
+    capacity = item.get("capacity") or {}
+    return RunnerListing(
+        id=item["runnerId"],
+        service=item["service"],
+        address=item["address"],
+        draining=item.get("state") != "ready",
+        capacity=Resources(
+            int(capacity.get("cpu", 0)), int(capacity.get("memoryRequestMb", 0)), int(capacity.get("gpuCount", 0))
+        ),
+        labels=frozenset(item.get("labels") or ()),
+    )
+
+
+def read_listing(document: Any) -> Result[tuple[list[RunnerListing], str | None], str]:
+    """Read a page of the platform's list; a success holds the runners and the token of the next page.
+
+    >>> read_listing({"instances": [], "nextPageToken": None}).unwrap()
+    ([], None)
+    >>> read_listing({"instances": []}).failure()
+    "the platform's page can't be read: 'nextPageToken'"
+    """
+    try:
+        return Success(([_listing(item) for item in document["instances"]], document["nextPageToken"]))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Failure(f"the platform's page can't be read: {error}")
+
+
+@define(frozen=True, slots=True)
+class HoldDeadline:
+    """Until when a runner holds what runs there.
+
+    Attributes
+    ----------
+    clock_ms
+        On the runner's clock.
+    lapses_at
+        When that has surely passed, in seconds of the monotonic clock here.
+    """
+
+    clock_ms: int
+    lapses_at: float
+
+
+class RunPhase(Enum):
+    """How far a run has come, as far as is known."""
+
+    STARTING = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+@define(slots=True, eq=False)
+class Run:
+    """One run of a task on one runner, from the order to start it until its end is known.
+
+    Attributes
+    ----------
+    step, task
+        What runs.
+    number
+        The run's number.
+    runner
+        Where it runs.
+    phase
+        How far it has come.
+    ordered_at
+        When the newest order for it was given, in seconds.
+    first_ordered_at
+        When the first one was given, in seconds.
+    unanswered
+        Whether an order to start it was left without an answer.
+    in_call
+        Whether an order for it is under way.
+    deadline
+        Until when the order to start it may be carried out; it is repeated with the same one.
+    stop_answered_at
+        When the runner answered an order to stop it; None before.
+    """
+
+    step: Step
+    task: Task
+    number: int
+    runner: Runner
+    phase: RunPhase
+    ordered_at: float
+    first_ordered_at: float
+    unanswered: bool = False
+    in_call: bool = False
+    deadline: HoldDeadline | None = None
+    stop_answered_at: float | None = None
+
+    @property
+    def name(self) -> str:
+        """The task's name on the wire."""
+        return self.step.task_name(self.task.index)
+
+
+@define(slots=True, eq=False)
+class Runner:
+    """A runner, its runs, and what it has said.
+
+    Times are seconds of the monotonic clock, but for ``clock_ms``.
+
+    Attributes
+    ----------
+    listing
+        How the platform lists it; ``listed`` tells whether it still does.
+    used
+        What the runs under way take of it.
+    runs
+        The runs under way, by task name.
+    known
+        Whether it has answered this primary, so that its runs are known.
+    clock_ms, clock_read_at
+        What its clock showed, and when that answer came.
+    hold_until
+        When all that runs there has surely been killed if it hears no more.
+    calling, called_at, answers
+        Whether a call to hold it is under way, when the newest one began, and whether the one before was answered.
+    next_hold_at
+        The next such call is not made earlier.
+    seen_end
+        Number of its newest end that was applied here.
+    stored_end
+        Number of its newest end of which the effect is stored.
+    told_end
+        Number of the newest end that it was told to forget.
+    avoid_until, avoided_for
+        No start before that moment; and how long it was avoided the last time, in seconds.
+    failures
+        How many runs in a row have failed here.
+    """
+
+    listing: RunnerListing
+    listed: bool = True
+    used: Resources = field(factory=Resources)
+    runs: dict[str, Run] = field(factory=dict)
+    known: bool = False
+    clock_ms: float = 0.0
+    clock_read_at: float = 0.0
+    hold_until: float = 0.0
+    calling: bool = False
+    called_at: float = 0.0
+    answers: bool = True
+    next_hold_at: float = 0.0
+    seen_end: int = 0
+    stored_end: int = 0
+    told_end: int = 0
+    avoid_until: float = 0.0
+    avoided_for: float = 0.0
+    failures: int = 0
+
+    def usable(self, now: float) -> bool:
+        """Whether it may be given a start."""
+        return self.known and self.listed and not self.listing.draining and now >= self.avoid_until
+
+    def fits(self, needs: Resources) -> bool:
+        """Whether it has room for a task."""
+        capacity, used = self.listing.capacity, self.used
+        return (
+            used.cpu + needs.cpu <= capacity.cpu
+            and used.memory_mb + needs.memory_mb <= capacity.memory_mb
+            and used.gpus + needs.gpus <= capacity.gpus
+        )
+
+    def could_fit(self, needs: Resources) -> bool:
+        """Whether it would have room for a task if nothing ran there."""
+        capacity = self.listing.capacity
+        return needs.cpu <= capacity.cpu and needs.memory_mb <= capacity.memory_mb and needs.gpus <= capacity.gpus
+
+    def add(self, run: Run) -> None:
+        """Take up a run."""
+        self.runs[run.name] = run
+        self._take(run.step.specification.needs, 1)
+
+    def remove(self, run: Run) -> None:
+        """Drop a run whose end is known."""
+        if self.runs.get(run.name) is run:
+            del self.runs[run.name]
+            self._take(run.step.specification.needs, -1)
+
+    def _take(self, needs: Resources, sign: int) -> None:
+        used = self.used
+        self.used = Resources(
+            used.cpu + sign * needs.cpu, used.memory_mb + sign * needs.memory_mb, used.gpus + sign * needs.gpus
+        )
+
+    # -- its clock --------------------------------------------------------------
+    def note_clock(self, clock_ms: float, received_at: float) -> None:
+        """Note what its clock showed in an answer that has come now."""
+        if clock_ms >= self.clock_ms:
+            self.clock_ms, self.clock_read_at = clock_ms, received_at
+
+    def extend_hold(self, now: float, hold_s: float) -> HoldDeadline:
+        """Return the deadline of a call that is sent now, and reckon with that it arrives.
+
+        The clock may be slow, so the deadline passes later than this one's seconds tell.
+        """
+        deadline_ms = self.clock_ms + (now - self.clock_read_at + hold_s) * 1000
+        lapses_at = self.clock_read_at + (deadline_ms - self.clock_ms) / 1000 / (1 - SLOW_CLOCK) + LAPSE_MARGIN_S
+        self.hold_until = max(self.hold_until, lapses_at)
+        return HoldDeadline(int(deadline_ms), lapses_at)
+
+    # -- its health -------------------------------------------------------------
+    def avoid(self, now: float) -> None:
+        """Give it no start for a while, longer each time."""
+        self.avoided_for = min(LONGEST_AVOIDANCE_S, max(FIRST_AVOIDANCE_S, self.avoided_for * 2))
+        self.avoid_until = max(self.avoid_until, now + self.avoided_for)
+
+    def note_end(self, succeeded: bool, now: float) -> None:
+        """Note that a run ended ``done`` or ``failed`` here."""
+        if succeeded:
+            self.failures, self.avoided_for = 0, 0.0
+            return
+        self.failures += 1
+        if self.failures >= FAILURES_UNTIL_AVOIDED:
+            self.avoid(now)
--- /dev/null
+++ b/sparloom/scheduler/scheduler.py
@@ -0,0 +1,630 @@
+"""The scheduler: which task runs where. A state machine: events and the time in, instructions out.
+
+One scheduler lives as long as its primary's term. What it must not do, and
+why it doesn't:
+
+- *Two runs of one task at once.* A task has one ``Run`` at most, from the
+  order until its end is listed or its runner's hold has surely lapsed. Jobs
+  of an earlier term wait until each listed runner has told what runs there,
+  or until all holds of that term have lapsed.
+- *A start after the end was taken note of.* A runner forgets an end only once
+  what followed from it is stored (``take_changes``, ``stored``).
+- *Orders of an earlier primary.* Every order carries the term as its fence.
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from .events import (
+    Event,
+    HoldAnswered,
+    HoldFailed,
+    HoldFailure,
+    HoldRunner,
+    Instruction,
+    RunnersListed,
+    RunningTask,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    TaskEnd,
+)
+from .jobs import RUNS_PER_TERM, Job, Step, Task
+from .messages import JobState
+from .placement import Placement, choose, place_gang
+from .runners import SLOW_CLOCK, Run, Runner, RunPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Part of the longest hold that is asked for: an order that is late by the rest still finds its deadline ahead.
+HOLD_PART = 0.9
+# How long a call to hold may wait for an end, in milliseconds.
+HOLD_WAIT_MS = 1000
+# Ends are gathered for so long before the next call, in seconds.
+HOLD_PAUSE_S = 0.04
+HOLD_RETRY_S = 0.3
+ORDER_RETRY_S = 0.4
+# An end without success is followed by a new start after so long, longer with each failure, in seconds.
+RESTART_DELAY_S = 0.05
+LONGEST_RESTART_DELAY_S = 1.0
+# A runner without room is asked again after so long, in seconds.
+NO_ROOM_PAUSE_S = 0.3
+# A gang that is not together after this part of the time for it is stopped.
+GANG_PATIENCE = 0.5
+# What has waited for so long holds back whatever comes later for the same runners, in seconds.
+HOLDS_BACK_AFTER_S = 1.5
+# A gang is waited for only if it takes less than this part of all room there is.
+GANG_ROOM_PART = 0.6
+# What an earlier primary has ordered may have been held for so much longer than a hold lasts, in seconds.
+ADOPTION_MARGIN_S = 1.0
+
+
+@define(frozen=True, slots=True)
+class JobTiming:
+    """Time limits, in seconds.
+
+    Attributes
+    ----------
+    hold_limit
+        The longest hold.
+    gang
+        How long the tasks of a gang wait for each other.
+    """
+
+    hold_limit: float = 6.0
+    gang: float = 4.0
+
+
+@define(frozen=True, slots=True)
+class Changes:
+    """What must be stored before runners may forget the ends that led to it.
+
+    Attributes
+    ----------
+    jobs
+        The jobs that have changed.
+    ended
+        Ids of those that have ended by now; others may end while these changes are being stored.
+    ends
+        The newest end that was applied, by runner.
+    """
+
+    jobs: tuple[Job, ...]
+    ended: frozenset[int]
+    ends: dict[str, int]
+
+
+@define(slots=True, eq=False)
+class Scheduler:
+    """Decides where tasks run, during one term.
+
+    Attributes
+    ----------
+    term
+        The primary's term, which is its fence.
+    started_at
+        When the term began, in seconds.
+    timing
+        Time limits.
+    jobs
+        The jobs that have not ended, by id.
+    runners
+        The runners, by id.
+    deposed
+        Whether a runner has seen a higher fence: nothing more is to be ordered.
+    """
+
+    term: int
+    started_at: float
+    timing: JobTiming
+    jobs: dict[int, Job] = field(factory=dict)
+    runners: dict[str, Runner] = field(factory=dict)
+    deposed: bool = False
+    now: float = 0.0
+    now_ms: float = 0.0
+    _order: list[tuple[int, int, int]] = field(factory=list)
+    _listed: bool = False
+    _changed_jobs: dict[int, Job] = field(factory=dict)
+    _dirty: bool = True
+    _next_pass_at: float = 0.0
+    _out: list[Instruction] = field(factory=list)
+
+    # -- jobs -------------------------------------------------------------------
+    def add(self, job: Job) -> None:
+        """Take up a job that is stored."""
+        self.jobs[job.id] = job
+        insort(self._order, (job.policy.priority, job.accepted_ms, job.id))
+        self._dirty = True
+
+    def cancel(self, job: Job) -> None:
+        """End a job as cancelled; the caller has it stored."""
+        self._end_job(job, JobState.CANCELLED)
+
+    def _end_job(self, job: Job, state: JobState) -> None:
+        if job.end is not None:
+            return
+        job.end = state
+        self._changed_jobs[job.id] = job
+        for run in job.runs():
+            self._stop(run)
+
+    def forget(self, job: Job) -> None:
+        """Drop a job whose end is stored and of which nothing runs."""
+        self.jobs.pop(job.id, None)
+        key = (job.policy.priority, job.accepted_ms, job.id)
+        if key in self._order:
+            self._order.remove(key)
+
+    # -- what is stored ---------------------------------------------------------
+    def take_changes(self) -> Changes | None:
+        """Return what is to be stored next; None where nothing has changed."""
+        ends = {id: runner.seen_end for id, runner in self.runners.items() if runner.seen_end > runner.stored_end}
+        if not self._changed_jobs and not ends:
+            return None
+        jobs = tuple(self._changed_jobs.values())
+        changes = Changes(jobs, frozenset(job.id for job in jobs if job.end is not None), ends)
+        self._changed_jobs = {}
+        return changes
+
+    def stored(self, changes: Changes) -> None:
+        """Note that changes are on the disks: runners may forget the ends that led to them."""
+        for runner_id, end in changes.ends.items():
+            runner = self.runners.get(runner_id)
+            if runner is not None:
+                runner.stored_end = max(runner.stored_end, end)
+        for job in changes.jobs:
+            job.end_stored = job.end_stored or job.id in changes.ended
+            self._forget_if_over(job)
+
+    # -- events -----------------------------------------------------------------
+    def handle(self, event: Event, now: float, now_ms: float) -> list[Instruction]:
+        """Take an event; return the instructions that follow from it."""
+        self.now, self.now_ms = now, now_ms
+        self._apply(event)
+        return self._instructions()
+
+    def tick(self, now: float, now_ms: float) -> list[Instruction]:
+        """Let time pass; ``now_ms`` is the time of day in milliseconds since 1970."""
+        self.now, self.now_ms = now, now_ms
+        if now >= self._next_pass_at:
+            self._dirty = True
+        for runner in list(self.runners.values()):
+            self._look_after(runner)
+        return self._instructions()
+
+    def _instructions(self) -> list[Instruction]:
+        if self.deposed:
+            self._out = []
+        elif self._dirty:
+            self._dirty = False
+            self._next_pass_at = self.now + 0.1
+            self._place_all()
+        out, self._out = self._out, []
+        return out
+
+    @singledispatchmethod
+    def _apply(self, event: Event) -> None:
+        raise TypeError(f"expected an event of the scheduler, found {event!r}")
+
+    @_apply.register(RunnersListed)
+    def _(self, event: RunnersListed) -> None:
+        self._listed = True
+        listed = {listing.id for listing in event.runners}
+        for listing in event.runners:
+            runner = self.runners.get(listing.id)
+            if runner is None:
+                self.runners[listing.id] = Runner(listing)
+            else:
+                runner.listing, runner.listed = listing, True
+        for runner_id, runner in list(self.runners.items()):
+            runner.listed = runner_id in listed
+            if not runner.listed and not runner.runs and not runner.calling:
+                del self.runners[runner_id]
+        self._dirty = True
+
+    @_apply.register(StartAnswered)
+    def _(self, event: StartAnswered) -> None:
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        if event.clock_ms:
+            runner.note_clock(event.clock_ms, self.now)
+        run = runner.runs.get(event.task)
+        if run is None or run.number != event.number:
+            return
+        run.in_call = False
+        if event.result is StartResult.STARTED:
+            self._on_started(run)
+        elif event.result is StartResult.FENCED:
+            self.deposed = True
+        elif event.result is StartResult.REPLACED:
+            self._lose(runner)
+        elif event.result is StartResult.NO_ANSWER:
+            run.unanswered = True
+        elif event.result is StartResult.OLD and run.unanswered:
+            # An earlier order for it was carried out, and it has ended: the runner lists its end.
+            self._on_started(run)
+        elif not run.unanswered or event.result is StartResult.TOO_LATE:
+            self._on_not_started(run, event.result)
+
+    def _on_started(self, run: Run) -> None:
+        run.step.job.begun = True
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        if run.step.job.end is not None or run.phase is RunPhase.STOPPING:
+            self._stop(run, again=True)
+        self._hold_soon(run.runner)
+
+    def _on_not_started(self, run: Run, result: StartResult) -> None:
+        """A runner has turned a start away and will not carry it out."""
+        runner = run.runner
+        if result is StartResult.NO_ROOM:
+            runner.avoid_until = max(runner.avoid_until, self.now + NO_ROOM_PAUSE_S)
+        elif result is StartResult.TOO_LATE:
+            self._hold_soon(runner)
+        elif result is not StartResult.OLD:
+            runner.avoid(self.now)
+        self._drop_run(run)
+
+    @_apply.register(StopAnswered)
+    def _(self, event: StopAnswered) -> None:
+        runner = self.runners.get(event.runner)
+        run = runner.runs.get(event.task) if runner else None
+        if run is not None and run.number == event.number:
+            run.in_call = False
+            if event.answered:
+                run.stop_answered_at = run.stop_answered_at or self.now
+        if event.fenced:
+            self.deposed = True
+
+    @_apply.register(HoldFailed)
+    def _(self, event: HoldFailed) -> None:
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        runner.calling, runner.next_hold_at, runner.answers = False, self.now + HOLD_RETRY_S, False
+        if event.why is HoldFailure.FENCED:
+            self.deposed = True
+        elif event.why is HoldFailure.REPLACED:
+            self._lose(runner)
+            runner.known, runner.listed = True, False
+        else:
+            # Nothing new is given to a runner that doesn't answer.
+            runner.avoid(self.now)
+
+    @_apply.register(HoldAnswered)
+    def _(self, event: HoldAnswered) -> None:
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        runner.calling, runner.next_hold_at, runner.answers = False, self.now + HOLD_PAUSE_S, True
+        runner.note_clock(event.clock_ms, self.now)
+        if not runner.known:
+            runner.known = self._dirty = True
+        for end in event.ends:
+            if end.sequence > runner.seen_end:
+                runner.seen_end = end.sequence
+                self._on_end(runner, end)
+        for running in event.running:
+            self._on_running(runner, running)
+        self._drop_what_never_began(runner, {running.task for running in event.running})
+        self._look_after(runner)
+
+    def _drop_what_never_began(self, runner: Runner, listed: set[str]) -> None:
+        """A run that was stopped before it began has no end; it is gone once no order can start it any more."""
+        for run in list(runner.runs.values()):
+            stopped_at = run.stop_answered_at
+            if stopped_at is None or run.name in listed or not run.unanswered:
+                continue
+            if runner.called_at > stopped_at and run.deadline and self.now > run.deadline.lapses_at:
+                self._drop_run(run)
+
+    # -- what runs --------------------------------------------------------------
+    def _find(self, name: str) -> tuple[Step, Task] | None:
+        """The task of a name on the wire; None where no such job is active."""
+        try:
+            job_id, time, step, index = name.split(".")
+            job = self.jobs.get(int(job_id, 16))
+            if job is None or int(time) >= job.specification.times:
+                return None
+            found = job.step(int(time), int(step))
+            return found, found.tasks[int(index)]
+        except (ValueError, IndexError):
+            return None
+
+    def _on_running(self, runner: Runner, running: RunningTask) -> None:
+        """A runner lists a run: one that was ordered, one of an earlier term, or one that must not be."""
+        run = runner.runs.get(running.task)
+        if run is not None and run.number == running.number:
+            run.task.checkpoint = running.checkpoint or run.task.checkpoint
+            if run.phase is RunPhase.STARTING:
+                self._on_started(run)
+            return
+        found = self._find(running.task)
+        if found is None or not self._may_adopt(*found):
+            self._out.append(StopRun(runner.listing.id, runner.listing.address, running.task, running.number))
+            return
+        step, task = found
+        task.checkpoint = running.checkpoint
+        run = Run(step, task, running.number, runner, RunPhase.RUNNING, self.now, self.now)
+        # The earlier primary may have asked for the longest hold there is just now.
+        runner.hold_until = max(runner.hold_until, self.now + self._longest_hold_s())
+        self._take_run(run)
+        step.job.begun = True
+
+    @staticmethod
+    def _may_adopt(step: Step, task: Task) -> bool:
+        """Whether a run of an earlier term may go on: no other one is under way or needed."""
+        return step.job.inherited and step.job.end is None and not task.done and task.run is None
+
+    def _take_run(self, run: Run) -> None:
+        run.task.run, run.task.last_run = run, run.number
+        if run.task.index in run.step.waiting:
+            run.step.waiting.remove(run.task.index)
+        run.runner.add(run)
+
+    def _on_end(self, runner: Runner, end: TaskEnd) -> None:
+        """A runner lists an end for the first time."""
+        run = runner.runs.get(end.task)
+        if run is None or run.number != end.number:
+            self._on_other_end(end)
+            return
+        runner.remove(run)
+        job, step, task = run.step.job, run.step, run.task
+        job.begun = self._dirty = True
+        if end.checkpoint and step.specification.checkpoints:
+            task.checkpoint = end.checkpoint
+        if end.how in ("done", "failed"):
+            runner.note_end(end.how == "done", self.now)
+        if end.how == "done" and not step.specification.long_running:
+            task.run = None
+            self._on_done(step, task)
+        elif end.how == "failed" and not step.specification.long_running:
+            self._on_failed(step, task)
+        else:
+            self._restart(step, task, slowly=end.how in ("done", "failed"))
+        self._forget_if_over(job)
+
+    def _on_other_end(self, end: TaskEnd) -> None:
+        """An end of a run that this term did not follow; only one that makes a task superfluous matters."""
+        found = self._find(end.task)
+        if found is None:
+            return
+        step, task = found
+        if end.how == "done" and not step.specification.long_running and step.job.end is None:
+            self._on_done(step, task)
+        elif end.how == "failed" and step.job.inherited and task.run is None and not step.specification.long_running:
+            self._on_failed(step, task)
+
+    def _on_done(self, step: Step, task: Task) -> None:
+        members = step.tasks if step.specification.gang else [task]
+        newly_done = [step.set_done(member) for member in members]
+        if not any(newly_done):
+            return
+        if task.run is not None:
+            self._stop(task.run)
+        job = step.job
+        self._changed_jobs[job.id] = job
+        self._dirty = True
+        if job.close_ended_times() and job.end is None:
+            self._end_job(job, JobState.COMPLETED)
+
+    def _on_failed(self, step: Step, task: Task) -> None:
+        counted = step.tasks[0] if step.specification.gang else task
+        counted.failures += 1
+        self._changed_jobs[step.job.id] = step.job
+        self._restart(step, task, slowly=True)
+        if counted.failures >= step.job.policy.maximum_attempts:
+            self._end_job(step.job, JobState.FAILED)
+
+    def _restart(self, step: Step, task: Task, slowly: bool) -> None:
+        """Put a task whose run has ended among those that wait."""
+        delay = min(LONGEST_RESTART_DELAY_S, RESTART_DELAY_S * 2 ** min(task.failures, 8)) if slowly else 0.0
+        step.set_waiting(task, self.now + delay)
+        if step.specification.gang:
+            for run in step.runs:
+                self._stop(run)
+        self._dirty = True
+
+    def _drop_run(self, run: Run) -> None:
+        """A run has surely not begun, or is surely gone: its task waits again."""
+        run.runner.remove(run)
+        if run.task.run is run:
+            self._restart(run.step, run.task, slowly=False)
+        self._forget_if_over(run.step.job)
+
+    def _lose(self, runner: Runner) -> None:
+        """All that ran on a runner is gone."""
+        for run in list(runner.runs.values()):
+            self._drop_run(run)
+
+    def _forget_if_over(self, job: Job) -> None:
+        if job.end_stored and not job.runs():
+            self.forget(job)
+
+    # -- looking after runners --------------------------------------------------
+    def _hold_s(self) -> float:
+        return self.timing.hold_limit * HOLD_PART
+
+    def _longest_hold_s(self) -> float:
+        """How long anything may run on without a call, whoever held it last."""
+        return self.timing.hold_limit / (1 - SLOW_CLOCK) + ADOPTION_MARGIN_S
+
+    def _hold_soon(self, runner: Runner) -> None:
+        runner.next_hold_at = min(runner.next_hold_at, self.now + HOLD_PAUSE_S)
+
+    def _look_after(self, runner: Runner) -> None:
+        """Hold a runner whose runs, ends or clock matter; repeat orders; give up what has lapsed."""
+        if runner.runs and runner.known and self.now > runner.hold_until:
+            self._lose(runner)
+        for run in list(runner.runs.values()):
+            self._repeat_order(run)
+            self._check_gang(run)
+        if runner.calling or self.now < runner.next_hold_at:
+            return
+        if runner.known and not runner.runs and runner.stored_end <= runner.told_end:
+            return
+        self._hold(runner)
+
+    def _hold(self, runner: Runner) -> None:
+        runner.calling, runner.called_at = True, self.now
+        runner.told_end = runner.stored_end
+        # A runner that doesn't answer is only asked: a longer hold might reach it, and nothing would ever lapse.
+        holding = runner.known and runner.runs and runner.answers
+        deadline_ms = runner.extend_hold(self.now, self._hold_s()).clock_ms if holding else 0
+        wait_ms = HOLD_WAIT_MS if runner.runs else 0
+        listing = runner.listing
+        self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.told_end, wait_ms))
+
+    def _repeat_order(self, run: Run) -> None:
+        if run.in_call or self.now - run.ordered_at < ORDER_RETRY_S:
+            return
+        if run.phase is RunPhase.STARTING:
+            self._order_start(run)
+        elif run.phase is RunPhase.STOPPING:
+            self._order_stop(run)
+
+    def _check_gang(self, run: Run) -> None:
+        """Stop a gang that does not come together in time, before its runs give each other up."""
+        step = run.step
+        if run.phase is RunPhase.STOPPING or not step.specification.gang:
+            return
+        if self.now - run.first_ordered_at < self.timing.gang * GANG_PATIENCE:
+            return
+        missing = sum(member.run is None or member.run.phase is RunPhase.STARTING for member in step.tasks)
+        if missing and not step.ended:
+            for member in step.runs:
+                self._stop(member)
+
+    # -- orders -----------------------------------------------------------------
+    def _order_start(self, run: Run) -> None:
+        run.ordered_at, run.in_call = self.now, True
+        listing = run.runner.listing
+        # A later deadline would let an order that is on its way be carried out later still.
+        deadline = run.deadline = run.deadline or run.runner.extend_hold(self.now, self._hold_s())
+        spec = run.step.job.specification.task_spec
+        checkpoint = run.task.checkpoint if run.step.specification.checkpoints else ""
+        self._out.append(
+            StartRun(listing.id, listing.address, run.name, run.number, spec, deadline.clock_ms, checkpoint)
+        )
+
+    def _order_stop(self, run: Run) -> None:
+        run.ordered_at, run.in_call = self.now, True
+        listing = run.runner.listing
+        self._out.append(StopRun(listing.id, listing.address, run.name, run.number))
+
+    def _stop(self, run: Run, again: bool = False) -> None:
+        """Order a run to be stopped; one whose start is under way is stopped once that is answered."""
+        if run.phase is RunPhase.STOPPING and not again:
+            return
+        starting = run.phase is RunPhase.STARTING
+        run.phase = RunPhase.STOPPING
+        if not (starting and run.in_call):
+            self._order_stop(run)
+
+    # -- placement --------------------------------------------------------------
+    def _adopted(self) -> bool:
+        """Whether it is known what runs of earlier terms are under way."""
+        if not self._listed:
+            return False
+        if all(runner.known for runner in self.runners.values()):
+            return True
+        return self.now - self.started_at > self._longest_hold_s()
+
+    def _place_all(self) -> None:
+        """Start what may start, in the order of the queues' priorities and of acceptance."""
+        adopted = self._adopted()
+        usable: dict[str, list[Runner]] = {}
+        for runner in self.runners.values():
+            if runner.usable(self.now):
+                usable.setdefault(runner.listing.service, []).append(runner)
+        held_back: set[str] = set()
+        for _, _, job_id in list(self._order):
+            job = self.jobs[job_id]
+            if job.end is not None or (job.inherited and not adopted):
+                continue
+            job.open_due_times(self.now_ms)
+            service = job.policy.service
+            if service in held_back:
+                continue
+            for step in job.ready_steps():
+                if not self._place_step(step, usable.get(service, [])):
+                    held_back.add(service)
+                    break
+
+    def _place_step(self, step: Step, runners: list[Runner]) -> bool:
+        """Start what fits of a step; return whether what comes later may start as well."""
+        place = self._place_gang if step.specification.gang else self._place_tasks
+        placed = place(step, runners)
+        if placed:
+            step.waiting_since = None
+            return True
+        if step.waiting_since is None:
+            step.waiting_since = self.now
+        return self.now - step.waiting_since < HOLDS_BACK_AFTER_S or not self._may_ever_fit(step)
+
+    def _may_ever_fit(self, step: Step) -> bool:
+        """Whether the step's runners would have room if nothing else ran there."""
+        specification, service = step.specification, step.job.policy.service
+        suitable = [
+            runner
+            for runner in self.runners.values()
+            if runner.listed
+            and runner.listing.service == service
+            and runner.could_fit(specification.needs)
+            and (not specification.requirement or specification.requirement in runner.listing.labels)
+        ]
+        if not specification.gang:
+            return bool(suitable)
+        room = sum(runner.listing.capacity.cpu for runner in suitable)
+        return specification.replica_count * specification.needs.cpu <= room * GANG_ROOM_PART
+
+    def _place_tasks(self, step: Step, runners: Iterable[Runner]) -> bool:
+        """Start tasks of a step as far as there is room; return whether none is left that could be started."""
+        for _ in range(len(step.waiting)):
+            index = step.waiting[0]
+            task = step.tasks[index]
+            if task.not_before > self.now:
+                step.waiting.rotate(-1)
+                continue
+            runner = choose(runners, step)
+            if runner is None:
+                return False
+            self._start(step, task, runner, self._next_number(task))
+        return True
+
+    def _place_gang(self, step: Step, runners: list[Runner]) -> bool:
+        """Start all tasks of a gang at once, once none of an earlier run is under way."""
+        if step.runs:
+            return True
+        if any(task.not_before > self.now for task in step.tasks):
+            return True
+        placements = place_gang(runners, step)
+        if placements is None:
+            return False
+        number = max(self._next_number(task) for task in step.tasks)
+        for placement in placements:
+            self._start_member(step, placement, number)
+        return True
+
+    def _start_member(self, step: Step, placement: Placement, number: int) -> None:
+        self._start(step, step.tasks[placement.index], placement.runner, number)
+
+    def _next_number(self, task: Task) -> int:
+        """The number of a task's next run: above all of this term, and of earlier ones."""
+        first = (self.term - 1) * RUNS_PER_TERM
+        return max(task.last_run, first) + 1
+
+    def _start(self, step: Step, task: Task, runner: Runner, number: int) -> None:
+        run = Run(step, task, number, runner, RunPhase.STARTING, self.now, self.now)
+        self._take_run(run)
+        self._order_start(run)
+        self._hold_soon(runner)
--- /dev/null
+++ b/tests/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduler."""
--- /dev/null
+++ b/tests/scheduler/simulated_cluster.py
@@ -0,0 +1,347 @@
+"""A cluster of runners, a store and primaries in simulated time, with faults drawn by seed.
+
+What must not happen is checked as it happens: two runs of a task at once, a start after an end ``done``
+that was taken note of, a start before an earlier step has ended, more than a runner has room for, and
+gangs that don't come together in calm times.
+"""
+
+import heapq
+import random
+from itertools import count
+
+from attrs import define, field
+
+from sparloom.scheduler.events import (
+    HoldAnswered,
+    HoldFailed,
+    HoldFailure,
+    HoldRunner,
+    RunningTask,
+    RunnersListed,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    TaskEnd,
+)
+from sparloom.scheduler.jobs import Job, JobStore
+from sparloom.scheduler.messages import JobState, QueuePolicy
+from sparloom.scheduler.runners import RunnerListing
+from sparloom.scheduler.scheduler import JobTiming, Scheduler
+from sparloom.scheduler.specification import Resources, parse_job
+
+TICK_S = 0.02
+STORE_S = 0.03
+WALL_MS = 1_700_000_000_000
+POLICY = QueuePolicy(1, "s", 0, 3)
+
+
+@define(slots=True, eq=False)
+class SimulatedRun:
+    number: int
+    ends_at: float
+    how: str
+    gang_size: int = 1
+
+
+@define(slots=True, eq=False)
+class SimulatedRunner:
+    """A runner; its clock runs at ``rate`` of the true one, by default 2% slow."""
+
+    id: str
+    capacity: Resources
+    rate: float = 0.98
+    up: bool = True
+    reachable: bool = True
+    listed: bool = True
+    fence: int = 0
+    hold_ms: float = 0.0
+    running: dict[str, SimulatedRun] = field(factory=dict)
+    ends: list[TaskEnd] = field(factory=list)
+    ended_runs: dict[str, int] = field(factory=dict)
+    last_end: int = 0
+    generation: int = 0
+
+
+class Cluster:
+    """Plays one seed. ``faults``: the chance of each kind of fault with each order, and whether primaries change."""
+
+    def __init__(self, seed, runners=8, faults=0.0, hold_limit=6.0, work=None):
+        self.luck = random.Random(seed)
+        self.now, self.faults, self.hold_limit = 100.0, faults, hold_limit
+        self.timing = JobTiming(hold_limit, 4.0)
+        self.work = work or (
+            lambda _task: (self.luck.uniform(0.1, 2.0), "failed" if self.luck.random() < 0.03 else "done")
+        )
+        capacity = Resources(8000, 16000, 0)
+        self.runners = {f"i-{n}": SimulatedRunner(f"i-{n}", capacity) for n in range(runners)}
+        self.events, self.sequence = [], count()
+        self.wrong, self.starts = [], []
+        self.noted, self.done = set(), set()
+        self.blob, self.scheduler, self.primary = b"", None, 0
+        self.specifications, self.shown = {}, {}
+        self.alone = 0
+        self.new_primary()
+        self.at(0.0, self._tick)
+        self.at(0.0, self._list)
+
+    # -- time -----------------------------------------------------------------
+    def at(self, delay, call, *args):
+        heapq.heappush(self.events, (self.now + delay, next(self.sequence), call, args))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, call, args = heapq.heappop(self.events)
+            call(*args)
+        self.now = end
+
+    def wall_ms(self):
+        return WALL_MS + self.now * 1000
+
+    def latency(self):
+        return self.luck.uniform(0.0005, 0.004)
+
+    # -- primaries --------------------------------------------------------------
+    def new_primary(self):
+        """Another member becomes the primary, with what is stored."""
+        self.primary += 1
+        store = JobStore.load(self.blob)
+        store.term += 1
+        self.blob = store.blob()
+        self.store = store
+        self.scheduler = Scheduler(store.term, self.now, self.timing)
+        for job in store.jobs():
+            self.scheduler.add(job)
+        self.writing = False
+
+    def submit(self, job_id, body, policy=POLICY):
+        """Stores a job and hands it to the present primary."""
+        if self.writing:
+            self.at(0.005, self.submit, job_id, body, policy)
+            return
+        job = Job(job_id, "h /q/", policy, parse_job(body).unwrap(), body, int(self.wall_ms()))
+        self.specifications[job_id] = job.specification
+        self.store.put(job, int(self.wall_ms()))
+        self.blob = self.store.blob()
+        self.scheduler.add(job)
+
+    def cancel(self, job_id):
+        job = self.scheduler.jobs.get(job_id)
+        if job is not None:
+            self.scheduler.cancel(job)
+
+    def _tick(self):
+        self._carry_out(self.scheduler.tick(self.now, self.wall_ms()))
+        if not self.writing and (changes := self.scheduler.take_changes()) is not None:
+            self.writing = True
+            for job in changes.jobs:
+                self.store.put(job, int(self.wall_ms()))
+            self.at(STORE_S, self._stored, self.primary, changes, self.store.blob())
+        self.at(TICK_S, self._tick)
+
+    def _stored(self, primary, changes, blob):
+        if primary != self.primary:
+            return
+        self.blob, self.writing = blob, False
+        self.scheduler.stored(changes)
+        for job_id in changes.ended:
+            self.shown[job_id] = JobState(self.store.ended[job_id].state)
+
+    def _list(self):
+        listing = [
+            RunnerListing(r.id, "s", f"{r.id}:1", False, r.capacity, frozenset(("a", "r1-1")))
+            for r in self.runners.values()
+            if r.listed
+        ]
+        self._tell(self.primary, RunnersListed(tuple(listing)))
+        self.at(1.0, self._list)
+
+    def _tell(self, primary, event):
+        if primary == self.primary:
+            self._carry_out(self.scheduler.handle(event, self.now, self.wall_ms()))
+
+    def _carry_out(self, instructions):
+        for order in instructions:
+            self.at(self.latency(), self._arrive, self.primary, self.scheduler.term, order)
+
+    # -- the runners' side --------------------------------------------------------
+    def clock_ms(self, runner):
+        return self.now * 1000 * runner.rate
+
+    def _arrive(self, primary, term, order):
+        runner = self.runners[order.runner]
+        if not runner.up or not runner.reachable:
+            self.at(1.0, self._lose_answer, primary, order)
+            return
+        if isinstance(order, StartRun):
+            if self.luck.random() < self.faults:
+                # Left without an answer, and carried out seconds later, or never.
+                if self.luck.random() < 0.7:
+                    self.at(self.luck.uniform(0.1, 5.0), self._start, runner, term, order, runner.generation)
+                self.at(1.0, self._lose_answer, primary, order)
+                return
+            result = self._start(runner, term, order, runner.generation)
+            if self.luck.random() < self.faults:
+                self.at(1.0, self._lose_answer, primary, order)
+                return
+            answer = StartAnswered(order.runner, order.task, order.number, result, self.clock_ms(runner))
+            self.at(self.latency(), self._tell, primary, answer)
+        elif isinstance(order, StopRun):
+            fenced = term < runner.fence
+            if not fenced:
+                runner.fence = term
+                run = runner.running.get(order.task)
+                if run is not None and run.number == order.number:
+                    self.at(0.1, self._end, runner, order.task, run, "stopped")
+                else:
+                    runner.ended_runs[order.task] = max(order.number, runner.ended_runs.get(order.task, 0))
+            self.at(
+                self.latency(),
+                self._tell,
+                primary,
+                StopAnswered(order.runner, order.task, order.number, not fenced, fenced),
+            )
+        else:
+            self._hold(primary, term, order, runner)
+
+    def _lose_answer(self, primary, order):
+        if isinstance(order, StartRun):
+            self._tell(primary, StartAnswered(order.runner, order.task, order.number, StartResult.NO_ANSWER))
+        elif isinstance(order, StopRun):
+            self._tell(primary, StopAnswered(order.runner, order.task, order.number, answered=False))
+        else:
+            self._tell(primary, HoldFailed(order.runner, HoldFailure.NO_ANSWER))
+
+    def _hold(self, primary, term, order, runner, waited=False):
+        if term < runner.fence:
+            self.at(self.latency(), self._tell, primary, HoldFailed(order.runner, HoldFailure.FENCED))
+            return
+        runner.fence = term
+        if not waited:
+            self.noted |= {e.task for e in runner.ends if e.sequence <= order.last_seen and e.how == "done"}
+            runner.ends = [e for e in runner.ends if e.sequence > order.last_seen]
+            if order.deadline_ms and runner.running:
+                self._hold_until(runner, order.deadline_ms)
+            if not runner.ends and order.wait_ms:
+                self.at(0.2, self._hold, primary, term, order, runner, True)
+                return
+        if not runner.up or not runner.reachable:
+            self.at(1.0, self._lose_answer, primary, order)
+            return
+        running = tuple(RunningTask(task, run.number) for task, run in runner.running.items())
+        answer = HoldAnswered(runner.id, self.clock_ms(runner), running, tuple(runner.ends))
+        self.at(self.latency(), self._tell, primary, answer)
+
+    def _hold_until(self, runner, deadline_ms):
+        limit = self.clock_ms(runner) + self.hold_limit * 1000
+        runner.hold_ms = max(runner.hold_ms, min(deadline_ms, limit))
+        self.at((runner.hold_ms - self.clock_ms(runner)) / 1000 / runner.rate + 0.001, self._lapse, runner)
+
+    def _lapse(self, runner):
+        if self.clock_ms(runner) >= runner.hold_ms:
+            for task, run in list(runner.running.items()):
+                self._end(runner, task, run, "lapsed")
+
+    def _start(self, runner, term, order, generation):
+        if not runner.up or generation != runner.generation:
+            return StartResult.REPLACED
+        if term < runner.fence:
+            return StartResult.FENCED
+        runner.fence = term
+        run = runner.running.get(order.task)
+        if run is not None and run.number == order.number:
+            self._hold_until(runner, order.deadline_ms)
+            return StartResult.STARTED
+        if run is not None or order.number <= runner.ended_runs.get(order.task, 0):
+            return StartResult.OLD
+        if order.deadline_ms <= self.clock_ms(runner):
+            return StartResult.TOO_LATE
+        step = self._step(order.task)
+        if sum(self._step(task).needs.cpu for task in runner.running) + step.needs.cpu > runner.capacity.cpu:
+            return StartResult.NO_ROOM
+        self._check_start(runner, order)
+        self._hold_until(runner, order.deadline_ms)
+        seconds, how = self.work(order.task)
+        run = runner.running[order.task] = SimulatedRun(order.number, self.now + seconds, how)
+        self.starts.append((self.now, runner.id, order.task, order.number))
+        if step.gang:
+            self._join_gang(order.task, order.number, step, seconds)
+        else:
+            self.at(seconds, self._end, runner, order.task, run, how)
+        return StartResult.STARTED
+
+    def _step(self, task):
+        job, _, step, _ = task.split(".")
+        return self.specifications[int(job, 16)].steps[int(step)]
+
+    def _members(self, task, number):
+        prefix = task.rpartition(".")[0] + "."
+        return [
+            (runner, name, run)
+            for runner in self.runners.values()
+            if runner.up
+            for name, run in runner.running.items()
+            if name.startswith(prefix) and run.number == number
+        ]
+
+    def _join_gang(self, task, number, step, seconds):
+        members = self._members(task, number)
+        if len(members) == step.replica_count:
+            self.at(seconds, self._gang_done, task, number, step)
+        elif len(members) == 1:
+            self.at(4.0, self._gang_late, task, number, step)
+
+    def _gang_done(self, task, number, step):
+        members = self._members(task, number)
+        how = "done" if len(members) == step.replica_count else "broken"
+        for runner, name, run in members:
+            self._end(runner, name, run, how)
+
+    def _gang_late(self, task, number, step):
+        members = self._members(task, number)
+        if members and len(members) < step.replica_count:
+            self.alone += 1
+            for runner, name, run in members:
+                self._end(runner, name, run, "alone")
+
+    def _end(self, runner, task, run, how):
+        if not runner.up or runner.running.get(task) is not run:
+            return
+        del runner.running[task]
+        runner.ended_runs[task] = run.number
+        runner.last_end += 1
+        runner.ends.append(TaskEnd(runner.last_end, task, run.number, how))
+        if how == "done":
+            self.done.add(task)
+
+    def crash(self, runner_id):
+        """A runner ends; another one, with a new id, comes up later."""
+        runner = self.runners[runner_id]
+        runner.up, runner.generation = False, runner.generation + 1
+        runner.running = {}
+        self.at(3.0, self._unlist, runner)
+
+    def _unlist(self, runner):
+        runner.listed = False
+        new = f"{runner.id}x"
+        self.runners[new] = SimulatedRunner(new, runner.capacity)
+
+    # -- what must not happen -------------------------------------------------------
+    def _check_start(self, runner, order):
+        for other in self.runners.values():
+            if other.up and order.task in other.running:
+                self.wrong.append(
+                    f"{self.now:.3f} TWICE {order.task} run {order.number} on {runner.id} beside {other.id}"
+                )
+        if order.task in self.noted:
+            self.wrong.append(f"{self.now:.3f} TWICE {order.task} after its end was noted")
+        job, time, step, _ = order.task.split(".")
+        for earlier in self._step(order.task).depends_on:
+            count_needed = self.specifications[int(job, 16)].steps[earlier].replica_count
+            if any(f"{job}.{time}.{earlier}.{i}" not in self.done for i in range(count_needed)):
+                self.wrong.append(f"{self.now:.3f} ORDER {order.task}")
+        state = self.shown.get(int(job, 16))
+        if state is JobState.COMPLETED:
+            self.wrong.append(f"{self.now:.3f} TWICE {order.task} after its job was shown as completed")
--- /dev/null
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -0,0 +1,125 @@
+"""The scheduler on a simulated cluster, seed by seed: what must not happen doesn't, and all jobs complete."""
+
+import json
+import random
+import unittest
+
+from sparloom.scheduler.messages import JobState
+from tests.scheduler.simulated_cluster import Cluster
+
+
+def body(*steps, **more):
+    return json.dumps({"taskSpec": "x", "steps": list(steps), **more}).encode()
+
+
+class Calm(unittest.TestCase):
+    def test_a_job_of_two_steps_completes_in_order(self):
+        cluster = Cluster(1, work=lambda _task: (0.5, "done"))
+        cluster.submit(1, body({"replicaCount": 4, "cpu": 1000}, {"replicaCount": 2, "cpu": 1000, "dependsOn": [0]}))
+        cluster.run(3)
+        self.assertEqual(cluster.shown, {1: JobState.COMPLETED})
+        self.assertEqual(len(cluster.starts), 6)
+        self.assertEqual(cluster.wrong, [])
+
+    def test_a_job_that_always_fails_is_given_up_after_its_attempts(self):
+        cluster = Cluster(1, work=lambda _task: (0.1, "failed"))
+        cluster.submit(1, body({"replicaCount": 1}))
+        cluster.run(5)
+        self.assertEqual(cluster.shown, {1: JobState.FAILED})
+        self.assertEqual(len(cluster.starts), 3)
+
+    def test_a_gang_starts_together_and_one_end_stands_for_all(self):
+        cluster = Cluster(1, work=lambda _task: (0.5, "done"))
+        cluster.submit(1, body({"replicaCount": 6, "cpu": 5000, "gangScheduled": True}))
+        cluster.run(3)
+        self.assertEqual(cluster.shown, {1: JobState.COMPLETED})
+        self.assertEqual({number for _, _, _, number in cluster.starts}, {1})
+        self.assertLess(cluster.starts[-1][0] - cluster.starts[0][0], 0.05)
+        self.assertEqual((cluster.alone, cluster.wrong), (0, []))
+
+    def test_times_begin_when_they_fall_due_and_not_before(self):
+        cluster = Cluster(1, work=lambda _task: (0.2, "done"))
+        first = int(cluster.wall_ms()) + 1000
+        cluster.submit(1, body({"replicaCount": 1}, repetitions=3, initialDelayMs=first, intervalMs=2000))
+        cluster.run(8)
+        self.assertEqual(cluster.shown, {1: JobState.COMPLETED})
+        began = [round(at - cluster.starts[0][0], 1) for at, *_ in cluster.starts]
+        self.assertEqual(began, [0.0, 2.0, 4.0])
+        self.assertGreaterEqual(cluster.starts[0][0], 101.0)
+
+    def test_tasks_that_last_are_started_again_until_the_job_is_cancelled(self):
+        cluster = Cluster(1, work=lambda _task: (1.0, "failed"))
+        cluster.submit(1, body({"replicaCount": 2, "longRunning": True}))
+        cluster.run(6)
+        self.assertEqual(cluster.shown, {})
+        self.assertGreater(len(cluster.starts), 8)
+        cluster.cancel(1)
+        cluster.run(1)
+        started = len(cluster.starts)
+        cluster.run(3)
+        self.assertEqual(cluster.shown, {1: JobState.CANCELLED})
+        self.assertEqual(len(cluster.starts), started)
+        self.assertEqual([r.running for r in cluster.runners.values() if r.running], [])
+
+    def test_a_requirement_and_a_limit_of_tasks_on_one_runner_are_kept(self):
+        cluster = Cluster(1, work=lambda _task: (1.0, "done"))
+        cluster.submit(1, body({"replicaCount": 8, "cpu": 100, "antiAffinity": 1}))
+        cluster.submit(2, body({"replicaCount": 1, "requirements": "unknown"}))
+        cluster.run(3)
+        self.assertEqual(len({runner for _, runner, _, _ in cluster.starts}), 8)
+        self.assertEqual(cluster.shown, {1: JobState.COMPLETED})
+
+    def test_what_can_never_fit_holds_nothing_back(self):
+        cluster = Cluster(1, work=lambda _task: (0.2, "done"))
+        cluster.submit(1, body({"replicaCount": 1, "cpu": 9000}))
+        cluster.run(3)
+        cluster.submit(2, body({"replicaCount": 1, "cpu": 500}))
+        cluster.run(2)
+        self.assertEqual(cluster.shown, {2: JobState.COMPLETED})
+
+    def test_a_gang_is_not_starved_by_what_comes_later(self):
+        cluster = Cluster(1, runners=4, work=lambda _task: (1.0, "done"))
+        for job in range(10, 40):
+            cluster.at(job * 0.1, cluster.submit, job, body({"replicaCount": 4, "cpu": 4000}))
+        cluster.at(2.0, cluster.submit, 1, body({"replicaCount": 4, "cpu": 4500, "gangScheduled": True}))
+        cluster.run(9)
+        self.assertEqual(cluster.shown.get(1), JobState.COMPLETED)
+
+
+class Faults(unittest.TestCase):
+    """Orders without an answer that are carried out late, crashes, cuts, and primaries that change."""
+
+    def play(self, seed, seconds=25):
+        luck = random.Random(seed)
+        cluster = Cluster(seed, runners=10, faults=0.06)
+        for job in range(1, 31):
+            steps = [{"replicaCount": luck.randint(1, 6), "cpu": luck.choice((500, 1500, 3000))}]
+            if luck.random() < 0.5:
+                steps.append({"replicaCount": luck.randint(1, 4), "cpu": 1000, "dependsOn": [0]})
+            if luck.random() < 0.2:
+                steps[0]["gangScheduled"] = True
+            cluster.at(luck.uniform(0, seconds * 0.6), cluster.submit, job, body(*steps))
+        for _ in range(3):
+            cluster.at(luck.uniform(2, seconds), cluster.new_primary)
+            cluster.at(luck.uniform(2, seconds), cluster.crash, f"i-{luck.randrange(5)}")
+            runner = cluster.runners[f"i-{5 + luck.randrange(5)}"]
+            cut = luck.uniform(2, seconds)
+            cluster.at(cut, setattr, runner, "reachable", False)
+            cluster.at(cut + luck.uniform(0.5, 12), setattr, runner, "reachable", True)
+        cluster.run(seconds)
+        cluster.faults = 0.0
+        cluster.run(40)
+        return cluster
+
+    def test_nothing_runs_twice_and_every_job_ends_whatever_happens(self):
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                cluster = self.play(seed)
+                self.assertEqual(cluster.wrong, [])
+                self.assertEqual(sorted(cluster.shown), list(range(1, 31)))
+                for job, state in cluster.shown.items():
+                    self.assertIn(state, (JobState.COMPLETED, JobState.FAILED), job)
+
+
+if __name__ == "__main__":
+    unittest.main()
