Jobs on the controllers: a consensus group of their own, group commit, calls to runners

Change: JobService keeps all jobs in one state of a second consensus group, many changes in each write, and carries the scheduler's instructions out while its member leads. The term is stored before a runner sees it as fence; an end is forgotten by its runner once what followed from it is stored.

--- /dev/null
+++ b/sparloom/controller/job_service.py
@@ -0,0 +1,393 @@
+"""Jobs on one controller: their storage, the scheduler while this member is the job primary, and routers' calls.
+
+Jobs have a consensus group of their own among the controllers, with a disk
+file, a port and a primary of its own (``docs/notes/scheduler.md``). Its
+primary stores all jobs in one state, many changes in each write, and orders
+the runners.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import aiohttp
+from absl import logging
+from attrs import define, evolve, field
+from mode import Service
+
+from sparloom.scheduler.events import RunnersListed
+from sparloom.scheduler.jobs import Job, JobStore, queue_checksum
+from sparloom.scheduler.messages import JobAction, JobCall, JobOutcome, JobReply, JobState
+from sparloom.scheduler.runners import RunnerListing, read_listing
+from sparloom.scheduler.scheduler import JobTiming, Scheduler
+from sparloom.scheduler.specification import parse_job
+from sparloom.settings import ORDERS_BY_CALL
+from sparloom.transport import monotonic
+from sparloom.transport.http_client import Connector, open_session
+
+from .consensus_service import ConsensusService
+from .job_calls import serve_job_calls
+from .runner_calls import RunnerCalls
+
+if TYPE_CHECKING:
+    from sparloom.codec import Record
+    from sparloom.consensus import Data
+    from sparloom.scheduler.events import Event
+    from sparloom.scheduler.messages import EndedJob
+    from sparloom.scheduler.scheduler import Changes
+    from sparloom.settings import Settings
+    from sparloom.transport import Frames
+
+DATA_FOLDER = "jobs"
+TICK_S = 0.02
+IDLE_PAUSE_S = 0.05
+# The platform's list is read so often, in seconds, and a call for a page may take so long.
+LIST_INTERVAL_S = 1.0
+LIST_TIMEOUT_S = 1.0
+# Ended jobs are shown for longer than is asked for by this.
+KEPT_MARGIN = timedelta(seconds=30)
+MAXIMUM_ACTIVE_JOBS = 20_000
+MAXIMUM_ENDED_JOBS = 60_000
+# A write that is not over by then is looked at again.
+WRITE_TIMEOUT = timedelta(seconds=5)
+CONFIRM_TIMEOUT = timedelta(seconds=1)
+STALL_TIMEOUT = timedelta(seconds=2)
+
+
+def wall_clock_ms() -> int:
+    """Return the time of day, in milliseconds since 1970.
+
+    >>> wall_clock_ms() > 1_600_000_000_000
+    True
+    """
+    return int(time.time() * 1000)
+
+
+@define(slots=True, eq=False)
+class _Term:
+    """What lives as long as this member is the job primary without a break.
+
+    Attributes
+    ----------
+    epoch
+        The epoch of the consensus group.
+    store
+        The bytes of all jobs, those that are not stored yet included.
+    scheduler, calls
+        Decide where tasks run, and carry it out.
+    arriving
+        Jobs that are not stored yet, by id.
+    ended
+        Jobs whose end is stored, by id: what clients are shown.
+    unstored
+        Jobs and cancellations that the next write takes.
+    next_write, current_write
+        Resolved with whether the next write, or the one under way, has been stored.
+    awaited
+        Whether somebody waits for the next write, even if it has nothing to store.
+    """
+
+    epoch: int
+    store: JobStore
+    scheduler: Scheduler
+    calls: RunnerCalls
+    arriving: dict[int, Job] = field(factory=dict)
+    ended: dict[int, EndedJob] = field(factory=dict)
+    unstored: dict[int, Job] = field(factory=dict)
+    next_write: asyncio.Future[bool] = field(factory=lambda: asyncio.get_running_loop().create_future())
+    awaited: bool = False
+    current_write: asyncio.Future[bool] | None = None
+
+
+class JobService(Service):
+    """One controller's part in keeping and running jobs.
+
+    Attributes
+    ----------
+    settings : Settings
+        The settings of the process.
+    consensus : ConsensusService
+        This controller's member of the jobs' consensus group.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.consensus = ConsensusService(self._group_settings(settings), self._serve, self._on_committed)
+        self._term: _Term | None = None
+        self._wake = asyncio.Event()
+
+    @staticmethod
+    def _group_settings(settings: Settings) -> Settings:
+        """The settings of the jobs' group: another port and another folder."""
+        folder = os.path.join(settings.data or "", DATA_FOLDER)
+        return evolve(settings, ports=(settings.job_port, settings.ports[1]), data=folder)
+
+    def apply_settings(self, settings: Settings) -> None:
+        """Goes by other checked settings from now on."""
+        self.settings = settings
+        self.consensus.apply_settings(self._group_settings(settings))
+
+    async def on_start(self) -> None:
+        """Starts the consensus group's member."""
+        if self.settings.orders != ORDERS_BY_CALL:
+            logging.warning("jobs: refused, since orders=%r is not known here", self.settings.orders)
+        await self.add_runtime_dependency(self.consensus)
+
+    async def on_stop(self) -> None:
+        """Ends the term, if there is one."""
+        await self._end_term()
+
+    def _on_committed(self, data: Data) -> None:
+        """The group has committed a state; the write's caller takes note of it."""
+
+    # -- terms --------------------------------------------------------------------
+    def _leading_epoch(self) -> int | None:
+        member = self.consensus.member
+        leadership = member.leadership if member.leading() else None
+        return leadership.epoch if leadership else None
+
+    def _active(self) -> _Term | None:
+        """The term, if this member is still its primary."""
+        term = self._term
+        return term if term is not None and self._leading_epoch() == term.epoch else None
+
+    @Service.task
+    async def _lead(self) -> None:
+        """Begins and ends terms, and writes what has changed."""
+        while not self.should_stop:
+            epoch = self._leading_epoch()
+            if self._term is not None and (self._term.epoch != epoch or self._term.scheduler.deposed):
+                await self._end_term()
+            if epoch is None:
+                await asyncio.sleep(IDLE_PAUSE_S)
+            elif self._term is None:
+                await self._begin_term(epoch)
+            else:
+                await self._write_changes(self._term)
+
+    async def _begin_term(self, epoch: int) -> None:
+        """Stores a new term, then takes up what the last one has stored."""
+        data = await self.consensus.confirm(CONFIRM_TIMEOUT)
+        if data is None or self._leading_epoch() != epoch:
+            await asyncio.sleep(IDLE_PAUSE_S)
+            return
+        store = JobStore.load(data.blob)
+        store.term += 1
+        # The fence must be on the disks before a runner sees it: the next primary goes above it.
+        written = await self.consensus.write(0, store.blob(), WRITE_TIMEOUT)
+        if written is None or self._leading_epoch() != epoch:
+            await asyncio.sleep(IDLE_PAUSE_S)
+            return
+        timing = JobTiming(self.settings.jobs.hold_limit.total_seconds(), self.settings.jobs.gang.total_seconds())
+        scheduler = Scheduler(store.term, monotonic().total_seconds(), timing)
+        calls = RunnerCalls(store.term, self._on_event)
+        self._term = _Term(epoch, store, scheduler, calls, ended=dict(store.ended))
+        for job in store.jobs():
+            scheduler.add(job)
+        logging.info("jobs: term began term=%d active=%d ended=%d", store.term, len(store.active), len(store.ended))
+
+    async def _end_term(self) -> None:
+        term, self._term = self._term, None
+        if term is None:
+            return
+        for write in (term.current_write, term.next_write):
+            if write is not None and not write.done():
+                write.set_result(False)
+        await term.calls.close()
+        logging.info("jobs: term ended term=%d", term.store.term)
+
+    # -- storing ------------------------------------------------------------------
+    async def _write_changes(self, term: _Term) -> None:
+        """Stores what has changed since the last write, all of it in one."""
+        changes = term.scheduler.take_changes()
+        if changes is None and not term.unstored and not term.awaited:
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            return
+        arrived, term.unstored = term.unstored, {}
+        changed = {job.id: job for job in changes.jobs} if changes else {}
+        write, term.next_write = term.next_write, asyncio.get_running_loop().create_future()
+        term.awaited = False
+        term.current_write = write
+        if arrived or changed:
+            now_ms = wall_clock_ms()
+            for job in (arrived | changed).values():
+                term.store.put(job, now_ms)
+            term.store.forget(now_ms - int((self.settings.jobs.status + KEPT_MARGIN).total_seconds() * 1000))
+            if not await self._write(term):
+                return
+        self._on_stored(term, arrived, changes)
+        if not write.done():
+            write.set_result(True)
+
+    async def _write(self, term: _Term) -> bool:
+        """Writes the store, again and again while this member leads; returns whether it is stored."""
+        blob = term.store.blob()
+        while self._term is term and self._leading_epoch() == term.epoch:
+            if await self.consensus.write(0, blob, WRITE_TIMEOUT) is not None:
+                return self._leading_epoch() == term.epoch
+            await asyncio.sleep(IDLE_PAUSE_S)
+        return False
+
+    def _on_stored(self, term: _Term, arrived: dict[int, Job], changes: Changes | None) -> None:
+        for job in arrived.values():
+            if term.arriving.pop(job.id, None) is not None:
+                term.scheduler.add(job)
+        if changes is not None:
+            term.scheduler.stored(changes)
+            for job_id in changes.ended:
+                term.ended[job_id] = term.store.ended[job_id]
+        if len(term.ended) > len(term.store.ended):
+            term.ended = {job_id: ended for job_id, ended in term.ended.items() if job_id in term.store.ended}
+
+    async def _stored(self, term: _Term) -> bool:
+        """Waits until what has changed up to now is stored; returns whether it is known to be."""
+        term.awaited = True
+        self._wake.set()
+        return await asyncio.shield(term.next_write)
+
+    # -- the scheduler --------------------------------------------------------------
+    def _on_event(self, event: Event) -> None:
+        term = self._active()
+        if term is None:
+            return
+        now = monotonic().total_seconds()
+        for instruction in term.scheduler.handle(event, now, wall_clock_ms()):
+            term.calls.carry_out(instruction)
+        self._wake.set()
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(TICK_S)
+            term = self._active()
+            if term is None:
+                continue
+            for instruction in term.scheduler.tick(monotonic().total_seconds(), wall_clock_ms()):
+                term.calls.carry_out(instruction)
+
+    @Service.task
+    async def _list_runners(self) -> None:
+        """Reads the platform's list while this member is the job primary."""
+        platform = self.settings.cloud
+        if platform is None:
+            return
+        async with open_session(Connector(), timeout=aiohttp.ClientTimeout(total=LIST_TIMEOUT_S)) as session:
+            while not self.should_stop:
+                term = self._active()
+                if term is None:
+                    await asyncio.sleep(IDLE_PAUSE_S)
+                    continue
+                runners = await self._read_list(session, f"http://{platform.address}/instances")
+                if runners is not None and self._active() is term:
+                    self._on_event(RunnersListed(tuple(runners)))
+                await asyncio.sleep(LIST_INTERVAL_S if runners is not None else IDLE_PAUSE_S * 4)
+
+    @staticmethod
+    async def _read_list(session: aiohttp.ClientSession, url: str) -> list[RunnerListing] | None:
+        """Reads all pages; None where one can't be had."""
+        runners: list[RunnerListing] = []
+        token: str | None = None
+        try:
+            while True:
+                params = {"pageToken": token} if token else {}
+                async with session.get(url, params=params, allow_redirects=False) as response:
+                    document = await response.json(content_type=None) if response.status == 200 else None
+                page = read_listing(document).value_or(None)
+                if page is None:
+                    return None
+                runners += page[0]
+                token = page[1]
+                if token is None:
+                    return runners
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            logging.debug("jobs: the list of runners failed error=%s", type(error).__name__)
+            return None
+
+    # -- routers' calls ---------------------------------------------------------------
+    async def _serve(self, frames: Frames, first: Record) -> None:
+        await serve_job_calls(frames, first, self.answer, STALL_TIMEOUT)
+
+    async def answer(self, call: JobCall) -> JobReply:
+        """Answers one call; only the job primary does, and any other member names it."""
+        if self.settings.orders != ORDERS_BY_CALL:
+            return JobReply(call.number, JobOutcome.REJECTED, 0, 0, "")
+        term = self._active()
+        if term is None:
+            return self._not_primary(call)
+        if call.action == JobAction.SUBMIT:
+            return await self._submit(term, call)
+        if call.action == JobAction.CANCEL:
+            return await self._cancel(term, call)
+        if call.action == JobAction.SHOW:
+            return self._show(term, call)
+        return JobReply(call.number, JobOutcome.OK, 0, self._count_queued(term, call.queue), "")
+
+    def _not_primary(self, call: JobCall) -> JobReply:
+        member = self.consensus.member
+        primary = member.primary()
+        known = primary is not None and primary.id != member.member.id
+        address = f"{primary.host}:{primary.port}" if primary is not None and known else ""
+        return JobReply(call.number, JobOutcome.NOT_PRIMARY, 0, 0, address)
+
+    async def _submit(self, term: _Term, call: JobCall) -> JobReply:
+        if call.job in term.ended or call.job in term.scheduler.jobs:
+            return JobReply(call.number, JobOutcome.OK, 0, 0, "")
+        if call.job not in term.arriving:
+            parsed = parse_job(call.body)
+            specification = parsed.value_or(None)
+            if specification is None:
+                return JobReply(call.number, JobOutcome.INVALID, 0, 0, str(parsed.failure()))
+            if len(term.store.active) >= MAXIMUM_ACTIVE_JOBS or len(term.store.ended) >= MAXIMUM_ENDED_JOBS:
+                return JobReply(call.number, JobOutcome.REJECTED, 0, 0, "")
+            job = Job(call.job, call.queue, call.policy, specification, call.body, wall_clock_ms())
+            term.arriving[job.id] = term.unstored[job.id] = job
+            write = term.next_write
+        else:
+            # The same job came by another connection and is not stored yet.
+            in_next = call.job in term.unstored
+            write = term.next_write if in_next or term.current_write is None else term.current_write
+        self._wake.set()
+        outcome = JobOutcome.OK if await asyncio.shield(write) else JobOutcome.UNKNOWN
+        return JobReply(call.number, outcome, 0, 0, "")
+
+    async def _cancel(self, term: _Term, call: JobCall) -> JobReply:
+        if call.job in term.arriving:
+            await self._stored(term)
+        job = term.scheduler.jobs.get(call.job)
+        if job is None or job.queue != call.queue:
+            known = self._ended_in_queue(term, call) is not None
+            return JobReply(call.number, JobOutcome.OK if known else JobOutcome.GONE, 0, 0, "")
+        if job.end_stored:
+            return JobReply(call.number, JobOutcome.OK, 0, 0, "")
+        term.scheduler.cancel(job)
+        stored = await self._stored(term)
+        return JobReply(call.number, JobOutcome.OK if stored else JobOutcome.UNKNOWN, 0, 0, "")
+
+    def _ended_in_queue(self, term: _Term, call: JobCall) -> EndedJob | None:
+        ended = term.ended.get(call.job)
+        return ended if ended is not None and ended.queue == queue_checksum(call.queue) else None
+
+    def _show(self, term: _Term, call: JobCall) -> JobReply:
+        ended = self._ended_in_queue(term, call)
+        if ended is not None:
+            return JobReply(call.number, JobOutcome.OK, ended.state, 0, "")
+        job = term.scheduler.jobs.get(call.job) or term.arriving.get(call.job)
+        if job is None or job.queue != call.queue:
+            return JobReply(call.number, JobOutcome.GONE, 0, 0, "")
+        state = JobState.SERVING if job.begun else JobState.QUEUED
+        return JobReply(call.number, JobOutcome.OK, state, 0, "")
+
+    @staticmethod
+    def _count_queued(term: _Term, queue: str) -> int:
+        """The accepted jobs of a queue of which no task has begun."""
+        return sum(job.queue == queue and not job.begun and job.end is None for job in term.scheduler.jobs.values())
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from absl import logging
 
 from sparloom.serving_program import ServingProgram, serve_until_signalled
+from sparloom.settings import JOB_DEPLOYMENT
 
 from .consensus_service import ConsensusService
 from .control_api import ControlApi
@@ -17,6 +19,8 @@
     from sparloom.consensus import Data
     from sparloom.settings import Settings
 
+    from .job_service import JobService
+
 # The part of the grace period that a planned leave may take.
 LEAVE_PART_OF_GRACE = 0.5
 
@@ -34,6 +38,8 @@
         Publishes the configuration and the endpoint list to the routers.
     poller : EndpointPoller
         Keeps the endpoint list up to date while this controller is the primary.
+    jobs : JobService or None
+        Keeps and runs jobs, on deployments that have them.
     """
 
     def __init__(self, settings: Settings, path: str) -> None:
@@ -44,8 +50,18 @@
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
         self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
         self.feed_server.consensus = self.consensus
+        self.jobs = self._job_service(settings)
         self._leave_timeout = settings.bounds.grace * LEAVE_PART_OF_GRACE
 
+    @staticmethod
+    def _job_service(settings: Settings) -> JobService | None:
+        if settings.deployment != JOB_DEPLOYMENT:
+            return None
+        # Other deployments don't spend time and memory of a start on it.
+        from .job_service import JobService
+
+        return JobService(settings)
+
     def _on_committed(self, data: Data) -> None:
         self.control_api.on_committed(data)
 
@@ -53,17 +69,22 @@
         """Starts the services in the order in which they need each other."""
         for service in (self.consensus, self.control_api, self.poller):
             await self.add_runtime_dependency(service)
+        if self.jobs is not None:
+            await self.add_runtime_dependency(self.jobs)
         await self.start_metrics_reporter()
 
     def apply_settings(self, settings: Settings) -> None:
         """Goes by other checked settings from now on."""
         self.settings = settings
         self.consensus.apply_settings(settings)
+        if self.jobs is not None:
+            self.jobs.apply_settings(settings)
 
     async def graceful_shutdown(self) -> None:
         """Leaves the consensus, so that neither data nor votes rest on this controller any more."""
         logging.info("controller: stopping")
-        await self.consensus.leave(self._leave_timeout)
+        groups = [self.consensus, *([self.jobs.consensus] if self.jobs is not None else [])]
+        await asyncio.gather(*(group.leave(self._leave_timeout) for group in groups))
 
 
 async def serve(settings: Settings, path: str) -> None:
--- /dev/null
+++ b/sparloom/controller/runner_calls.py
@@ -0,0 +1,179 @@
+"""Carries the scheduler's instructions to the runners, and brings their answers back as events."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from absl import logging
+
+from sparloom.scheduler.events import (
+    HoldAnswered,
+    HoldFailed,
+    HoldFailure,
+    HoldRunner,
+    RunningTask,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopAnswered,
+    StopRun,
+    TaskEnd,
+)
+from sparloom.transport.http_client import Connector, open_session
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sparloom.scheduler.events import Event, Instruction
+
+START_PATH = "/-/run-start"
+STOP_PATH = "/-/run-stop"
+HOLD_PATH = "/-/hold"
+EXPECTED_INSTANCE = "X-Sparloom-Expected-Instance"
+# An order that is not answered within so many seconds counts as unanswered.
+ORDER_TIMEOUT_S = 1.0
+# Beyond the time that a runner may wait for an end.
+HOLD_TIMEOUT_S = 1.0
+# A connection that rests longer than this is not used again: runners close theirs after a while.
+IDLE_CONNECTION_S = 1.5
+# Ends beyond these come with the next list.
+ENDS_AT_ONCE = 500
+NO_ANSWER = 0
+
+CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+_START_REASONS = {
+    "fence": StartResult.FENCED,
+    "old": StartResult.OLD,
+    "late": StartResult.TOO_LATE,
+    "room": StartResult.NO_ROOM,
+}
+_START_STATUSES = {
+    HTTPStatus.OK: StartResult.STARTED,
+    HTTPStatus.BAD_REQUEST: StartResult.UNHEALTHY,
+    HTTPStatus.TOO_MANY_REQUESTS: StartResult.UNHEALTHY,
+    HTTPStatus.SERVICE_UNAVAILABLE: StartResult.UNHEALTHY,
+    HTTPStatus.MISDIRECTED_REQUEST: StartResult.REPLACED,
+}
+
+
+class RunnerCalls:
+    """The calls to runners of one term.
+
+    Parameters
+    ----------
+    term
+        The fence of every call.
+    on_event
+        Is given each answer.
+    """
+
+    def __init__(self, term: int, on_event: Callable[[Event], None]) -> None:
+        self.term, self.on_event = term, on_event
+        connector = Connector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+        self.session = open_session(connector, timeout=aiohttp.ClientTimeout(total=None))
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def carry_out(self, instruction: Instruction) -> None:
+        """Begin a call; its answer comes as an event."""
+        if isinstance(instruction, StartRun):
+            call = self._start(instruction)
+        elif isinstance(instruction, StopRun):
+            call = self._stop(instruction)
+        else:
+            call = self._hold(instruction)
+        task = asyncio.get_running_loop().create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """End all calls under way, and close the connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await self.session.close()
+
+    async def _post(
+        self, address: str, path: str, runner: str, body: dict[str, Any], timeout_s: float
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the status and the JSON object of an answer; an empty object where there is none.
+
+        Raises
+        ------
+        aiohttp.ClientError, OSError, TimeoutError, ValueError
+            No answer came, or none that can be read.
+        """
+        headers = {"Content-Type": "application/json", EXPECTED_INSTANCE: runner}
+        raw = json.dumps(body, separators=(",", ":")).encode()
+        async with (
+            asyncio.timeout(timeout_s),
+            self.session.post(f"http://{address}{path}", data=raw, headers=headers, allow_redirects=False) as answer,
+        ):
+            content = await answer.read()
+            document = json.loads(content) if content[:1] == b"{" else {}
+            return answer.status, document
+
+    async def _start(self, order: StartRun) -> None:
+        body = {
+            "task": order.task,
+            "runId": order.number,
+            "taskSpec": order.task_spec,
+            "deadlineMs": order.deadline_ms,
+            "fenceNumber": self.term,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        clock_ms = 0.0
+        try:
+            status, document = await self._post(order.address, START_PATH, order.runner, body, ORDER_TIMEOUT_S)
+            clock_ms = float(document.get("clockMs", 0))
+            result = _START_STATUSES.get(HTTPStatus(status), StartResult.NO_ANSWER)
+            if status == HTTPStatus.CONFLICT:
+                result = _START_REASONS.get(str(document.get("reason")), StartResult.NO_ANSWER)
+            if status == HTTPStatus.BAD_REQUEST:
+                logging.warning("scheduler: start rejected task=%s runner=%s", order.task, order.runner)
+        except aiohttp.ClientConnectorError:
+            result = StartResult.UNREACHABLE
+        except CALL_ERRORS:
+            result = StartResult.NO_ANSWER
+        self.on_event(StartAnswered(order.runner, order.task, order.number, result, clock_ms))
+
+    async def _stop(self, order: StopRun) -> None:
+        body = {"task": order.task, "runId": order.number, "fenceNumber": self.term}
+        answered = fenced = False
+        try:
+            status, document = await self._post(order.address, STOP_PATH, order.runner, body, ORDER_TIMEOUT_S)
+            answered = status == HTTPStatus.OK
+            fenced = status == HTTPStatus.CONFLICT and document.get("reason") == "fence"
+        except CALL_ERRORS:
+            pass
+        self.on_event(StopAnswered(order.runner, order.task, order.number, answered, fenced))
+
+    async def _hold(self, order: HoldRunner) -> None:
+        body = {"fenceNumber": self.term, "lastSeen": order.last_seen}
+        if order.deadline_ms:
+            body["deadlineMs"] = order.deadline_ms
+        if order.wait_ms:
+            body["waitMs"] = order.wait_ms
+        timeout_s = order.wait_ms / 1000 + HOLD_TIMEOUT_S
+        try:
+            status, document = await self._post(order.address, HOLD_PATH, order.runner, body, timeout_s)
+            self.on_event(self._hold_event(order.runner, status, document))
+        except (*CALL_ERRORS, KeyError, TypeError, IndexError):
+            self.on_event(HoldFailed(order.runner, HoldFailure.NO_ANSWER))
+
+    @staticmethod
+    def _hold_event(runner: str, status: int, document: dict[str, Any]) -> Event:
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            return HoldFailed(runner, HoldFailure.REPLACED)
+        if status == HTTPStatus.CONFLICT and document.get("reason") == "fence":
+            return HoldFailed(runner, HoldFailure.FENCED)
+        if status != HTTPStatus.OK:
+            return HoldFailed(runner, HoldFailure.NO_ANSWER)
+        running = tuple(RunningTask(item[0], item[1], item[2] or "") for item in document.get("running") or ())
+        ends = tuple(
+            TaskEnd(item[0], item[1], item[2], item[3], item[4] or "") for item in document.get("endTime") or ()
+        )
+        return HoldAnswered(runner, float(document["clockMs"]), running, ends)
