Jobs at the routers: calls go to the job primary; unknown deployments are refused

Cause of FAULT: a job was forwarded to a runner like a request and answered 502. Change: on deployments for jobs a queue's calls go to the job primary over one kept connection; on kinds of deployment that the program doesn't know each request gets 503 with Retry-After.

--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -12,7 +12,7 @@
 
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
-from sparloom.settings import SettingsError
+from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
 
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
@@ -29,6 +29,7 @@
     from sparloom.settings import Address, Settings
 
     from .client_connections import ClientConnection
+    from .job_requests import JobRequests
     from .router_node import RouterNode
 
 IDLE_SWEEP_INTERVAL = timedelta(seconds=1)
@@ -36,6 +37,8 @@
 SERVER_SHUTDOWN_TIMEOUT_S = 0.1
 # Retry-After, in seconds, of a router that has no configuration yet.
 RETRY_AFTER_UNCONFIGURED = "0.2"
+# The same, of a router whose kind of deployment this program doesn't know.
+RETRY_AFTER_UNKNOWN_DEPLOYMENT = "1"
 READY_PATH = "/-/ready"
 BELIEFS_PATH = "/-/beliefs"
 NOT_FOUND = 404
@@ -67,6 +70,7 @@
     graceful_shutdown: the moments of the graceful shutdown, once one has begun.
     forwarders: the requests in hand.
     outcomes: how requests have ended.
+    jobs: answers clients' calls about jobs; None on deployments without them.
     client_server, client_runner: the server for clients and what runs it, once clients are served.
     """
 
@@ -80,8 +84,22 @@
         self.graceful_shutdown: GracefulShutdown | None = None
         self.forwarders: set[RequestForwarder] = set()
         self.outcomes = Outcomes()
+        self.jobs = self._job_requests(settings, node)
         self._server_runners: list[web.ServerRunner] = []
 
+    @staticmethod
+    def _job_requests(settings: Settings, node: RouterNode) -> JobRequests | None:
+        if settings.deployment == MODEL_DEPLOYMENT:
+            return None
+        if settings.deployment != JOB_DEPLOYMENT:
+            logging.warning("frontend: all requests are refused, deployment=%r is not known", settings.deployment)
+            return None
+        # Other deployments don't spend time and memory of a start on it.
+        from .job_channel import JobChannel
+        from .job_requests import JobRequests
+
+        return JobRequests(node.snapshots, JobChannel(node.snapshots, node.membership))
+
     @property
     def stopping(self) -> bool:
         """Whether a graceful shutdown has begun."""
@@ -113,6 +131,8 @@
 
     async def on_stop(self) -> None:
         """Close all listening sockets and connections."""
+        if self.jobs is not None:
+            self.jobs.close()
         for runner in self._server_runners:
             await runner.cleanup()
 
@@ -157,6 +177,9 @@
     async def _respond(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Read a request, match it to a route and forward it."""
         received_at, state = monotonic(), self.node.snapshots
+        if self.settings.deployment not in (MODEL_DEPLOYMENT, JOB_DEPLOYMENT):
+            # Its calls may be of a kind that must not be forwarded: nothing is known to have run.
+            return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNKNOWN_DEPLOYMENT})
         await self.node.wait_known(time_remaining(http_request.headers, self.settings.bounds.contact))
         if state.configuration is None:
             return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNCONFIGURED})
@@ -172,6 +195,8 @@
         route = state.configuration.match(http_request.headers.get("Host", ""), path)
         if route is None:
             return web.Response(status=NOT_FOUND)
+        if self.jobs is not None:
+            return await self.jobs.answer(http_request, body, route)
         member, isolation = self.node.queues.member(route), self.settings.isolation
         request = parse_request(http_request, body, route, received_at, member, isolation)
         services = self.node.forwarding_services()
