Drain: the end asks the forwarders too, and its log line tells what was left

Cause looked at: the end of a drain was taken from the library's list of connections alone, while the frontend knows each request in flight. No way was found in which a running handler's connection is missing from that list (it is dropped only once its task is done), so this is a guard, not the repair of something seen. The log line 'drained' gives connections, requests in flight and outcomes, which the incident's logs lacked.

--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -231,6 +231,12 @@
         for forwarder in list(self.forwarders):
             forwarder.expire()
         await self._close_resting_connections(shutdown.ends_at)
+        logging.info(
+            "frontend: drained connections=%d in_flight=%d outcomes=%s",
+            len(self.client_server.connections),
+            len(self.forwarders),
+            self.outcomes.figures(),
+        )
 
     async def _stop_listening(self) -> None:
         """Accept no client's connection any more; the platform may still ask for readiness."""
@@ -238,11 +244,15 @@
             await site.stop()
 
     async def _close_resting_connections(self, until: timedelta) -> None:
-        """Close connections as they come to rest, until none is left or the time is over."""
+        """Close connections as they come to rest, until none is left or the time is over.
+
+        The library's list of connections alone doesn't tell that no request is
+        in flight: the forwarders are asked as well.
+        """
         while monotonic() < until:
             self.client_server.close_resting()
             await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
-            if not self.client_server.connections:
+            if not self.client_server.connections and not self.forwarders:
                 return
 
 
--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -262,6 +262,19 @@
         self.assertEqual(tally.lost, [])
         self.assertLess(self.ended, GRACE.total_seconds())
 
+    def test_a_request_in_flight_whose_connection_is_not_listed_holds_up_the_end(self):
+        async def story():
+            self.script("late", 4.5)
+            client = await self.client()
+            request = asyncio.ensure_future(self.ask(client, id="unlisted", left_ms=9000))
+            await self.until(1.0)
+            self.rig.front.client_server._connections.clear()
+            await request
+
+        tally = self.play(story)
+        self.assertEqual((len(tally.answered), tally.lost), (1, []))
+        self.assertGreater(self.ended, 3.4)
+
     def test_nothing_in_hand_ends_soon(self):
         async def story():
             pass
