Scheduler: runners in buckets by free processor, attention when due, one pass a tick

Change: RunnerIndex, JobQueue, a heap of due moments. Mutations: without each of five guards the play finds what must not be.

--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum, auto
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
@@ -174,6 +175,8 @@
         Whether a call to hold it is under way, when the newest one began, and whether the one before was answered.
     next_hold_at
         The next such call is not made earlier.
+    attend_at
+        When it is to be looked after next; infinite where nothing is due.
     seen_end
         Number of its newest end that was applied here.
     stored_end
@@ -198,6 +201,7 @@
     called_at: float = 0.0
     answers: bool = True
     next_hold_at: float = 0.0
+    attend_at: float = inf
     seen_end: int = 0
     stored_end: int = 0
     told_end: int = 0
@@ -205,9 +209,14 @@
     avoided_for: float = 0.0
     failures: int = 0
 
+    @property
+    def serving(self) -> bool:
+        """Whether it takes starts at all."""
+        return self.known and self.listed and not self.listing.draining
+
     def usable(self, now: float) -> bool:
-        """Whether it may be given a start."""
-        return self.known and self.listed and not self.listing.draining and now >= self.avoid_until
+        """Whether it may be given a start now."""
+        return self.serving and now >= self.avoid_until
 
     def fits(self, needs: Resources) -> bool:
         """Whether it has room for a task."""
@@ -220,25 +229,18 @@
 
     def could_fit(self, needs: Resources) -> bool:
         """Whether it would have room for a task if nothing ran there."""
-        capacity = self.listing.capacity
-        return needs.cpu <= capacity.cpu and needs.memory_mb <= capacity.memory_mb and needs.gpus <= capacity.gpus
+        return self.listing.capacity.covers(needs)
 
     def add(self, run: Run) -> None:
         """Take up a run."""
         self.runs[run.name] = run
-        self._take(run.step.specification.needs, 1)
+        self.used = self.used.plus(run.step.specification.needs)
 
     def remove(self, run: Run) -> None:
         """Drop a run whose end is known."""
         if self.runs.get(run.name) is run:
             del self.runs[run.name]
-            self._take(run.step.specification.needs, -1)
-
-    def _take(self, needs: Resources, sign: int) -> None:
-        used = self.used
-        self.used = Resources(
-            used.cpu + sign * needs.cpu, used.memory_mb + sign * needs.memory_mb, used.gpus + sign * needs.gpus
-        )
+            self.used = self.used.minus(run.step.specification.needs)
 
     # -- its clock --------------------------------------------------------------
     def note_clock(self, clock_ms: float, received_at: float) -> None:
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -14,8 +14,9 @@
 
 from __future__ import annotations
 
-from bisect import insort
+import heapq
 from functools import singledispatchmethod
+from math import inf
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -36,13 +37,14 @@
     StopRun,
     TaskEnd,
 )
+from .job_queue import JobQueue
 from .jobs import RUNS_PER_TERM, Job, Step, Task
 from .messages import JobState
-from .placement import Placement, choose, place_gang
+from .placement import RunnerIndex
 from .runners import SLOW_CLOCK, Run, Runner, RunPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from .specification import Resources
 
 # Part of the longest hold that is asked for: an order that is late by the rest still finds its deadline ahead.
 HOLD_PART = 0.9
@@ -63,6 +65,10 @@
 HOLDS_BACK_AFTER_S = 1.5
 # A gang is waited for only if it takes less than this part of all room there is.
 GANG_ROOM_PART = 0.6
+# Starts are looked for anew at least so often while something waits, in seconds: runners may be avoided no longer.
+PASS_INTERVAL_S = 0.1
+# All runners are looked after at least so often, in seconds.
+SWEEP_INTERVAL_S = 1.0
 # What an earlier primary has ordered may have been held for so much longer than a hold lasts, in seconds.
 ADOPTION_MARGIN_S = 1.0
 
@@ -130,18 +136,26 @@
     deposed: bool = False
     now: float = 0.0
     now_ms: float = 0.0
-    _order: list[tuple[int, int, int]] = field(factory=list)
+    _queue: JobQueue = field(factory=JobQueue)
+    _indexes: dict[str, RunnerIndex] = field(factory=dict)
+    _attention: list[tuple[float, str]] = field(factory=list)
     _listed: bool = False
     _changed_jobs: dict[int, Job] = field(factory=dict)
+    _unstored_ends: dict[str, int] = field(factory=dict)
     _dirty: bool = True
     _next_pass_at: float = 0.0
+    _next_sweep_at: float = 0.0
     _out: list[Instruction] = field(factory=list)
 
     # -- jobs -------------------------------------------------------------------
     def add(self, job: Job) -> None:
         """Take up a job that is stored."""
         self.jobs[job.id] = job
-        insort(self._order, (job.policy.priority, job.accepted_ms, job.id))
+        self._wake(job)
+
+    def _wake(self, job: Job) -> None:
+        """Something of a job may have to be started."""
+        self._queue.wake(job)
         self._dirty = True
 
     def cancel(self, job: Job) -> None:
@@ -159,19 +173,17 @@
     def forget(self, job: Job) -> None:
         """Drop a job whose end is stored and of which nothing runs."""
         self.jobs.pop(job.id, None)
-        key = (job.policy.priority, job.accepted_ms, job.id)
-        if key in self._order:
-            self._order.remove(key)
+        self._queue.remove(job)
 
     # -- what is stored ---------------------------------------------------------
     def take_changes(self) -> Changes | None:
         """Return what is to be stored next; None where nothing has changed."""
-        ends = {id: runner.seen_end for id, runner in self.runners.items() if runner.seen_end > runner.stored_end}
-        if not self._changed_jobs and not ends:
+        if not self._changed_jobs and not self._unstored_ends:
             return None
         jobs = tuple(self._changed_jobs.values())
-        changes = Changes(jobs, frozenset(job.id for job in jobs if job.end is not None), ends)
-        self._changed_jobs = {}
+        ended = frozenset(job.id for job in jobs if job.end is not None)
+        changes = Changes(jobs, ended, self._unstored_ends)
+        self._changed_jobs, self._unstored_ends = {}, {}
         return changes
 
     def stored(self, changes: Changes) -> None:
@@ -180,35 +192,33 @@
             runner = self.runners.get(runner_id)
             if runner is not None:
                 runner.stored_end = max(runner.stored_end, end)
+                self._attend(runner, runner.next_hold_at)
         for job in changes.jobs:
             job.end_stored = job.end_stored or job.id in changes.ended
             self._forget_if_over(job)
 
     # -- events -----------------------------------------------------------------
     def handle(self, event: Event, now: float, now_ms: float) -> list[Instruction]:
-        """Take an event; return the instructions that follow from it."""
+        """Take an event; return the instructions that follow from it at once; starts come with the next tick."""
         self.now, self.now_ms = now, now_ms
         self._apply(event)
-        return self._instructions()
+        return self._take_instructions()
 
     def tick(self, now: float, now_ms: float) -> list[Instruction]:
         """Let time pass; ``now_ms`` is the time of day in milliseconds since 1970."""
         self.now, self.now_ms = now, now_ms
-        if now >= self._next_pass_at:
-            self._dirty = True
-        for runner in list(self.runners.values()):
-            self._look_after(runner)
-        return self._instructions()
-
-    def _instructions(self) -> list[Instruction]:
-        if self.deposed:
-            self._out = []
-        elif self._dirty:
-            self._dirty = False
-            self._next_pass_at = self.now + 0.1
+        for job_id in self._queue.take_due(now_ms):
+            if job_id in self.jobs:
+                self._wake(self.jobs[job_id])
+        self._look_after_those_due()
+        if self._dirty or (self._queue and now >= self._next_pass_at):
+            self._dirty, self._next_pass_at = False, now + PASS_INTERVAL_S
             self._place_all()
+        return self._take_instructions()
+
+    def _take_instructions(self) -> list[Instruction]:
         out, self._out = self._out, []
-        return out
+        return [] if self.deposed else out
 
     @singledispatchmethod
     def _apply(self, event: Event) -> None:
@@ -221,11 +231,13 @@
         for listing in event.runners:
             runner = self.runners.get(listing.id)
             if runner is None:
-                self.runners[listing.id] = Runner(listing)
+                runner = self.runners[listing.id] = Runner(listing)
+                self._attend(runner, self.now)
             else:
-                runner.listing, runner.listed = listing, True
+                runner.listing = listing
         for runner_id, runner in list(self.runners.items()):
             runner.listed = runner_id in listed
+            self._reindex(runner)
             if not runner.listed and not runner.runs and not runner.calling:
                 del self.runners[runner_id]
         self._dirty = True
@@ -249,11 +261,14 @@
             self._lose(runner)
         elif event.result is StartResult.NO_ANSWER:
             run.unanswered = True
+            self._attend(runner, run.ordered_at + ORDER_RETRY_S)
         elif event.result is StartResult.OLD and run.unanswered:
             # An earlier order for it was carried out, and it has ended: the runner lists its end.
             self._on_started(run)
         elif not run.unanswered or event.result is StartResult.TOO_LATE:
             self._on_not_started(run, event.result)
+        else:
+            self._attend(runner, run.ordered_at + ORDER_RETRY_S)
 
     def _on_started(self, run: Run) -> None:
         run.step.job.begun = True
@@ -280,6 +295,8 @@
         run = runner.runs.get(event.task) if runner else None
         if run is not None and run.number == event.number:
             run.in_call = False
+            self._attend(run.runner, run.ordered_at + ORDER_RETRY_S)
+            self._hold_soon(run.runner)
             if event.answered:
                 run.stop_answered_at = run.stop_answered_at or self.now
         if event.fenced:
@@ -296,9 +313,11 @@
         elif event.why is HoldFailure.REPLACED:
             self._lose(runner)
             runner.known, runner.listed = True, False
+            self._reindex(runner)
         else:
             # Nothing new is given to a runner that doesn't answer.
             runner.avoid(self.now)
+        self._attend(runner, runner.next_hold_at)
 
     @_apply.register(HoldAnswered)
     def _(self, event: HoldAnswered) -> None:
@@ -309,9 +328,10 @@
         runner.note_clock(event.clock_ms, self.now)
         if not runner.known:
             runner.known = self._dirty = True
+            self._reindex(runner)
         for end in event.ends:
             if end.sequence > runner.seen_end:
-                runner.seen_end = end.sequence
+                runner.seen_end = self._unstored_ends[runner.listing.id] = end.sequence
                 self._on_end(runner, end)
         for running in event.running:
             self._on_running(runner, running)
@@ -370,6 +390,11 @@
         if run.task.index in run.step.waiting:
             run.step.waiting.remove(run.task.index)
         run.runner.add(run)
+        self._reindex(run.runner)
+
+    def _remove_run(self, run: Run) -> None:
+        run.runner.remove(run)
+        self._reindex(run.runner)
 
     def _on_end(self, runner: Runner, end: TaskEnd) -> None:
         """A runner lists an end for the first time."""
@@ -377,7 +402,7 @@
         if run is None or run.number != end.number:
             self._on_other_end(end)
             return
-        runner.remove(run)
+        self._remove_run(run)
         job, step, task = run.step.job, run.step, run.task
         job.begun = self._dirty = True
         if end.checkpoint and step.specification.checkpoints:
@@ -413,7 +438,7 @@
             self._stop(task.run)
         job = step.job
         self._changed_jobs[job.id] = job
-        self._dirty = True
+        self._wake(job)
         if job.close_ended_times() and job.end is None:
             self._end_job(job, JobState.COMPLETED)
 
@@ -432,11 +457,11 @@
         if step.specification.gang:
             for run in step.runs:
                 self._stop(run)
-        self._dirty = True
+        self._wake(step.job)
 
     def _drop_run(self, run: Run) -> None:
         """A run has surely not begun, or is surely gone: its task waits again."""
-        run.runner.remove(run)
+        self._remove_run(run)
         if run.task.run is run:
             self._restart(run.step, run.task, slowly=False)
         self._forget_if_over(run.step.job)
@@ -460,6 +485,36 @@
 
     def _hold_soon(self, runner: Runner) -> None:
         runner.next_hold_at = min(runner.next_hold_at, self.now + HOLD_PAUSE_S)
+        self._attend(runner, runner.next_hold_at)
+
+    def _attend(self, runner: Runner, at: float) -> None:
+        """Look after a runner at a moment, or earlier."""
+        if at < runner.attend_at:
+            runner.attend_at = at
+            heapq.heappush(self._attention, (at, runner.listing.id))
+
+    def _look_after_those_due(self) -> None:
+        if self.now >= self._next_sweep_at:
+            self._next_sweep_at = self.now + SWEEP_INTERVAL_S
+            for runner in list(self.runners.values()):
+                self._look_after(runner)
+        while self._attention and self._attention[0][0] <= self.now:
+            at, runner_id = heapq.heappop(self._attention)
+            due = self.runners.get(runner_id)
+            if due is not None and due.attend_at == at:
+                due.attend_at = inf
+                self._look_after(due)
+
+    def _reindex(self, runner: Runner) -> None:
+        """Note a runner's room and whether it takes starts."""
+        service = runner.listing.service
+        index = self._indexes.get(service)
+        if index is None:
+            index = self._indexes[service] = RunnerIndex()
+        if runner.serving:
+            index.put(runner)
+        else:
+            index.remove(runner.listing.id)
 
     def _look_after(self, runner: Runner) -> None:
         """Hold a runner whose runs, ends or clock matter; repeat orders; give up what has lapsed."""
@@ -468,9 +523,12 @@
         for run in list(runner.runs.values()):
             self._repeat_order(run)
             self._check_gang(run)
-        if runner.calling or self.now < runner.next_hold_at:
+        if runner.runs:
+            self._attend(runner, max(self.now, runner.hold_until) + HOLD_PAUSE_S)
+        if runner.calling or (runner.known and not runner.runs and runner.stored_end <= runner.told_end):
             return
-        if runner.known and not runner.runs and runner.stored_end <= runner.told_end:
+        if self.now < runner.next_hold_at:
+            self._attend(runner, runner.next_hold_at)
             return
         self._hold(runner)
 
@@ -542,34 +600,51 @@
     def _place_all(self) -> None:
         """Start what may start, in the order of the queues' priorities and of acceptance."""
         adopted = self._adopted()
-        usable: dict[str, list[Runner]] = {}
-        for runner in self.runners.values():
-            if runner.usable(self.now):
-                usable.setdefault(runner.listing.service, []).append(runner)
         held_back: set[str] = set()
-        for _, _, job_id in list(self._order):
+        too_large: dict[str, list[Resources]] = {}
+        for job_id in self._queue.ids():
             job = self.jobs[job_id]
-            if job.end is not None or (job.inherited and not adopted):
+            if job.inherited and not adopted:
                 continue
             job.open_due_times(self.now_ms)
             service = job.policy.service
-            if service in held_back:
-                continue
-            for step in job.ready_steps():
-                if not self._place_step(step, usable.get(service, [])):
-                    held_back.add(service)
-                    break
-
-    def _place_step(self, step: Step, runners: list[Runner]) -> bool:
-        """Start what fits of a step; return whether what comes later may start as well."""
-        place = self._place_gang if step.specification.gang else self._place_tasks
-        placed = place(step, runners)
-        if placed:
-            step.waiting_since = None
+            steps = list(job.ready_steps()) if job.end is None else []
+            if not steps:
+                self._queue.rest(job)
+            elif service not in held_back and not self._place_job(steps, too_large.setdefault(service, [])):
+                held_back.add(service)
+
+    def _place_job(self, steps: list[Step], too_large: list[Resources]) -> bool:
+        """Start what fits of a job's steps; return whether what comes later may start as well.
+
+        ``too_large`` gathers what a task needs for which no runner had room in this pass.
+        """
+        index = self._indexes.get(steps[0].job.policy.service)
+        for step in steps:
+            if index is not None and self._place_step(step, index, too_large):
+                step.waiting_since = None
+            elif self._is_held_back_by(step):
+                return False
+        return True
+
+    def _place_step(self, step: Step, index: RunnerIndex, too_large: list[Resources]) -> bool:
+        """Start what fits of a step; return whether nothing is left of it that could be started."""
+        if step.specification.gang:
+            return self._place_gang(step, index)
+        needs = step.specification.needs
+        if any(needs.covers(other) for other in too_large):
+            return False
+        if self._place_tasks(step, index):
             return True
+        if not step.specification.requirement and not step.specification.anti_affinity:
+            too_large.append(needs)
+        return False
+
+    def _is_held_back_by(self, step: Step) -> bool:
+        """Whether a step has waited for so long that what comes later must wait for it."""
         if step.waiting_since is None:
             step.waiting_since = self.now
-        return self.now - step.waiting_since < HOLDS_BACK_AFTER_S or not self._may_ever_fit(step)
+        return self.now - step.waiting_since >= HOLDS_BACK_AFTER_S and self._may_ever_fit(step)
 
     def _may_ever_fit(self, step: Step) -> bool:
         """Whether the step's runners would have room if nothing else ran there."""
@@ -587,37 +662,31 @@
         room = sum(runner.listing.capacity.cpu for runner in suitable)
         return specification.replica_count * specification.needs.cpu <= room * GANG_ROOM_PART
 
-    def _place_tasks(self, step: Step, runners: Iterable[Runner]) -> bool:
+    def _place_tasks(self, step: Step, index: RunnerIndex) -> bool:
         """Start tasks of a step as far as there is room; return whether none is left that could be started."""
         for _ in range(len(step.waiting)):
-            index = step.waiting[0]
-            task = step.tasks[index]
+            task = step.tasks[step.waiting[0]]
             if task.not_before > self.now:
                 step.waiting.rotate(-1)
                 continue
-            runner = choose(runners, step)
+            runner = index.choose_near(step, self.now)
             if runner is None:
                 return False
             self._start(step, task, runner, self._next_number(task))
         return True
 
-    def _place_gang(self, step: Step, runners: list[Runner]) -> bool:
+    def _place_gang(self, step: Step, index: RunnerIndex) -> bool:
         """Start all tasks of a gang at once, once none of an earlier run is under way."""
-        if step.runs:
-            return True
-        if any(task.not_before > self.now for task in step.tasks):
+        if step.runs or any(task.not_before > self.now for task in step.tasks):
             return True
-        placements = place_gang(runners, step)
+        placements = index.place_gang(step, self.now)
         if placements is None:
             return False
         number = max(self._next_number(task) for task in step.tasks)
         for placement in placements:
-            self._start_member(step, placement, number)
+            self._start(step, step.tasks[placement.index], placement.runner, number)
         return True
 
-    def _start_member(self, step: Step, placement: Placement, number: int) -> None:
-        self._start(step, step.tasks[placement.index], placement.runner, number)
-
     def _next_number(self, task: Task) -> int:
         """The number of a task's next run: above all of this term, and of earlier ones."""
         first = (self.term - 1) * RUNS_PER_TERM
@@ -628,3 +697,5 @@
         self._take_run(run)
         self._order_start(run)
         self._hold_soon(runner)
+        if step.specification.gang:
+            self._attend(runner, self.now + self.timing.gang * GANG_PATIENCE)
--- a/sparloom/scheduler/specification.py
+++ b/sparloom/scheduler/specification.py
@@ -40,6 +40,30 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum.
+
+        >>> Resources(1, 2, 3).plus(Resources(1, 1, 0))
+        Resources(cpu=2, memory_mb=3, gpus=3)
+        """
+        return Resources(self.cpu + other.cpu, self.memory_mb + other.memory_mb, self.gpus + other.gpus)
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference.
+
+        >>> Resources(2, 3, 3).minus(Resources(1, 1, 0))
+        Resources(cpu=1, memory_mb=2, gpus=3)
+        """
+        return Resources(self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpus - other.gpus)
+
+    def covers(self, other: Resources) -> bool:
+        """Whether the other is no greater in any part.
+
+        >>> Resources(2, 2).covers(Resources(1, 2)), Resources(2, 2).covers(Resources(1, 3))
+        (True, False)
+        """
+        return other.cpu <= self.cpu and other.memory_mb <= self.memory_mb and other.gpus <= self.gpus
+
 
 @define(frozen=True, slots=True)
 class StepSpecification:
--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -318,6 +318,8 @@
     def crash(self, runner_id):
         """A runner ends; another one, with a new id, comes up later."""
         runner = self.runners[runner_id]
+        if not runner.up:
+            return
         runner.up, runner.generation = False, runner.generation + 1
         runner.running = {}
         self.at(3.0, self._unlist, runner)
--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -36,7 +36,8 @@
         self.scheduler = Scheduler(1, self.now, JobTiming(6.0, 4.0))
 
     def tell(self, event):
-        return self.scheduler.handle(event, self.now, WALL_MS + self.now * 1000)
+        """An event, and the tick that follows at the same moment."""
+        return self.scheduler.handle(event, self.now, WALL_MS + self.now * 1000) + self.tick(0.0)
 
     def tick(self, seconds=0.02):
         self.now += seconds
@@ -73,8 +74,7 @@
 
     def test_nothing_starts_on_a_runner_that_has_not_said_what_runs_there(self):
         self.add()
-        self.assertEqual(self.starts(self.tell(RunnersListed((listing(),)))), [])
-        self.assertEqual([type(order) for order in self.tick()], [HoldRunner])
+        self.assertEqual([type(order) for order in self.tell(RunnersListed((listing(),)))], [HoldRunner])
         self.assertEqual(self.starts(self.tell(HoldAnswered("i-1", 1e5, (), ()))), [("i-1", TASK, 1)])
 
     def test_an_end_is_forgotten_by_its_runner_only_once_it_is_stored(self):
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -3,8 +3,13 @@
 import json
 import random
 import unittest
+from unittest import mock
 
+from sparloom.scheduler import runners
+from sparloom.scheduler.events import StartAnswered, StartResult, StartRun
+from sparloom.scheduler.jobs import Job
 from sparloom.scheduler.messages import JobState
+from sparloom.scheduler.scheduler import Scheduler
 from tests.scheduler.simulated_cluster import Cluster
 
 
@@ -121,5 +126,49 @@
                     self.assertIn(state, (JobState.COMPLETED, JobState.FAILED), job)
 
 
+class Mutations(unittest.TestCase):
+    """Without one of its guards the scheduler does what it must not, and the play sees it."""
+
+    def faults(self, seeds=12):
+        return [wrong for seed in range(seeds) for wrong in Faults().play(seed).wrong]
+
+    def test_jobs_of_an_earlier_term_that_do_not_wait_for_the_runners(self):
+        with mock.patch.object(Scheduler, "_adopted", lambda self: self._listed):
+            self.assertTrue(any("TWICE" in wrong and "beside" in wrong for wrong in self.faults()))
+
+    def test_runners_that_forget_ends_before_they_are_stored(self):
+        take_instructions = Scheduler._take_instructions
+
+        def forget_at_once(scheduler):
+            for runner in scheduler.runners.values():
+                runner.stored_end = runner.seen_end
+            return take_instructions(scheduler)
+
+        with mock.patch.object(Scheduler, "_take_instructions", forget_at_once):
+            self.assertTrue(any("after its end was noted" in wrong for wrong in self.faults(40)))
+
+    def test_a_hold_that_is_given_up_too_early(self):
+        with mock.patch.object(runners, "SLOW_CLOCK", -0.5), mock.patch.object(runners, "LAPSE_MARGIN_S", 0.0):
+            self.assertTrue(any("TWICE" in wrong and "beside" in wrong for wrong in self.faults()))
+
+    def test_steps_that_do_not_wait_for_earlier_ones(self):
+        with mock.patch.object(
+            Job, "ready_steps", lambda self: (s for ss in self.steps.values() for s in ss if s.waiting)
+        ):
+            self.assertTrue(any("ORDER" in wrong for wrong in self.faults(3)))
+
+    def test_a_start_without_an_answer_that_is_taken_for_one_that_did_not_happen(self):
+        lose_answer = Cluster._lose_answer
+
+        def lose_start(cluster, primary, order):
+            if not isinstance(order, StartRun):
+                return lose_answer(cluster, primary, order)
+            answer = StartAnswered(order.runner, order.task, order.number, StartResult.UNREACHABLE)
+            return cluster._tell(primary, answer)
+
+        with mock.patch.object(Cluster, "_lose_answer", lose_start):
+            self.assertTrue(any("TWICE" in wrong and "beside" in wrong for wrong in self.faults()))
+
+
 if __name__ == "__main__":
     unittest.main()
