--- a/simulator/__main__.py
+++ b/simulator/__main__.py
@@ -9,6 +9,7 @@
 from sparloom import __version__
 
 from .check.command import check
+from .decisions import decisions
 from .play import STORIES
 from .play import play as play_one
 from .soak.command import soak
@@ -215,6 +216,7 @@
     named = {
         "play": play,
         "soak": soak,
+        "decisions": decisions,
         "point": point,
         "scale": scale,
         "pieces": pieces,
