--- a/simulator/clients.py
+++ b/simulator/clients.py
@@ -14,7 +14,8 @@
     """What a client saw of one request; times in seconds of the loop.
 
     ``began`` and ``sent``: when its first and its last byte went out; ``waits``: for how long its
-    client waits at most; ``ended``: when its answer was whole, or its connection ended.
+    client waits at most; ``ended``: when its answer was whole, or its connection ended; ``reset``: its
+    connection was reset, which over real sockets tells that some of its bytes were never read.
     """
 
     id: str
@@ -26,6 +27,7 @@
     ended: float = 0.0
     closes: bool = False
     retry_after: bool = False
+    reset: bool = False
 
     @property
     def refused(self):
@@ -69,8 +71,9 @@
         outcome = Outcome(id, began, loop.time(), left_ms / 1000)
         try:
             await self._answer(outcome)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
             self.open = False
+            outcome.reset = isinstance(error, ConnectionResetError)
         outcome.ended = loop.time()
         if outcome.closes:
             self.open = False
