Services that speak something else are refused, not tried

Change: Service.supported is false for tls and for another protocol than h1; no backend of such a service is eligible, so a request is answered 503 with Retry-After, and a job for it is not taken.

--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -13,6 +13,7 @@
 DEFAULT_TIMEOUT_MS = 30000
 DEFAULT_PRIORITY = 5
 DEFAULT_CONNECTION_LIMIT = 64
+SUPPORTED_PROTOCOL = "h1"
 # The latency target of a route without one, as a part of its timeout.
 DEFAULT_TARGET_RATIO = 1 / 4
 
@@ -33,6 +34,8 @@
         Tokens that a runner's prefix cache holds; 0 where it is not given.
     health_path
         ``healthPath`` of the configuration; kept, but routers don't probe runners.
+    supported
+        Whether its runners speak what this program speaks: HTTP/1.1 without TLS.
     """
 
     name: str
@@ -40,6 +43,7 @@
     slots: int = 0
     cache_tokens: int = 0
     health_path: str = ""
+    supported: bool = True
 
 
 @define(frozen=True, slots=True)
@@ -202,6 +206,7 @@
         slots=int(engine.get("slots") or 0),
         cache_tokens=int(engine.get("cacheTokens") or 0),
         health_path=item.get("healthPath", ""),
+        supported=item.get("protocol", SUPPORTED_PROTOCOL) == SUPPORTED_PROTOCOL and not item.get("tls", False),
     )
 
 
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -82,7 +82,14 @@
         self.tried: set[str] = set()
 
     def eligible(self) -> Sequence[Backend]:
-        """Return the backends that may serve the request; fewer where members' prompts are isolated."""
+        """Return the backends that may serve the request; fewer where members' prompts are isolated.
+
+        None may whose service speaks something else: what is sent there can't run, and nobody could tell.
+        """
+        configuration = self._services.state.configuration
+        service = configuration.services.get(self.service) if configuration else None
+        if service is not None and not service.supported:
+            return ()
         backends = self._services.state.backends.of(self.service)
         isolation = self._services.state.settings.isolation
         if isolation is None:
--- a/sparloom/router/job_requests.py
+++ b/sparloom/router/job_requests.py
@@ -81,6 +81,9 @@
         if configuration is None:
             return refuse()
         call = self._call(action, job, route, configuration, body)
+        service = configuration.services.get(call.policy.service)
+        if action is JobAction.SUBMIT and service is not None and not service.supported:
+            return refuse()
         time_left = time_remaining(http_request.headers, DEFAULT_TIME) - ANSWER_MARGIN
         try:
             reply = await self._channel.call(call, monotonic() + time_left * SEARCH_PART)
