Scheduler: the placement pass is a module of its own; names in the field's terms

No change of behaviour: the machine gives its queue and indexes to a PlacementPass, which calls back for starts. Tests of the scheduler as before.

--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -49,7 +49,7 @@
     "fence": StartResult.FENCED,
     "old": StartResult.OLD,
     "late": StartResult.TOO_LATE,
-    "room": StartResult.NO_ROOM,
+    "room": StartResult.NO_CAPACITY,
 }
 _START_STATUSES = {
     HTTPStatus.OK: StartResult.STARTED,
--- a/sparloom/scheduler/events.py
+++ b/sparloom/scheduler/events.py
@@ -27,7 +27,7 @@
 
     STARTED = auto()
     # It has not started and never will by this order.
-    NO_ROOM = auto()
+    NO_CAPACITY = auto()
     TOO_LATE = auto()
     UNHEALTHY = auto()
     UNREACHABLE = auto()
--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -177,11 +177,11 @@
         The next such call is not made earlier.
     attend_at
         When it is to be looked after next; infinite where nothing is due.
-    seen_end
+    applied_end
         Number of its newest end that was applied here.
     stored_end
         Number of its newest end of which the effect is stored.
-    told_end
+    acknowledged_end
         Number of the newest end that it was told to forget.
     avoid_until, avoided_for
         No start before that moment; and how long it was avoided the last time, in seconds.
@@ -202,9 +202,9 @@
     answers: bool = True
     next_hold_at: float = 0.0
     attend_at: float = inf
-    seen_end: int = 0
+    applied_end: int = 0
     stored_end: int = 0
-    told_end: int = 0
+    acknowledged_end: int = 0
     avoid_until: float = 0.0
     avoided_for: float = 0.0
     failures: int = 0
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -17,7 +17,6 @@
 import heapq
 from functools import singledispatchmethod
 from math import inf
-from typing import TYPE_CHECKING
 
 from attrs import define, field
 
@@ -40,12 +39,10 @@
 from .job_queue import JobQueue
 from .jobs import RUNS_PER_TERM, Job, Step, Task
 from .messages import JobState
-from .placement import RunnerIndex
+from .placement import Placement, RunnerIndex
+from .placement_pass import PlacementPass
 from .runners import SLOW_CLOCK, Run, Runner, RunPhase
 
-if TYPE_CHECKING:
-    from .specification import Resources
-
 # Part of the longest hold that is asked for: an order that is late by the rest still finds its deadline ahead.
 HOLD_PART = 0.9
 # How long a call to hold may wait for an end, in milliseconds.
@@ -58,13 +55,9 @@
 RESTART_DELAY_S = 0.05
 LONGEST_RESTART_DELAY_S = 1.0
 # A runner without room is asked again after so long, in seconds.
-NO_ROOM_PAUSE_S = 0.3
+NO_CAPACITY_PAUSE_S = 0.3
 # A gang that is not together after this part of the time for it is stopped.
 GANG_PATIENCE = 0.5
-# What has waited for so long holds back whatever comes later for the same runners, in seconds.
-HOLDS_BACK_AFTER_S = 1.5
-# A gang is waited for only if it takes less than this part of all room there is.
-GANG_ROOM_PART = 0.6
 # Starts are looked for anew at least so often while something waits, in seconds: runners may be avoided no longer.
 PASS_INTERVAL_S = 0.1
 # All runners are looked after at least so often, in seconds.
@@ -213,7 +206,7 @@
         self._look_after_those_due()
         if self._dirty or (self._queue and now >= self._next_pass_at):
             self._dirty, self._next_pass_at = False, now + PASS_INTERVAL_S
-            self._place_all()
+            self._place()
         return self._take_instructions()
 
     def _take_instructions(self) -> list[Instruction]:
@@ -281,8 +274,8 @@
     def _on_not_started(self, run: Run, result: StartResult) -> None:
         """A runner has turned a start away and will not carry it out."""
         runner = run.runner
-        if result is StartResult.NO_ROOM:
-            runner.avoid_until = max(runner.avoid_until, self.now + NO_ROOM_PAUSE_S)
+        if result is StartResult.NO_CAPACITY:
+            runner.avoid_until = max(runner.avoid_until, self.now + NO_CAPACITY_PAUSE_S)
         elif result is StartResult.TOO_LATE:
             self._hold_soon(runner)
         elif result is not StartResult.OLD:
@@ -330,8 +323,8 @@
             runner.known = self._dirty = True
             self._reindex(runner)
         for end in event.ends:
-            if end.sequence > runner.seen_end:
-                runner.seen_end = self._unstored_ends[runner.listing.id] = end.sequence
+            if end.sequence > runner.applied_end:
+                runner.applied_end = self._unstored_ends[runner.listing.id] = end.sequence
                 self._on_end(runner, end)
         for running in event.running:
             self._on_running(runner, running)
@@ -525,7 +518,7 @@
             self._check_gang(run)
         if runner.runs:
             self._attend(runner, max(self.now, runner.hold_until) + HOLD_PAUSE_S)
-        if runner.calling or (runner.known and not runner.runs and runner.stored_end <= runner.told_end):
+        if runner.calling or (runner.known and not runner.runs and runner.stored_end <= runner.acknowledged_end):
             return
         if self.now < runner.next_hold_at:
             self._attend(runner, runner.next_hold_at)
@@ -534,13 +527,13 @@
 
     def _hold(self, runner: Runner) -> None:
         runner.calling, runner.called_at = True, self.now
-        runner.told_end = runner.stored_end
+        runner.acknowledged_end = runner.stored_end
         # A runner that doesn't answer is only asked: a longer hold might reach it, and nothing would ever lapse.
         holding = runner.known and runner.runs and runner.answers
         deadline_ms = runner.extend_hold(self.now, self._hold_s()).clock_ms if holding else 0
         wait_ms = HOLD_WAIT_MS if runner.runs else 0
         listing = runner.listing
-        self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.told_end, wait_ms))
+        self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.acknowledged_end, wait_ms))
 
     def _repeat_order(self, run: Run) -> None:
         if run.in_call or self.now - run.ordered_at < ORDER_RETRY_S:
@@ -597,102 +590,32 @@
             return True
         return self.now - self.started_at > self._longest_hold_s()
 
-    def _place_all(self) -> None:
-        """Start what may start, in the order of the queues' priorities and of acceptance."""
-        adopted = self._adopted()
-        held_back: set[str] = set()
-        too_large: dict[str, list[Resources]] = {}
-        for job_id in self._queue.ids():
-            job = self.jobs[job_id]
-            if job.inherited and not adopted:
-                continue
-            job.open_due_times(self.now_ms)
-            service = job.policy.service
-            steps = list(job.ready_steps()) if job.end is None else []
-            if not steps:
-                self._queue.rest(job)
-            elif service not in held_back and not self._place_job(steps, too_large.setdefault(service, [])):
-                held_back.add(service)
-
-    def _place_job(self, steps: list[Step], too_large: list[Resources]) -> bool:
-        """Start what fits of a job's steps; return whether what comes later may start as well.
-
-        ``too_large`` gathers what a task needs for which no runner had room in this pass.
-        """
-        index = self._indexes.get(steps[0].job.policy.service)
-        for step in steps:
-            if index is not None and self._place_step(step, index, too_large):
-                step.waiting_since = None
-            elif self._is_held_back_by(step):
-                return False
-        return True
-
-    def _place_step(self, step: Step, index: RunnerIndex, too_large: list[Resources]) -> bool:
-        """Start what fits of a step; return whether nothing is left of it that could be started."""
-        if step.specification.gang:
-            return self._place_gang(step, index)
-        needs = step.specification.needs
-        if any(needs.covers(other) for other in too_large):
-            return False
-        if self._place_tasks(step, index):
-            return True
-        if not step.specification.requirement and not step.specification.anti_affinity:
-            too_large.append(needs)
-        return False
-
-    def _is_held_back_by(self, step: Step) -> bool:
-        """Whether a step has waited for so long that what comes later must wait for it."""
-        if step.waiting_since is None:
-            step.waiting_since = self.now
-        return self.now - step.waiting_since >= HOLDS_BACK_AFTER_S and self._may_ever_fit(step)
-
-    def _may_ever_fit(self, step: Step) -> bool:
-        """Whether the step's runners would have room if nothing else ran there."""
-        specification, service = step.specification, step.job.policy.service
-        suitable = [
-            runner
-            for runner in self.runners.values()
-            if runner.listed
-            and runner.listing.service == service
-            and runner.could_fit(specification.needs)
-            and (not specification.requirement or specification.requirement in runner.listing.labels)
-        ]
-        if not specification.gang:
-            return bool(suitable)
-        room = sum(runner.listing.capacity.cpu for runner in suitable)
-        return specification.replica_count * specification.needs.cpu <= room * GANG_ROOM_PART
-
-    def _place_tasks(self, step: Step, index: RunnerIndex) -> bool:
-        """Start tasks of a step as far as there is room; return whether none is left that could be started."""
-        for _ in range(len(step.waiting)):
-            task = step.tasks[step.waiting[0]]
-            if task.not_before > self.now:
-                step.waiting.rotate(-1)
-                continue
-            runner = index.choose_near(step, self.now)
-            if runner is None:
-                return False
-            self._start(step, task, runner, self._next_number(task))
-        return True
+    def _place(self) -> None:
+        """Start what may start."""
+        placement_pass = PlacementPass(
+            now=self.now,
+            now_ms=self.now_ms,
+            adopted=self._adopted(),
+            jobs=self.jobs,
+            runners=self.runners,
+            indexes=self._indexes,
+            start=self._start,
+        )
+        placement_pass.run(self._queue)
 
-    def _place_gang(self, step: Step, index: RunnerIndex) -> bool:
-        """Start all tasks of a gang at once, once none of an earlier run is under way."""
-        if step.runs or any(task.not_before > self.now for task in step.tasks):
-            return True
-        placements = index.place_gang(step, self.now)
-        if placements is None:
-            return False
-        number = max(self._next_number(task) for task in step.tasks)
-        for placement in placements:
-            self._start(step, step.tasks[placement.index], placement.runner, number)
-        return True
+    def _start(self, step: Step, placements: list[Placement]) -> None:
+        """Order the starts of some tasks of a step; those of a gang share a number."""
+        numbers = [self._next_number(step.tasks[placement.index]) for placement in placements]
+        for placement, number in zip(placements, numbers, strict=True):
+            task = step.tasks[placement.index]
+            self._start_task(step, task, placement.runner, max(numbers) if step.specification.gang else number)
 
     def _next_number(self, task: Task) -> int:
         """The number of a task's next run: above all of this term, and of earlier ones."""
         first = (self.term - 1) * RUNS_PER_TERM
         return max(task.last_run, first) + 1
 
-    def _start(self, step: Step, task: Task, runner: Runner, number: int) -> None:
+    def _start_task(self, step: Step, task: Task, runner: Runner, number: int) -> None:
         run = Run(step, task, number, runner, RunPhase.STARTING, self.now, self.now)
         self._take_run(run)
         self._order_start(run)
--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -259,7 +259,7 @@
             return StartResult.TOO_LATE
         step = self._step(order.task)
         if sum(self._step(task).needs.cpu for task in runner.running) + step.needs.cpu > runner.capacity.cpu:
-            return StartResult.NO_ROOM
+            return StartResult.NO_CAPACITY
         self._check_start(runner, order)
         self._hold_until(runner, order.deadline_ms)
         seconds, how = self.work(order.task)
--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -106,7 +106,7 @@
         self.tell(StartAnswered(first.runner, TASK, 1, StartResult.NO_ANSWER))
         again = [order for order in self.tick(0.5) if isinstance(order, StartRun)]
         self.assertEqual(again, [first])
-        self.assertEqual(self.starts(self.started(first.runner, result=StartResult.NO_ROOM)), [])
+        self.assertEqual(self.starts(self.started(first.runner, result=StartResult.NO_CAPACITY)), [])
         # Past its deadline it can't be carried out any more, so the task may start elsewhere.
         late = self.started(first.runner, result=StartResult.TOO_LATE)
         self.assertEqual([number for _, _, number in self.starts(late)], [2])
@@ -205,7 +205,7 @@
     def test_a_runner_without_room_gets_the_task_of_nobody_else_twice(self):
         self.add()
         (first,) = self.starts(self.contact("i-1", "i-2"))
-        again = self.starts(self.started(first[0], result=StartResult.NO_ROOM))
+        again = self.starts(self.started(first[0], result=StartResult.NO_CAPACITY))
         self.assertEqual([(runner != first[0], number) for runner, _, number in again], [(True, 2)])
 
 
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -141,7 +141,7 @@
 
         def forget_at_once(scheduler):
             for runner in scheduler.runners.values():
-                runner.stored_end = runner.seen_end
+                runner.stored_end = runner.applied_end
             return take_instructions(scheduler)
 
         with mock.patch.object(Scheduler, "_take_instructions", forget_at_once):
