Placement: tasks that last wait for nobody; holding back ends now and then

Cause: a step that waits for what may never come about (a gang whose room is fragmented) held back everything later for ever, lasting tasks too. Change: in each 8 s others get their turn for 1.5 s; lasting tasks are never held back.

--- a/sparloom/scheduler/placement_pass.py
+++ b/sparloom/scheduler/placement_pass.py
@@ -19,6 +19,8 @@
 
 # What has waited for so long holds back whatever comes later for the same runners, in seconds.
 HOLDS_BACK_AFTER_S = 1.5
+# Whatever it waits for may never come about, so in each period of so many seconds others get their turn as well.
+HOLD_BACK_PERIOD_S = 8.0
 # A gang is waited for only if it takes less than this part of all capacity there is.
 GANG_CAPACITY_PART = 0.6
 
@@ -63,13 +65,17 @@
             steps = list(job.ready_steps()) if job.end is None else []
             if not steps:
                 queue.rest(job)
-            elif job.policy.service not in self._held_back and not self._place_job(steps):
+                continue
+            if job.policy.service in self._held_back:
+                # Tasks that last are to be at work all the time: they wait for nobody.
+                steps = [step for step in steps if step.specification.long_running]
+            if not self._place_job(steps):
                 self._held_back.add(job.policy.service)
 
     def _place_job(self, steps: list[Step]) -> bool:
         """Start what fits of a job's steps; return whether what comes later may start as well."""
-        index = self.indexes.get(steps[0].job.policy.service)
         for step in steps:
+            index = self.indexes.get(step.job.policy.service)
             if index is not None and self._place_step(step, index):
                 step.waiting_since = None
             elif self._is_held_back_by(step):
@@ -117,7 +123,8 @@
         """Whether a step has waited for so long that what comes later must wait for it."""
         if step.waiting_since is None:
             step.waiting_since = self.now
-        return self.now - step.waiting_since >= HOLDS_BACK_AFTER_S and self._may_ever_fit(step)
+        waited = (self.now - step.waiting_since) % HOLD_BACK_PERIOD_S
+        return waited >= HOLDS_BACK_AFTER_S and self._may_ever_fit(step)
 
     def _may_ever_fit(self, step: Step) -> bool:
         """Whether the step's runners would have capacity if nothing else ran there."""
