--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -8,7 +8,7 @@
 from sparloom.scheduler import runners
 from sparloom.scheduler.events import StartAnswered, StartResult, StartRun
 from sparloom.scheduler.jobs import Job
-from sparloom.scheduler.messages import JobState, QueuePolicy
+from sparloom.scheduler.messages import JobState
 from sparloom.scheduler.scheduler import Scheduler
 from tests.scheduler.simulated_cluster import Cluster
 
