Revert the trial of headroom for urgent queues

They are late around takeovers of the primary, not for want of capacity. Seen in the log: a term ended and began anew within a second where the same member went on to lead in a new epoch.

--- a/sparloom/scheduler/placement.py
+++ b/sparloom/scheduler/placement.py
@@ -72,18 +72,10 @@
 
 @define(slots=True, eq=False)
 class RunnerIndex:
-    """The runners of one service that may be given starts, by label and free processor.
+    """The runners of one service that may be given starts, by label and free processor."""
 
-    Attributes
-    ----------
-    capacity_cpu
-        The processor of all of them, in thousandths of a core.
-    """
-
-    capacity_cpu: int = 0
     _buckets: dict[str, list[dict[str, Runner]]] = field(factory=dict)
     _places: dict[str, tuple[int, frozenset[str]]] = field(factory=dict)
-    _cpu: dict[str, int] = field(factory=dict)
 
     def put(self, runner: Runner) -> None:
         """Take a runner in, or note that its room or its labels have changed."""
@@ -93,8 +85,6 @@
             return
         self.remove(listing.id)
         self._places[listing.id] = place
-        self._cpu[listing.id] = listing.capacity.cpu
-        self.capacity_cpu += listing.capacity.cpu
         for label in (ANY, *listing.labels):
             buckets = self._buckets.get(label)
             if buckets is None:
@@ -106,7 +96,6 @@
         place = self._places.pop(runner_id, None)
         if place is None:
             return
-        self.capacity_cpu -= self._cpu.pop(runner_id)
         for label in (ANY, *place[1]):
             self._buckets[label][place[0]].pop(runner_id, None)
 
--- a/sparloom/scheduler/placement_pass.py
+++ b/sparloom/scheduler/placement_pass.py
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from .headroom import Headroom
     from .job_queue import JobQueue
     from .jobs import Job, Step
     from .placement import RunnerIndex
@@ -20,8 +19,6 @@
 
 # What has waited for so long holds back whatever comes later for the same runners, in seconds.
 HOLDS_BACK_AFTER_S = 1.5
-# At most this part of a service's processor is left free for more urgent queues.
-RESERVED_PART = 0.4
 # Whatever it waits for may never come about, so in each period of so many seconds others get their turn as well.
 HOLD_BACK_PERIOD_S = 8.0
 # A gang is waited for only if it takes less than this part of all capacity there is.
@@ -40,8 +37,8 @@
         Whether it is known what runs of earlier terms are under way.
     jobs, runners
         By id.
-    indexes, headroom
-        The runners that take starts, and what their tasks use, by service.
+    indexes
+        The runners that take starts, by service.
     start
         Orders the starts of some tasks of a step.
     """
@@ -52,7 +49,6 @@
     jobs: Mapping[int, Job]
     runners: Mapping[str, Runner]
     indexes: Mapping[str, RunnerIndex]
-    headroom: Mapping[str, Headroom]
     start: Callable[[Step, list[Placement]], None]
     # Services whose later jobs wait.
     _held_back: set[str] = field(factory=set)
@@ -96,9 +92,6 @@
             return False
         if self._place_tasks(step, index):
             return True
-        if self._free_for(step, index) < needs.cpu:
-            # More urgent tasks may still have capacity.
-            return False
         if not step.specification.requirement and not step.specification.anti_affinity:
             too_large.append(needs)
         return False
@@ -110,25 +103,12 @@
             if task.not_before > self.now:
                 step.waiting.rotate(-1)
                 continue
-            if self._free_for(step, index) < step.specification.needs.cpu:
-                return False
             runner = index.choose_near(step, self.now)
             if runner is None:
                 return False
             self.start(step, [Placement(task.index, runner)])
         return True
 
-    def _free_for(self, step: Step, index: RunnerIndex) -> float:
-        """The processor that a step may take, beside what is left free for more urgent queues."""
-        if step.specification.long_running:
-            return index.capacity_cpu
-        policy = step.job.policy
-        headroom = self.headroom.get(policy.service)
-        if headroom is None:
-            return index.capacity_cpu
-        reserved = headroom.reserved_from(policy.priority, self.now)
-        return index.capacity_cpu - headroom.used - min(reserved, index.capacity_cpu * RESERVED_PART)
-
     def _place_gang(self, step: Step, index: RunnerIndex) -> bool:
         """Start all tasks of a gang at once, once none of an earlier run is under way."""
         if step.runs or any(task.not_before > self.now for task in step.tasks):
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -36,7 +36,6 @@
     StopRun,
     TaskEnd,
 )
-from .headroom import Headroom
 from .job_queue import JobQueue
 from .jobs import RUNS_PER_TERM, Job, Step, Task
 from .messages import JobState
@@ -132,7 +131,6 @@
     now_ms: float = 0.0
     _queue: JobQueue = field(factory=JobQueue)
     _indexes: dict[str, RunnerIndex] = field(factory=dict)
-    _headroom: dict[str, Headroom] = field(factory=dict)
     _attention: list[tuple[float, str]] = field(factory=list)
     _listed: bool = False
     _changed_jobs: dict[int, Job] = field(factory=dict)
@@ -385,19 +383,12 @@
         if run.task.index in run.step.waiting:
             run.step.waiting.remove(run.task.index)
         run.runner.add(run)
-        self._note_use(run, 1)
         self._reindex(run.runner)
 
     def _remove_run(self, run: Run) -> None:
         run.runner.remove(run)
-        self._note_use(run, -1)
         self._reindex(run.runner)
 
-    def _note_use(self, run: Run, sign: int) -> None:
-        policy = run.step.job.policy
-        headroom = self._headroom.setdefault(policy.service, Headroom())
-        headroom.note(policy.priority, sign * run.step.specification.needs.cpu, self.now)
-
     def _on_end(self, runner: Runner, end: TaskEnd) -> None:
         """A runner lists an end for the first time."""
         run = runner.runs.get(end.task)
@@ -608,7 +599,6 @@
             jobs=self.jobs,
             runners=self.runners,
             indexes=self._indexes,
-            headroom=self._headroom,
             start=self._start,
         )
         placement_pass.run(self._queue)
