Jobs: a term goes on where the same member leads in a new epoch

Cause: each change of the group's view (a backup replaced, a roster that grows) gives its primary a new epoch; the term ended, and runs had to be adopted anew. Change: the term waits up to 3 s; events that come meanwhile are kept; it goes on if the stored term is still its own, since another primary would have stored one before it ordered a runner.

--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -54,6 +54,8 @@
 MAXIMUM_ENDED_JOBS = 60_000
 # A write that is not over by then is looked at again.
 WRITE_TIMEOUT = timedelta(seconds=5)
+# A term waits for so long for this member to lead again; what runs is still held by then.
+RESUME_TIMEOUT = timedelta(seconds=3)
 CONFIRM_TIMEOUT = timedelta(seconds=1)
 STALL_TIMEOUT = timedelta(seconds=2)
 
@@ -74,7 +76,7 @@
     Attributes
     ----------
     epoch
-        The epoch of the consensus group.
+        The epoch of the consensus group; it may change while this member goes on to lead.
     store
         The bytes of all jobs, those that are not stored yet included.
     scheduler, calls
@@ -84,7 +86,9 @@
     ended
         Jobs whose end is stored, by id: what clients are shown.
     unstored
-        Jobs and cancellations that the next write takes.
+        Jobs that the next write takes.
+    deferred
+        Events that came while this member did not lead.
     next_write, current_write
         Resolved with whether the next write, or the one under way, has been stored.
     awaited
@@ -98,6 +102,7 @@
     arriving: dict[int, Job] = field(factory=dict)
     ended: dict[int, EndedJob] = field(factory=dict)
     unstored: dict[int, Job] = field(factory=dict)
+    deferred: list[Event] = field(factory=list)
     next_write: asyncio.Future[bool] = field(factory=lambda: asyncio.get_running_loop().create_future())
     awaited: bool = False
     current_write: asyncio.Future[bool] | None = None
@@ -160,15 +165,15 @@
     async def _lead(self) -> None:
         """Begins and ends terms, and writes what has changed."""
         while not self.should_stop:
-            epoch = self._leading_epoch()
-            if self._term is not None and (self._term.epoch != epoch or self._term.scheduler.deposed):
+            epoch, term = self._leading_epoch(), self._term
+            if term is not None and (term.scheduler.deposed or not await self._resume(term)):
                 await self._end_term()
-            if epoch is None:
-                await asyncio.sleep(IDLE_PAUSE_S)
-            elif self._term is None:
+            elif term is not None:
+                await self._write_changes(term)
+            elif epoch is not None:
                 await self._begin_term(epoch)
             else:
-                await self._write_changes(self._term)
+                await asyncio.sleep(IDLE_PAUSE_S)
 
     async def _begin_term(self, epoch: int) -> None:
         """Stores a new term, then takes up what the last one has stored."""
@@ -191,6 +196,31 @@
             scheduler.add(job)
         logging.info("jobs: term began term=%d active=%d ended=%d", store.term, len(store.active), len(store.ended))
 
+    async def _resume(self, term: _Term) -> bool:
+        """Returns whether a term goes on: at once while this member leads, else once it leads again.
+
+        A member leads again in a new epoch when the group's view changes. Had another one ordered
+        runners meanwhile, it would have stored a term of its own before.
+        """
+        if self._leading_epoch() == term.epoch:
+            return True
+        gives_up_at = monotonic() + RESUME_TIMEOUT
+        while monotonic() < gives_up_at and not self.should_stop:
+            epoch = self._leading_epoch()
+            data = await self.consensus.confirm(CONFIRM_TIMEOUT) if epoch is not None else None
+            if epoch is None or data is None or self._leading_epoch() != epoch:
+                await asyncio.sleep(TICK_S)
+                continue
+            if JobStore.load(data.blob).term != term.store.term:
+                return False
+            logging.info("jobs: term goes on term=%d", term.store.term)
+            term.epoch = epoch
+            deferred, term.deferred = term.deferred, []
+            for event in deferred:
+                self._on_event(event)
+            return True
+        return False
+
     async def _end_term(self) -> None:
         term, self._term = self._term, None
         if term is None:
@@ -230,12 +260,12 @@
             write.set_result(True)
 
     async def _write(self, term: _Term) -> bool:
-        """Writes the store, again and again while this member leads; returns whether it is stored."""
+        """Writes the store, again and again while the term goes on; returns whether it is stored."""
         blob = term.store.blob()
-        while self._term is term and self._leading_epoch() == term.epoch:
-            if await self.consensus.write(0, blob, WRITE_TIMEOUT) is not None:
-                return self._leading_epoch() == term.epoch
-            await asyncio.sleep(IDLE_PAUSE_S)
+        while self._term is term and not term.scheduler.deposed and await self._resume(term):
+            if await self.consensus.write(0, blob, WRITE_TIMEOUT) is not None and self._active() is term:
+                return True
+            await asyncio.sleep(TICK_S)
         return False
 
     def _on_stored(self, term: _Term, arrived: dict[int, Job], changes: Changes | None) -> None:
@@ -259,6 +289,8 @@
     def _on_event(self, event: Event) -> None:
         term = self._active()
         if term is None:
+            if self._term is not None:
+                self._term.deferred.append(event)
             return
         now = monotonic().total_seconds()
         for instruction in term.scheduler.handle(event, now, wall_clock_ms()):
