--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -111,6 +111,29 @@
         late = self.started(first.runner, result=StartResult.TOO_LATE)
         self.assertEqual([number for _, _, number in self.starts(late)], [2])
 
+    def test_a_start_that_may_be_carried_out_yet_is_given_up_after_its_deadline_where_the_runner_lists_nothing(self):
+        """Seen on a day of high load: a task whose start was left without an answer was never started again.
+
+        The runner then turned away each repeated order (503), which says nothing of the first one, and went
+        on to answer holds, so the run neither began nor lapsed.
+        """
+        self.add()
+        (first,) = self.starts(self.contact("i-1", "i-2"))
+        self.tell(StartAnswered(first[0], TASK, 1, StartResult.NO_ANSWER))
+        restarted_at = None
+        for _ in range(600):
+            for order in self.tick():
+                if isinstance(order, HoldRunner):
+                    self.tell(HoldAnswered(order.runner, self.now * 1000, (), ()))
+                elif isinstance(order, StartRun) and order.number == 1:
+                    self.started(order.runner, result=StartResult.UNHEALTHY)
+                elif isinstance(order, StartRun):
+                    restarted_at = self.now
+            if restarted_at:
+                break
+        self.assertIsNotNone(restarted_at)
+        self.assertGreater(restarted_at - 100.0, 0.9 * 6.0 / 0.98)
+
     def test_a_runner_that_does_not_answer_is_given_up_once_its_hold_has_surely_lapsed(self):
         self.add()
         (first,) = self.starts(self.contact("i-1", "i-2"))
