Scheduler: a start without an answer is given up after its deadline if the runner lists nothing

Cause: such a run was dropped only after a stop or once the runner's hold lapsed; a runner that answers holds and turns each repeated order away kept it for ever. Change: it is gone if a list lacks it that was asked for after the deadline of its order had surely passed.

--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -129,8 +129,6 @@
         Whether an order for it is under way.
     deadline
         Until when the order to start it may be carried out; it is repeated with the same one.
-    stop_answered_at
-        When the runner answered an order to stop it; None before.
     """
 
     step: Step
@@ -143,7 +141,6 @@
     unanswered: bool = False
     in_call: bool = False
     deadline: HoldDeadline | None = None
-    stop_answered_at: float | None = None
 
     @property
     def name(self) -> str:
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -290,8 +290,6 @@
             run.in_call = False
             self._attend(run.runner, run.ordered_at + ORDER_RETRY_S)
             self._hold_soon(run.runner)
-            if event.answered:
-                run.stop_answered_at = run.stop_answered_at or self.now
         if event.fenced:
             self.deposed = True
 
@@ -332,12 +330,13 @@
         self._look_after(runner)
 
     def _drop_what_never_began(self, runner: Runner, listed: set[str]) -> None:
-        """A run that was stopped before it began has no end; it is gone once no order can start it any more."""
+        """Drop runs whose start was left without an answer, once no order can start them any more.
+
+        A run that never began has no end. Had it begun, the runner would list it, or its end: so it is
+        gone if a list lacks it that was asked for after the deadline of its order had surely passed.
+        """
         for run in list(runner.runs.values()):
-            stopped_at = run.stop_answered_at
-            if stopped_at is None or run.name in listed or not run.unanswered:
-                continue
-            if runner.called_at > stopped_at and run.deadline and self.now > run.deadline.lapses_at:
+            if run.unanswered and run.deadline and run.name not in listed and runner.called_at > run.deadline.lapses_at:
                 self._drop_run(run)
 
     # -- what runs --------------------------------------------------------------
--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -122,15 +122,15 @@
         self.tell(StartAnswered(first[0], TASK, 1, StartResult.NO_ANSWER))
         restarted_at = None
         for _ in range(600):
-            for order in self.tick():
+            orders = self.tick()
+            while orders and restarted_at is None:
+                order = orders.pop(0)
                 if isinstance(order, HoldRunner):
-                    self.tell(HoldAnswered(order.runner, self.now * 1000, (), ()))
+                    orders += self.tell(HoldAnswered(order.runner, self.now * 1000, (), ()))
                 elif isinstance(order, StartRun) and order.number == 1:
-                    self.started(order.runner, result=StartResult.UNHEALTHY)
+                    orders += self.started(order.runner, result=StartResult.UNHEALTHY)
                 elif isinstance(order, StartRun):
                     restarted_at = self.now
-            if restarted_at:
-                break
         self.assertIsNotNone(restarted_at)
         self.assertGreater(restarted_at - 100.0, 0.9 * 6.0 / 0.98)
 
