--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import time
 from datetime import timedelta
@@ -25,6 +26,7 @@
 from sparloom.scheduler.runners import RunnerListing, read_listing
 from sparloom.scheduler.scheduler import JobTiming, Scheduler
 from sparloom.scheduler.specification import parse_job
+from sparloom.scheduler.stalled import stalled_tasks
 from sparloom.settings import ORDERS_BY_CALL
 from sparloom.transport import monotonic
 from sparloom.transport.http_client import Connector, open_session
@@ -52,6 +54,9 @@
 KEPT_MARGIN = timedelta(seconds=30)
 MAXIMUM_ACTIVE_JOBS = 20_000
 MAXIMUM_ENDED_JOBS = 60_000
+# Tasks that are stalled are logged so often, in seconds, and at most so many of them.
+STALLED_INTERVAL_S = 5.0
+LOGGED_STALLED_TASKS = 5
 # A write that is not over by then is looked at again.
 WRITE_TIMEOUT = timedelta(seconds=5)
 # A term waits for so long for this member to lead again; what runs is still held by then.
@@ -307,6 +312,23 @@
             for instruction in term.scheduler.tick(monotonic().total_seconds(), wall_clock_ms()):
                 term.calls.carry_out(instruction)
 
+    @Service.task
+    async def _log_stalled_tasks(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(STALLED_INTERVAL_S)
+            term = self._active()
+            if term is None:
+                continue
+            stalled = stalled_tasks(term.scheduler.jobs.values(), monotonic().total_seconds())
+            for task in itertools.islice(stalled, LOGGED_STALLED_TASKS):
+                logging.warning(
+                    "scheduler: task is stalled task=%s state=%s runner=%s for_ms=%d",
+                    task.name,
+                    task.state,
+                    task.runner,
+                    task.for_s * 1000,
+                )
+
     @Service.task
     async def _list_runners(self) -> None:
         """Reads the platform's list while this member is the job primary."""
--- /dev/null
+++ b/sparloom/scheduler/stalled.py
@@ -0,0 +1,64 @@
+"""Tasks that should have been started or stopped long ago: what an operator is told of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from .runners import RunPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from .jobs import Job, Step
+
+# A start or a stop that takes longer than this is told of, and so is a task that has waited for longer.
+STALLED_AFTER_S = 10.0
+
+
+@define(frozen=True, slots=True)
+class StalledTask:
+    """One task.
+
+    Attributes
+    ----------
+    name
+        Its name on the wire.
+    state
+        ``waiting``, ``starting`` or ``stopping``.
+    runner
+        Where it is to be started or stopped; empty while it waits.
+    for_s
+        For how long, in seconds.
+    """
+
+    name: str
+    state: str
+    runner: str
+    for_s: float
+
+
+def _stalled_runs(step: Step, now: float) -> Iterator[StalledTask]:
+    for run in step.runs:
+        for_s = now - run.first_ordered_at
+        if run.phase is RunPhase.STARTING and for_s > STALLED_AFTER_S:
+            yield StalledTask(run.name, "starting", run.runner.listing.id, for_s)
+        stopping_for_s = now - run.ordered_at
+        if run.phase is RunPhase.STOPPING and stopping_for_s > STALLED_AFTER_S:
+            yield StalledTask(run.name, "stopping", run.runner.listing.id, stopping_for_s)
+
+
+def _waiting(step: Step, now: float) -> Iterator[StalledTask]:
+    if step.waiting_since is not None and now - step.waiting_since > STALLED_AFTER_S and step.waiting:
+        yield StalledTask(step.task_name(step.waiting[0]), "waiting", "", now - step.waiting_since)
+
+
+def stalled_tasks(jobs: Iterable[Job], now: float) -> Iterator[StalledTask]:
+    """The tasks of some jobs that have been starting, stopping or waiting for too long; of a step that waits, one."""
+    for job in jobs:
+        for steps in job.steps.values():
+            for step in steps:
+                yield from _stalled_runs(step, now)
+                if job.end is None:
+                    yield from _waiting(step, now)
--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -20,6 +20,7 @@
 from sparloom.scheduler.runners import RunnerListing
 from sparloom.scheduler.scheduler import JobTiming, Scheduler
 from sparloom.scheduler.specification import Resources, parse_job
+from sparloom.scheduler.stalled import stalled_tasks
 
 WALL_MS = 1_700_000_000_000
 ONE_TASK = b'{"steps":[{"replicaCount":1,"cpu":1000}]}'
@@ -232,5 +233,29 @@
         self.assertEqual([(runner != first[0], number) for runner, _, number in again], [(True, 2)])
 
 
+class Stalled(Machine):
+    def stalled(self):
+        tasks = stalled_tasks(self.scheduler.jobs.values(), self.now)
+        return [(task.name, task.state, task.runner, round(task.for_s)) for task in tasks]
+
+    def test_an_operator_is_told_of_tasks_that_wait_start_or_stop_for_too_long(self):
+        job = self.add()
+        self.tick()
+        self.contact("i-1")
+        self.now += 11.0
+        self.assertEqual(self.stalled(), [(TASK, "starting", "i-1", 11)])
+        self.started()
+        self.assertEqual(self.stalled(), [])
+        self.scheduler.cancel(job)
+        self.now += 12.0
+        self.assertEqual(self.stalled(), [(TASK, "stopping", "i-1", 12)])
+
+    def test_a_task_without_a_runner_is_told_of_as_waiting(self):
+        self.add(b'{"steps":[{"replicaCount":1,"cpu":9000}]}')
+        self.contact("i-1")
+        self.tick(11.0)
+        self.assertEqual(self.stalled(), [(TASK, "waiting", "", 11)])
+
+
 if __name__ == "__main__":
     unittest.main()
