--- a/tests/scheduler/test_scheduler.py
+++ b/tests/scheduler/test_scheduler.py
@@ -31,7 +31,7 @@
     return RunnerListing(id, "s", f"{id}:1", draining, Resources(cpu, 8000, 0), frozenset(("a", "r1-1")))
 
 
-class Machine(unittest.TestCase):
+class MachineCase(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
         self.scheduler = Scheduler(1, self.now, JobTiming(6.0, 4.0))
@@ -73,6 +73,8 @@
     def ended(self, how="done", sequence=1, number=1, runner="i-1"):
         return self.tell(HoldAnswered(runner, self.now * 1000, (), (TaskEnd(sequence, TASK, number, how),)))
 
+
+class Machine(MachineCase):
     def test_nothing_starts_on_a_runner_that_has_not_said_what_runs_there(self):
         self.add()
         self.assertEqual([type(order) for order in self.tell(RunnersListed((listing(),)))], [HoldRunner])
@@ -233,7 +235,7 @@
         self.assertEqual([(runner != first[0], number) for runner, _, number in again], [(True, 2)])
 
 
-class Stalled(Machine):
+class Stalled(MachineCase):
     def stalled(self):
         tasks = stalled_tasks(self.scheduler.jobs.values(), self.now)
         return [(task.name, task.state, task.runner, round(task.for_s)) for task in tasks]
