--- a/simulator/clients.py
+++ b/simulator/clients.py
@@ -1,10 +1,16 @@
 """Clients on kept connections in simulated time, and a judge of what became of each request."""
 
+from __future__ import annotations
+
 import asyncio
-from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from datetime import timedelta
+
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -30,7 +36,7 @@
     reset: bool = False
 
     @property
-    def refused(self):
+    def refused(self) -> bool:
         """Whether it was turned away with a time to come back.
 
         >>> Outcome("a", 0.0, 0.0, status=503, whole=True, retry_after=True).refused
@@ -43,16 +49,25 @@
 class Client:
     """One client's connection, kept for many requests while the router keeps it."""
 
-    reader: object
-    writer: object
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
     open: bool = True
 
     @classmethod
-    async def connect(cls, host, port):
+    async def connect(cls, host: str, port: int) -> Client:
         """A client on a new connection."""
         return cls(*await asyncio.open_connection(host, port))
 
-    async def send(self, path, id, body=b"hello", left_ms=5000, pause=0.0, host="h.example", heads=()):
+    async def send(
+        self,
+        path: str,
+        id: str,
+        body: bytes = b"hello",
+        left_ms: int = 5000,
+        pause: float = 0.0,
+        host: str = "h.example",
+        heads: Sequence[str] = (),
+    ) -> Outcome:
         """Sends a request, with a pause in the middle of its bytes, and waits for its answer or the connection's end."""
         loop = asyncio.get_running_loop()
         lines = [
@@ -79,9 +94,9 @@
             self.open = False
         return outcome
 
-    async def _answer(self, outcome):
+    async def _answer(self, outcome: Outcome) -> None:
         lines = (await self.reader.readuntil(HEAD_END)).decode("latin-1").lower().split("\r\n")
-        heads = dict(line.split(": ", 1) for line in lines[1:] if line)
+        heads: dict[str, str] = dict(line.split(": ", 1) for line in lines[1:] if line)
         outcome.status = int(lines[0].split()[1])
         outcome.closes = heads.get("connection") == "close"
         outcome.retry_after = "retry-after" in heads
@@ -91,12 +106,12 @@
             await self.reader.readuntil(LAST_CHUNK)
         outcome.whole = True
 
-    async def next_end(self):
+    async def next_end(self) -> None:
         """Waits until the router ends the connection."""
         await self.reader.read()
         self.open = False
 
-    def close(self):
+    def close(self) -> None:
         """Leaves."""
         self.writer.close()
 
@@ -105,6 +120,7 @@
 class PlannedEnd:
     """A planned end of the router: when it was told, and how long it may take; what may be lost around it.
 
+    >>> from datetime import timedelta
     >>> end = PlannedEnd(10.0, timedelta(seconds=6))
     >>> end.excuses(Outcome("a", 12.0, sent=12.0, ended=15.5)), end.excuses(Outcome("a", 13.5, sent=13.5, ended=15.5))
     (True, False)
@@ -115,14 +131,14 @@
     slack: float = 0.2
     still_sent: float = 3.0
 
-    def excuses(self, outcome):
+    def excuses(self, outcome: Outcome) -> bool:
         """Whether a request was sent so early and worked on so late that it may be broken off, or its time was over."""
         if outcome.ended - outcome.began >= outcome.waits:
             return True
         last_part = self.at + self.grace.total_seconds() * 5 / 6
         return outcome.sent <= self.at + self.still_sent and outcome.ended >= last_part
 
-    def lost(self, outcome, passed_on):
+    def lost(self, outcome: Outcome, passed_on: bool) -> bool:
         """Whether a request was lost: read, and its connection ended with no whole answer."""
         if outcome.whole:
             return False
@@ -135,13 +151,13 @@
 class Tally:
     """Requests of one play, by what became of them."""
 
-    answered: list = field(factory=list)
-    refused: list = field(factory=list)
-    excused: list = field(factory=list)
-    unread: list = field(factory=list)
-    lost: list = field(factory=list)
+    answered: list[Outcome] = field(factory=list)
+    refused: list[Outcome] = field(factory=list)
+    excused: list[Outcome] = field(factory=list)
+    unread: list[Outcome] = field(factory=list)
+    lost: list[Outcome] = field(factory=list)
 
-    def add(self, outcome, passed_on, end):
+    def add(self, outcome: Outcome, passed_on: bool, end: PlannedEnd) -> None:
         """Counts one request."""
         if end.lost(outcome, passed_on):
             self.lost.append(outcome)
