--- a/simulator/soak/command.py
+++ b/simulator/soak/command.py
@@ -12,12 +12,12 @@
 PLAYS = ("requests", "jobs")
 
 
-async def _play(kind: str, seed: int, slot: int, routers: int, clients: int, seconds: float, root: str) -> bool:
+async def _play(kind: str, seed: int, routers: int, clients: int, seconds: float, root: str) -> bool:
     play: RequestPlay | JobPlay
     if kind == "requests":
-        play = RequestPlay(seed, slot, routers or 3, clients, seconds, root or ROOT)
+        play = RequestPlay(seed, routers or 3, clients, seconds, root or ROOT)
     else:
-        play = JobPlay(seed, slot, routers or 2, seconds=seconds)
+        play = JobPlay(seed, routers or 2, seconds=seconds)
     started = time.monotonic()
     try:
         faults = await play.run()
@@ -66,11 +66,11 @@
 ) -> bool:
     results: list[bool] = []
 
-    async def worker(slot: int) -> None:
+    async def worker() -> None:
         while work:
             kind, seed = work.pop(0)
-            results.append(await _play(kind, seed, slot, routers, clients, seconds, root))
+            results.append(await _play(kind, seed, routers, clients, seconds, root))
 
-    await asyncio.gather(*(worker(slot) for slot in range(parallel)))
+    await asyncio.gather(*(worker() for _ in range(parallel)))
     print(f"{sum(results)} held, {len(results) - sum(results)} did not", flush=True)
     return all(results)
--- a/simulator/soak/jobs.py
+++ b/simulator/soak/jobs.py
@@ -58,7 +58,6 @@
     """
 
     seed: int
-    slot: int
     routers: int = 2
     controllers: int = 3
     seconds: float = 15.0
@@ -81,7 +80,6 @@
         platform = await Platform([]).start()
         self._list_runners(platform)
         self.fleet = Fleet.make(
-            self.slot,
             self.controllers,
             self.routers,
             platform.port,
--- a/simulator/soak/processes.py
+++ b/simulator/soak/processes.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 from contextlib import suppress
@@ -19,6 +21,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 CONTROL_PORT, FRONT_PORT, READINESS_PORT, FIRST_INTERNAL_PORT = 8262, 8263, 8268, 7300
 NODES_PER_BLOCK = 250
+FIRST_NETWORK, LAST_NETWORK = 20, 250
+PR_SET_PDEATHSIG = 1
 RESTART_DELAY_S = 0.05
 # A program may take so long until it handles signals, in seconds.
 LOADING_S = 5.0
@@ -26,13 +30,37 @@
 MEMORY_PART = 0.45
 
 
-def address(slot: int, number: int) -> str:
-    """Return the loopback address of a node; plays in other slots don't share any.
+def address(network: int, number: int) -> str:
+    """Return the loopback address of a node; plays in other networks don't share any.
 
-    >>> address(0, 0), address(1, 300)
+    >>> address(20, 0), address(21, 300)
     ('127.20.0.1', '127.21.1.51')
     """
-    return f"127.{20 + slot}.{number // NODES_PER_BLOCK}.{number % NODES_PER_BLOCK + 1}"
+    return f"127.{network}.{number // NODES_PER_BLOCK}.{number % NODES_PER_BLOCK + 1}"
+
+
+def reserve_network() -> tuple[int, socket.socket]:
+    """Return a loopback network that no other play on this machine uses, and the socket that holds it.
+
+    Raises
+    ------
+    OSError
+        None is free.
+    """
+    for network in range(FIRST_NETWORK, LAST_NETWORK + 1):
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{network}.255.254", CONTROL_PORT))
+        except OSError:
+            holder.close()
+            continue
+        return network, holder
+    raise OSError("no loopback network is free")
+
+
+def _end_with_parent() -> None:
+    """The kernel ends the process when the play ends, in whatever way."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def _toml(value: Any) -> str:
@@ -156,6 +184,7 @@
                     env=environment,
                     stdout=log,
                     stderr=log,
+                    preexec_fn=_end_with_parent,
                 )
             self.incarnations.append(incarnation)
             status = await self.process.wait()
@@ -237,15 +266,15 @@
 
     Attributes
     ----------
-    slot
-        Plays at the same time have different slots.
+    holder
+        Holds the network of the play's addresses.
     controllers, routers
         The nodes.
     faults
         What must not have happened.
     """
 
-    slot: int
+    holder: socket.socket
     folder: str
     faults: list[str] = field(factory=list)
     controllers: list[Node] = field(factory=list)
@@ -254,7 +283,6 @@
     @classmethod
     def make(
         cls,
-        slot: int,
         controllers: int,
         routers: int,
         platform_port: int,
@@ -263,11 +291,12 @@
         **more: Any,
     ) -> Fleet:
         """Return a fleet that is not started yet, of the programs in ``root``; ``more`` goes into every startup file."""
-        fleet = cls(slot, tempfile.mkdtemp(prefix="soak-"))
-        seeds = [f"{address(slot, number)}:{CONTROL_PORT}" for number in range(min(3, controllers))]
+        network, holder = reserve_network()
+        fleet = cls(holder, tempfile.mkdtemp(prefix="soak-"))
+        seeds = [f"{address(network, number)}:{CONTROL_PORT}" for number in range(min(3, controllers))]
         for number in range(controllers + routers):
             program = "controller" if number < controllers else "router"
-            ip, name = address(slot, number), f"{program}-{number}"
+            ip, name = address(network, number), f"{program}-{number}"
             listen = (
                 {"control": f"{ip}:{CONTROL_PORT}"}
                 if program == "controller"
@@ -308,6 +337,7 @@
     async def stop(self) -> None:
         """End all nodes; what they wrote is kept only after a fault."""
         await asyncio.gather(*(node.stop() for node in self.nodes))
+        self.holder.close()
         self.faults += [f"{node.name} wrote a traceback, see {node.log_path}" for node in self.nodes if _failed(node)]
         if not self.faults:
             shutil.rmtree(self.folder, ignore_errors=True)
--- a/simulator/soak/requests.py
+++ b/simulator/soak/requests.py
@@ -73,7 +73,6 @@
     """
 
     seed: int
-    slot: int
     routers: int = 3
     clients: int = 0
     seconds: float = 12.0
@@ -98,9 +97,7 @@
             runner.silence = self.luck.choice((0.15, 0.3, 1.2)) * self.luck.uniform(0.5, 1.0)
         entries = [Platform.entry(r.id, "s", f"127.0.0.1:{r.port}", slots=64) for r in self.runners]
         platform = await Platform(entries).start()
-        self.fleet = Fleet.make(
-            self.slot, 3, self.routers, platform.port, GRACE_S, self.root, bounds={"graceS": GRACE_S}
-        )
+        self.fleet = Fleet.make(3, self.routers, platform.port, GRACE_S, self.root, bounds={"graceS": GRACE_S})
         self.fleet.start()
         try:
             async with aiohttp.ClientSession() as http:
--- a/tests/simulator/test_soak.py
+++ b/tests/simulator/test_soak.py
@@ -5,7 +5,7 @@
 
 from simulator.clients import Outcome, PlannedEnd
 from simulator.soak.command import soak
-from simulator.soak.processes import address, to_toml
+from simulator.soak.processes import address, reserve_network, to_toml
 
 
 class Soak(unittest.TestCase):
@@ -25,7 +25,10 @@
         self.assertFalse(end.lost(Outcome("a", 11.68, sent=11.68, waits=8.0, ended=11.7), passed_on=False))
 
     def test_addresses_of_plays_at_the_same_time_differ(self):
-        addresses = [address(slot, number) for slot in range(4) for number in range(300)]
+        first, second = reserve_network(), reserve_network()
+        for _, holder in (first, second):
+            self.addCleanup(holder.close)
+        addresses = [address(network, number) for network in (first[0], second[0]) for number in range(300)]
         self.assertEqual(len(set(addresses)), len(addresses))
         self.assertTrue(all(a.startswith("127.") for a in addresses))
 
