Scheduler: an attempt is a run that failed, counted once and stored with its number

Cause: ends were counted, and only the count was stored: two members of one run of a gang were two attempts, an end listed to the next primary was counted again, and an end failed behind a done one of the same run failed the job. What stored is read (golden bytes). Each counted attempt is logged with task, run, runner, term and count.

--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -273,11 +273,26 @@
             await asyncio.sleep(TICK_S)
         return False
 
+    @staticmethod
+    def _log_failures(term: _Term, changes: Changes) -> None:
+        """Tells of each attempt that was counted: the only way to a job that is shown as failed."""
+        for failure in changes.failures:
+            logging.info(
+                "jobs: attempt failed task=%s run=%d runner=%s term=%d count=%d of=%d",
+                failure.task,
+                failure.run,
+                failure.runner,
+                term.store.term,
+                failure.count,
+                failure.allowed,
+            )
+
     def _on_stored(self, term: _Term, arrived: dict[int, Job], changes: Changes | None) -> None:
         for job in arrived.values():
             if term.arriving.pop(job.id, None) is not None:
                 term.scheduler.add(job)
         if changes is not None:
+            self._log_failures(term, changes)
             term.scheduler.stored(changes)
             for job_id in changes.ended:
                 term.ended[job_id] = term.store.ended[job_id]
--- a/sparloom/scheduler/jobs.py
+++ b/sparloom/scheduler/jobs.py
@@ -10,7 +10,7 @@
 
 from sparloom.codec import pack, unpack
 
-from .messages import EndedJob, JobState, JobTable, StepProgress, StoredJob
+from .messages import EndedJob, FailedRun, FailedRuns, JobState, JobTable, StepProgress, StoredJob
 from .specification import parse_job
 
 if TYPE_CHECKING:
@@ -38,7 +38,9 @@
     done
         Whether a run of it has ended ``done``.
     failures
-        How many runs of it have ended ``failed``.
+        How many runs of it have ended ``failed``; of a gang, the first task counts for all.
+    failed_runs
+        The numbers of those runs. Of what was stored before numbers were, only ``failures`` is known.
     last_run
         The number of its newest run; 0 before the first in this term.
     run
@@ -52,6 +54,7 @@
     index: int
     done: bool = False
     failures: int = 0
+    failed_runs: set[int] = field(factory=set)
     last_run: int = 0
     run: Run | None = None
     checkpoint: str = ""
@@ -106,10 +109,27 @@
         """The runs under way."""
         return [task.run for task in self.tasks if task.run is not None]
 
-    @property
-    def failures(self) -> int:
-        """How often the task that failed most, or the gang, has failed."""
-        return max(task.failures for task in self.tasks)
+    def failures(self, task: Task) -> int:
+        """How many runs of a task, or of its gang, have ended ``failed``."""
+        return self._counting(task).failures
+
+    def _counting(self, task: Task) -> Task:
+        """The task that counts a task's failures: of a gang, the first one does."""
+        return self.tasks[0] if self.specification.gang else task
+
+    def count_failure(self, task: Task, run: int) -> bool:
+        """Count a run that has ended ``failed``; return whether it is a new attempt.
+
+        An attempt is a run and not an end: each member of a gang may list the
+        end of one run, and a runner lists an end again to the next primary. What
+        fails after the task is done counts for nothing.
+        """
+        counting = self._counting(task)
+        if task.done or run in counting.failed_runs:
+            return False
+        counting.failed_runs.add(run)
+        counting.failures += 1
+        return True
 
     def task_name(self, index: int) -> str:
         """Return a task's name on the wire.
@@ -141,6 +161,7 @@
     def progress(self) -> StepProgress | None:
         """What is stored of the step; None where nothing of it has ended."""
         done = bytes(task.done for task in self.tasks)
+        failed_runs = [FailedRun(task.index, run) for task in self.tasks for run in sorted(task.failed_runs)]
         failures = [min(task.failures, MAXIMUM_STORED_FAILURES) for task in self.tasks]
         checkpoints = [task.checkpoint for task in self.tasks]
         if not any(done) and not any(failures) and not any(checkpoints):
@@ -148,7 +169,7 @@
         return StepProgress(
             self.time,
             self.number,
-            done,
+            done + (pack(FailedRuns(failed_runs)) if failed_runs else b""),
             failures if any(failures) else [],
             checkpoints if any(checkpoints) else [],
         )
@@ -162,6 +183,11 @@
         for task, done in zip(self.tasks, progress.done, strict=False):
             if done:
                 self.set_done(task)
+        self._restore_failed_runs(progress.done[len(self.tasks) :])
+
+    def _restore_failed_runs(self, packed: bytes) -> None:
+        for failed in unpack(packed).runs if packed else ():
+            self.tasks[failed.task].failed_runs.add(failed.run)
 
 
 @define(slots=True, eq=False)
--- a/sparloom/scheduler/messages.py
+++ b/sparloom/scheduler/messages.py
@@ -127,6 +127,29 @@
     text: str
 
 
+@record(117)
+class FailedRun(Record):
+    """A run that has ended ``failed`` and is counted.
+
+    Attributes
+    ----------
+    task
+        Index of its task; of a gang, 0.
+    run
+        The run's number.
+    """
+
+    task: UInt16
+    run: UInt64
+
+
+@record(118)
+class FailedRuns(Record):
+    """The runs of a step that have ended ``failed``: the end of each is listed until its runner may forget it."""
+
+    runs: list[FailedRun]
+
+
 @record(113)
 class StepProgress(Record):
     """What has become of one step at one time.
@@ -136,7 +159,8 @@
     time, step
         Number of the time and of the step.
     done
-        A byte for each task, 1 for those that ended ``done``.
+        A byte for each task, 1 for those that ended ``done``; then, if any run has ended ``failed``, a packed
+        ``FailedRuns``, which programs from before it pass over.
     failures
         How often each task failed; of a gang, the first element counts for all.
     checkpoints
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -82,6 +82,27 @@
     gang: float = 4.0
 
 
+@define(frozen=True, slots=True)
+class CountedFailure:
+    """A run that has ended ``failed`` and was counted as an attempt.
+
+    Attributes
+    ----------
+    task, run, runner
+        What failed, and where.
+    count
+        How many attempts of the task, or of its gang, have failed by now.
+    allowed
+        With so many the job is given up.
+    """
+
+    task: str
+    run: int
+    runner: str
+    count: int
+    allowed: int
+
+
 @define(frozen=True, slots=True)
 class Changes:
     """What must be stored before runners may forget the ends that led to it.
@@ -94,11 +115,14 @@
         Ids of those that have ended by now; others may end while these changes are being stored.
     ends
         The newest end that was applied, by runner.
+    failures
+        The attempts that were counted.
     """
 
     jobs: tuple[Job, ...]
     ended: frozenset[int]
     ends: dict[str, int]
+    failures: tuple[CountedFailure, ...] = ()
 
 
 @define(slots=True, eq=False)
@@ -135,6 +159,7 @@
     _listed: bool = False
     _changed_jobs: dict[int, Job] = field(factory=dict)
     _unstored_ends: dict[str, int] = field(factory=dict)
+    _counted: list[CountedFailure] = field(factory=list)
     _dirty: bool = True
     _next_pass_at: float = 0.0
     _next_sweep_at: float = 0.0
@@ -175,8 +200,8 @@
             return None
         jobs = tuple(self._changed_jobs.values())
         ended = frozenset(job.id for job in jobs if job.end is not None)
-        changes = Changes(jobs, ended, self._unstored_ends)
-        self._changed_jobs, self._unstored_ends = {}, {}
+        changes = Changes(jobs, ended, self._unstored_ends, tuple(self._counted))
+        self._changed_jobs, self._unstored_ends, self._counted = {}, {}, []
         return changes
 
     def stored(self, changes: Changes) -> None:
@@ -392,7 +417,7 @@
         """A runner lists an end for the first time."""
         run = runner.runs.get(end.task)
         if run is None or run.number != end.number:
-            self._on_other_end(end)
+            self._on_other_end(runner, end)
             return
         self._remove_run(run)
         job, step, task = run.step.job, run.step, run.task
@@ -405,21 +430,24 @@
             task.run = None
             self._on_done(step, task)
         elif end.how == "failed" and not step.specification.long_running:
-            self._on_failed(step, task)
+            self._count_failure(step, task, runner, end)
+            self._restart(step, task, slowly=True)
         else:
             self._restart(step, task, slowly=end.how in ("done", "failed"))
         self._forget_if_over(job)
 
-    def _on_other_end(self, end: TaskEnd) -> None:
-        """An end of a run that this term did not follow; only one that makes a task superfluous matters."""
+    def _on_other_end(self, runner: Runner, end: TaskEnd) -> None:
+        """An end of a run that is not followed here: of an earlier term, or one that was given up."""
         found = self._find(end.task)
         if found is None:
             return
         step, task = found
-        if end.how == "done" and not step.specification.long_running and step.job.end is None:
+        if step.specification.long_running or step.job.end is not None:
+            return
+        if end.how == "done":
             self._on_done(step, task)
-        elif end.how == "failed" and step.job.inherited and task.run is None and not step.specification.long_running:
-            self._on_failed(step, task)
+        elif end.how == "failed":
+            self._count_failure(step, task, runner, end)
 
     def _on_done(self, step: Step, task: Task) -> None:
         members = step.tasks if step.specification.gang else [task]
@@ -434,17 +462,21 @@
         if job.close_ended_times() and job.end is None:
             self._end_job(job, JobState.COMPLETED)
 
-    def _on_failed(self, step: Step, task: Task) -> None:
-        counted = step.tasks[0] if step.specification.gang else task
-        counted.failures += 1
-        self._changed_jobs[step.job.id] = step.job
-        self._restart(step, task, slowly=True)
-        if counted.failures >= step.job.policy.maximum_attempts:
-            self._end_job(step.job, JobState.FAILED)
+    def _count_failure(self, step: Step, task: Task, runner: Runner, end: TaskEnd) -> None:
+        """Count an attempt, unless its run is counted; give the job up after the last one that is allowed."""
+        if not step.count_failure(task, end.number):
+            return
+        job, failures = step.job, step.failures(task)
+        self._changed_jobs[job.id] = job
+        self._counted.append(
+            CountedFailure(end.task, end.number, runner.listing.id, failures, job.policy.maximum_attempts)
+        )
+        if failures >= job.policy.maximum_attempts:
+            self._end_job(job, JobState.FAILED)
 
     def _restart(self, step: Step, task: Task, slowly: bool) -> None:
         """Put a task whose run has ended among those that wait."""
-        delay = min(LONGEST_RESTART_DELAY_S, RESTART_DELAY_S * 2 ** min(task.failures, 8)) if slowly else 0.0
+        delay = min(LONGEST_RESTART_DELAY_S, RESTART_DELAY_S * 2 ** min(step.failures(task), 8)) if slowly else 0.0
         step.set_waiting(task, self.now + delay)
         if step.specification.gang:
             for run in step.runs:
--- a/tests/scheduler/test_jobs.py
+++ b/tests/scheduler/test_jobs.py
@@ -1,5 +1,7 @@
 """What is stored of jobs: it is loaded as it was, and ended jobs are kept for as long as they are shown."""
 
+import json
+import os
 import unittest
 
 from sparloom.scheduler.jobs import Job, JobStore
@@ -35,6 +37,31 @@
         self.assertEqual((step.tasks[2].failures, step.tasks[2].checkpoint), (2, "saved"))
         self.assertEqual(sorted(step.waiting), [0, 2])
 
+    def test_the_runs_that_have_failed_are_loaded_with_their_numbers(self):
+        one = job()
+        step = one.step(0, 0)
+        self.assertTrue(step.count_failure(step.tasks[2], 1 << 40))
+        self.assertFalse(step.count_failure(step.tasks[2], 1 << 40))
+        step = self.loaded(one).jobs()[0].step(0, 0)
+        self.assertEqual([step.failures(task) for task in step.tasks], [0, 0, 1])
+        self.assertFalse(step.count_failure(step.tasks[2], 1 << 40))
+        self.assertTrue(step.count_failure(step.tasks[2], 7))
+        self.assertTrue(step.count_failure(step.tasks[0], 7))
+
+    def test_what_an_earlier_program_stored_is_loaded(self):
+        """Bytes that e80f797 wrote: failures were stored without the numbers of their runs."""
+        path = os.path.join(os.path.dirname(os.path.dirname(__file__)), "golden", "golden.json")
+        with open(path, encoding="utf-8") as file:
+            store = JobStore.load(bytes.fromhex(json.load(file)["jobs stored by e80f797"]))
+        (one,) = store.jobs()
+        self.assertEqual((store.term, one.id, list(store.ended)), (4, 0xAB, [0xAC]))
+        step, gang = one.at_time(0)
+        self.assertEqual([task.done for task in step.tasks], [True, False, False])
+        self.assertEqual([step.failures(task) for task in step.tasks], [0, 2, 0])
+        self.assertEqual(step.tasks[2].checkpoint, "00000bb87a21d94b")
+        self.assertEqual([gang.failures(task) for task in gang.tasks], [1, 1])
+        self.assertTrue(gang.count_failure(gang.tasks[1], 3))
+
     def test_a_time_that_has_ended_is_not_run_again(self):
         body = b'{"steps":[{"replicaCount":1}],"repetitions":2,"initialDelayMs":1000,"intervalMs":1000}'
         one = job(body=body)
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -10,6 +10,7 @@
 from sparloom.scheduler.jobs import Job
 from sparloom.scheduler.messages import JobState
 from sparloom.scheduler.scheduler import Scheduler
+from tests.scheduler import simulated_cluster
 from tests.scheduler.simulated_cluster import Cluster
 
 
@@ -158,8 +159,10 @@
                 runner.stored_end = runner.applied_end
             return take_instructions(scheduler)
 
-        with mock.patch.object(Scheduler, "_take_instructions", forget_at_once):
-            self.assertTrue(any("after its end was noted" in wrong for wrong in self.faults(40)))
+        # A slow disk: the moment between an end and its storing is met by many seeds and not by one in a hundred.
+        slow_disk = mock.patch.object(simulated_cluster, "STORE_S", 0.3)
+        with slow_disk, mock.patch.object(Scheduler, "_take_instructions", forget_at_once):
+            self.assertTrue(any("after its end was noted" in wrong for wrong in self.faults()))
 
     def test_a_hold_that_is_given_up_too_early(self):
         with mock.patch.object(runners, "SLOW_CLOCK", -0.5), mock.patch.object(runners, "LAPSE_MARGIN_S", 0.0):
