Placement: of a bucket suitable runners are compared, not the first ones

Cause: the first 24 runners of a bucket were looked at, and those that get no starts (avoided, out of memory, holding the step's tasks already) stay in front of it; behind 24 of them none was found. Change: suitable runners are gathered until there are 24.

--- a/sparloom/scheduler/placement.py
+++ b/sparloom/scheduler/placement.py
@@ -2,11 +2,12 @@
 
 ``RunnerIndex`` keeps the runners of a service in buckets by their free
 processor, once for all and once for each label, so that a choice looks at a
-few runners, however many there are.
+few runners, however many there are, as long as most of them are suitable.
 """
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -14,7 +15,7 @@
 from .specification import Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from .jobs import Step
     from .runners import Runner
@@ -24,8 +25,8 @@
 # Free processor that one bucket spans, in thousandths of a core; all beyond the last bucket shares it.
 BUCKET_CPU = 1000
 BUCKETS = 128
-# At most so many runners of a bucket are looked at for one task.
-LOOKS_PER_BUCKET = 24
+# Of so many suitable runners of a bucket the best one is taken.
+COMPARED_PER_BUCKET = 24
 # The label under which all runners of a service stand.
 ANY = ""
 
@@ -104,12 +105,11 @@
         """The racks of all runners."""
         return [label for label in self._buckets if is_rack(label)]
 
-    def _candidates(self, label: str, cpu: int) -> Iterator[list[Runner]]:
-        """Some runners of each bucket that may have room, the fullest first."""
+    def _buckets_with_room(self, label: str, cpu: int) -> Iterator[Iterable[Runner]]:
+        """The runners of each bucket that may have room, the fullest bucket first."""
         for bucket in self._buckets.get(label, [])[_bucket_of(cpu) :]:
             if bucket:
-                looked_at = zip(bucket.values(), range(LOOKS_PER_BUCKET), strict=False)
-                yield [runner for runner, _ in looked_at]
+                yield bucket.values()
 
     def choose(self, step: Step, now: float, label: str = ANY, planned: dict[str, int] | None = None) -> Runner | None:
         """Return the best runner with a label for one more task of a step, or None where none has room.
@@ -122,16 +122,18 @@
             How many further tasks of the step are about to go to a runner, by its id.
         """
         needs = step.specification.needs
-        for runners in self._candidates(label, needs.cpu):
-            suitable = [
+        for runners in self._buckets_with_room(label, needs.cpu):
+            # Runners that get no starts stay in front of their bucket, so they must not use up the comparison.
+            suitable = (
                 runner
                 for runner in runners
                 if runner.fits(needs)
                 and runner.usable(now)
                 and _allowed(runner, step, planned.get(runner.listing.id, 0) if planned else 0)
-            ]
-            if suitable:
-                return min(suitable, key=lambda runner: _leftover(runner, needs))
+            )
+            compared = list(islice(suitable, COMPARED_PER_BUCKET))
+            if compared:
+                return min(compared, key=lambda runner: _leftover(runner, needs))
         return None
 
     def choose_near(self, step: Step, now: float) -> Runner | None:
