Scheduler: an end is acknowledged once the call that said so was answered

Cause: it counted as acknowledged when the call was made; after a failed one nothing was called again, and the runner went on listing the end. Change: the number told and the number acknowledged are two; a runner with ends to be told is called until it answers, unless its address belongs to another instance (421), which is remembered though the platform lists the old one on.

--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -164,6 +164,8 @@
         The runs under way, by task name.
     known
         Whether it has answered this primary, so that its runs are known.
+    replaced
+        Whether its address belongs to another instance by now: it is gone for good.
     clock_ms, clock_read_at
         What its clock showed, and when that answer came.
     hold_until
@@ -178,8 +180,10 @@
         Number of its newest end that was applied here.
     stored_end
         Number of its newest end of which the effect is stored.
+    told_end
+        Number of the newest end that the newest call told it to forget.
     acknowledged_end
-        Number of the newest end that it was told to forget.
+        The same of the newest call that it answered: it has surely forgotten that end.
     avoid_until, avoided_for
         No start before that moment; and how long it was avoided the last time, in seconds.
     failures
@@ -191,6 +195,7 @@
     used: Resources = field(factory=Resources)
     runs: dict[str, Run] = field(factory=dict)
     known: bool = False
+    replaced: bool = False
     clock_ms: float = 0.0
     clock_read_at: float = 0.0
     hold_until: float = 0.0
@@ -201,6 +206,7 @@
     attend_at: float = inf
     applied_end: int = 0
     stored_end: int = 0
+    told_end: int = 0
     acknowledged_end: int = 0
     avoid_until: float = 0.0
     avoided_for: float = 0.0
@@ -209,7 +215,14 @@
     @property
     def serving(self) -> bool:
         """Whether it takes starts at all."""
-        return self.known and self.listed and not self.listing.draining
+        return self.known and self.listed and not self.replaced and not self.listing.draining
+
+    @property
+    def needs_call(self) -> bool:
+        """Whether it has to be called: it is not known, it runs something, or it may not know that an end is stored."""
+        if self.replaced:
+            return False
+        return not self.known or bool(self.runs) or self.stored_end > self.acknowledged_end
 
     def usable(self, now: float) -> bool:
         """Whether it may be given a start now."""
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -276,7 +276,7 @@
         elif event.result is StartResult.FENCED:
             self.deposed = True
         elif event.result is StartResult.REPLACED:
-            self._lose(runner)
+            self._on_replaced(runner)
         elif event.result is StartResult.NO_ANSWER:
             run.unanswered = True
             self._attend(runner, run.ordered_at + ORDER_RETRY_S)
@@ -327,9 +327,7 @@
         if event.why is HoldFailure.FENCED:
             self.deposed = True
         elif event.why is HoldFailure.REPLACED:
-            self._lose(runner)
-            runner.known, runner.listed = True, False
-            self._reindex(runner)
+            self._on_replaced(runner)
         else:
             # Nothing new is given to a runner that doesn't answer.
             runner.avoid(self.now)
@@ -342,6 +340,8 @@
             return
         runner.calling, runner.next_hold_at, runner.answers = False, self.now + HOLD_PAUSE_S, True
         runner.note_clock(event.clock_ms, self.now)
+        # Only an answer shows that the call came: until then the runner goes on listing its ends.
+        runner.acknowledged_end = runner.told_end
         if not runner.known:
             runner.known = self._dirty = True
             self._reindex(runner)
@@ -490,6 +490,12 @@
             self._restart(run.step, run.task, slowly=False)
         self._forget_if_over(run.step.job)
 
+    def _on_replaced(self, runner: Runner) -> None:
+        """Another instance has a runner's address: that one is gone, even if the platform lists it for a while."""
+        runner.replaced = runner.known = True
+        self._reindex(runner)
+        self._lose(runner)
+
     def _lose(self, runner: Runner) -> None:
         """All that ran on a runner is gone."""
         for run in list(runner.runs.values()):
@@ -549,7 +555,7 @@
             self._check_gang(run)
         if runner.runs:
             self._attend(runner, max(self.now, runner.hold_until) + HOLD_PAUSE_S)
-        if runner.calling or (runner.known and not runner.runs and runner.stored_end <= runner.acknowledged_end):
+        if runner.calling or not runner.needs_call:
             return
         if self.now < runner.next_hold_at:
             self._attend(runner, runner.next_hold_at)
@@ -558,13 +564,13 @@
 
     def _hold(self, runner: Runner) -> None:
         runner.calling, runner.called_at = True, self.now
-        runner.acknowledged_end = runner.stored_end
+        runner.told_end = runner.stored_end
         # A runner that doesn't answer is only asked: a longer hold might reach it, and nothing would ever lapse.
         holding = runner.known and runner.runs and runner.answers
         deadline_ms = runner.extend_hold(self.now, self._hold_s()).clock_ms if holding else 0
         wait_ms = HOLD_WAIT_MS if runner.runs else 0
         listing = runner.listing
-        self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.acknowledged_end, wait_ms))
+        self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.told_end, wait_ms))
 
     def _repeat_order(self, run: Run) -> None:
         if run.in_call or self.now - run.ordered_at < ORDER_RETRY_S:
