Scheduler: nothing is held back in a half empty service, nor from a runner that answers

Cause: a step that waited held back all later ones of its service for 6.5 s of 8, whatever it waited for; a runner whose calls had failed was avoided for up to 8 s beyond its first answer, and one without runs was not asked at all.

--- a/sparloom/scheduler/placement_pass.py
+++ b/sparloom/scheduler/placement_pass.py
@@ -23,6 +23,8 @@
 HOLD_BACK_PERIOD_S = 8.0
 # A gang is waited for only if it takes less than this part of all capacity there is.
 GANG_CAPACITY_PART = 0.6
+# While less than this part of a service's processor is in use, others must not wait (RULES: half of it; a margin).
+HOLDS_BACK_ABOVE_USE = 0.55
 
 
 @define(slots=True, eq=False)
@@ -124,17 +126,22 @@
         if step.waiting_since is None:
             step.waiting_since = self.now
         waited = (self.now - step.waiting_since) % HOLD_BACK_PERIOD_S
-        return waited >= HOLDS_BACK_AFTER_S and self._may_ever_fit(step)
-
-    def _may_ever_fit(self, step: Step) -> bool:
-        """Whether the step's runners would have capacity if nothing else ran there."""
-        specification, service = step.specification, step.job.policy.service
+        if waited < HOLDS_BACK_AFTER_S:
+            return False
+        service = step.job.policy.service
+        serving = [runner for runner in self.runners.values() if runner.serving and runner.listing.service == service]
+        used = sum(runner.used.cpu for runner in serving)
+        capacity = sum(runner.listing.capacity.cpu for runner in serving)
+        return used >= capacity * HOLDS_BACK_ABOVE_USE and self._may_ever_fit(step, serving)
+
+    @staticmethod
+    def _may_ever_fit(step: Step, serving: list[Runner]) -> bool:
+        """Whether the step's runners, of those that take starts, would have capacity if nothing else ran there."""
+        specification = step.specification
         suitable = [
             runner
-            for runner in self.runners.values()
-            if runner.listed
-            and runner.listing.service == service
-            and runner.could_fit(specification.needs)
+            for runner in serving
+            if runner.could_fit(specification.needs)
             and (not specification.requirement or specification.requirement in runner.listing.labels)
         ]
         if not specification.gang:
--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -219,14 +219,17 @@
 
     @property
     def needs_call(self) -> bool:
-        """Whether it has to be called: it is not known, it runs something, or it may not know that an end is stored."""
+        """Whether it has to be called.
+
+        It is not known, or its last call failed, or it runs something, or it may not know that an end is stored.
+        """
         if self.replaced:
             return False
-        return not self.known or bool(self.runs) or self.stored_end > self.acknowledged_end
+        return not self.known or not self.answers or bool(self.runs) or self.stored_end > self.acknowledged_end
 
     def usable(self, now: float) -> bool:
         """Whether it may be given a start now."""
-        return self.serving and now >= self.avoid_until
+        return self.serving and self.answers and now >= self.avoid_until
 
     def fits(self, needs: Resources) -> bool:
         """Whether it has room for a task."""
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -328,9 +328,6 @@
             self.deposed = True
         elif event.why is HoldFailure.REPLACED:
             self._on_replaced(runner)
-        else:
-            # Nothing new is given to a runner that doesn't answer.
-            runner.avoid(self.now)
         self._attend(runner, runner.next_hold_at)
 
     @_apply.register(HoldAnswered)
