Scheduler: in a half empty service a step holds others back for two seconds at most

A gang has to gather whole runners, so use falls while it waits. Change: below 0.55 of use a step holds back for 2 s of each 8, and not at all where it would take little beside what runs.

--- a/sparloom/scheduler/jobs.py
+++ b/sparloom/scheduler/jobs.py
@@ -81,6 +81,8 @@
         How many tasks have ended ``done``.
     waiting_since
         Since when some task waits though its turn has come, in seconds; None where none does.
+    quiet_since
+        Since when it holds others back while little of its service is in use, in seconds; None where it doesn't.
     """
 
     job: Job
@@ -91,6 +93,7 @@
     waiting: deque[int]
     done_count: int = 0
     waiting_since: float | None = None
+    quiet_since: float | None = None
 
     @classmethod
     def of(cls, job: Job, time: int, number: int) -> Step:
--- a/sparloom/scheduler/placement_pass.py
+++ b/sparloom/scheduler/placement_pass.py
@@ -23,8 +23,12 @@
 HOLD_BACK_PERIOD_S = 8.0
 # A gang is waited for only if it takes less than this part of all capacity there is.
 GANG_CAPACITY_PART = 0.6
-# While less than this part of a service's processor is in use, others must not wait (RULES: half of it; a margin).
-HOLDS_BACK_ABOVE_USE = 0.55
+# While less than this part of a service's processor is in use, others may wait for some 3 s only (RULES: half of it).
+BUSY_USE = 0.55
+# So they wait for no longer than this, in seconds of each period.
+QUIET_HOLD_S = 2.0
+# What would take no more than this part beside all that runs doesn't wait for what others use.
+IDLE_USE = 0.25
 
 
 @define(slots=True, eq=False)
@@ -130,9 +134,21 @@
             return False
         service = step.job.policy.service
         serving = [runner for runner in self.runners.values() if runner.serving and runner.listing.service == service]
+        return self._has_reason_to_wait(step, serving) and self._may_ever_fit(step, serving)
+
+    def _has_reason_to_wait(self, step: Step, serving: list[Runner]) -> bool:
+        """Whether capacity that others use is what a step waits for, and how long that may go on in quiet times."""
         used = sum(runner.used.cpu for runner in serving)
         capacity = sum(runner.listing.capacity.cpu for runner in serving)
-        return used >= capacity * HOLDS_BACK_ABOVE_USE and self._may_ever_fit(step, serving)
+        if used >= capacity * BUSY_USE:
+            step.quiet_since = None
+            return True
+        waits_for = step.specification.needs.cpu * len(step.waiting)
+        if used + waits_for < capacity * IDLE_USE:
+            return False
+        if step.quiet_since is None or self.now - step.quiet_since >= HOLD_BACK_PERIOD_S:
+            step.quiet_since = self.now
+        return self.now - step.quiet_since < QUIET_HOLD_S
 
     @staticmethod
     def _may_ever_fit(step: Step, serving: list[Runner]) -> bool:
--- a/tests/scheduler/test_starved_tasks.py
+++ b/tests/scheduler/test_starved_tasks.py
@@ -55,6 +55,14 @@
         only_there = {"replicaCount": 9, "cpu": 100, "antiAffinity": 1}
         self.assertEqual(self.small_job_behind(only_there), ["0000000000000002"])
 
+    def test_a_service_that_is_half_empty_makes_nobody_wait_for_long(self):
+        self.contact(*(f"i-{n}" for n in range(10)))
+        self.add(json.dumps({"steps": [{"replicaCount": 8, "cpu": 2000, "antiAffinity": 1}]}).encode(), id=3)
+        self.assertEqual(len(self.starts(self.tick())), 8)
+        self.assertEqual(self.small_job_behind({"replicaCount": 5, "cpu": 4000, "gangScheduled": True}), [])
+        later = [start for _ in range(110) for start in self.starts(self.tick())]
+        self.assertEqual([task[:16] for _, task, _ in later], ["0000000000000002"])
+
 
 class Answering(MachineCase):
     def test_a_runner_gets_starts_again_as_soon_as_it_answers(self):
