Simulated cluster: an account of failed runs judges jobs; no task may be forgotten

Cause: the play accepted FAILED for any job, its gangs never failed, its calls to hold never failed, and nothing looked for tasks that are forgotten. Change: the runners' side counts distinct failed runs for each task or gang, and a job may be shown as failed or completed only where that account says so; sick runners, failing members of gangs, lost calls; at each tick each task whose turn has come waits in the queue or has a run that is looked after. Three mutations more.

--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -2,7 +2,9 @@
 
 What must not happen is checked as it happens: two runs of a task at once, a start after an end ``done``
 that was taken note of, a start before an earlier step has ended, more than a runner has room for, and
-gangs that don't come together in calm times.
+gangs that don't come together in calm times. The runners' side keeps an account of its own of the runs that ended
+``done`` and ``failed``; a job may be shown as failed, or as completed, only where that account says so. At each tick
+each task whose turn has come must be looked after (``unattended``).
 """
 
 import heapq
@@ -29,6 +31,7 @@
 from sparloom.scheduler.runners import RunnerListing
 from sparloom.scheduler.scheduler import JobTiming, Scheduler
 from sparloom.scheduler.specification import Resources, parse_job
+from tests.scheduler.unattended import unattended
 
 TICK_S = 0.02
 STORE_S = 0.03
@@ -54,6 +57,7 @@
     up: bool = True
     reachable: bool = True
     listed: bool = True
+    sick: bool = False
     fence: int = 0
     hold_ms: float = 0.0
     running: dict[str, SimulatedRun] = field(factory=dict)
@@ -64,11 +68,16 @@
 
 
 class Cluster:
-    """Plays one seed. ``faults``: the chance of each kind of fault with each order, and whether primaries change."""
+    """Plays one seed.
 
-    def __init__(self, seed, runners=8, faults=0.0, hold_limit=6.0, work=None):
+    ``faults``: the chance of each kind of fault with each order to start. ``hold_faults``: the chance that a call to
+    hold, or its answer, is lost.
+    """
+
+    def __init__(self, seed, runners=8, faults=0.0, hold_limit=6.0, work=None, hold_faults=0.0):
         self.luck = random.Random(seed)
         self.now, self.faults, self.hold_limit = 100.0, faults, hold_limit
+        self.hold_faults = hold_faults
         self.timing = JobTiming(hold_limit, 4.0)
         self.work = work or (
             lambda _task: (self.luck.uniform(0.1, 2.0), "failed" if self.luck.random() < 0.03 else "done")
@@ -81,6 +90,8 @@
         self.blob, self.scheduler, self.primary = b"", None, 0
         self.specifications, self.shown = {}, {}
         self.alone = 0
+        # The runners' account: numbers of the runs that failed, by task, or by step for a gang.
+        self.failed_runs = {}
         self.new_primary()
         self.at(0.0, self._tick)
         self.at(0.0, self._list)
@@ -133,6 +144,7 @@
 
     def _tick(self):
         self._carry_out(self.scheduler.tick(self.now, self.wall_ms()))
+        self.wrong += [f"{self.now:.3f} LOST {name}: {why}" for name, why in unattended(self.scheduler)]
         if not self.writing and (changes := self.scheduler.take_changes()) is not None:
             self.writing = True
             for job in changes.jobs:
@@ -147,6 +159,7 @@
         self.scheduler.stored(changes)
         for job_id in changes.ended:
             self.shown[job_id] = JobState(self.store.ended[job_id].state)
+            self._check_shown(job_id)
 
     def _list(self):
         listing = [
@@ -188,23 +201,31 @@
             answer = StartAnswered(order.runner, order.task, order.number, result, self.clock_ms(runner))
             self.at(self.latency(), self._tell, primary, answer)
         elif isinstance(order, StopRun):
-            fenced = term < runner.fence
-            if not fenced:
-                runner.fence = term
-                run = runner.running.get(order.task)
-                if run is not None and run.number == order.number:
-                    self.at(0.1, self._end, runner, order.task, run, "stopped")
-                else:
-                    runner.ended_runs[order.task] = max(order.number, runner.ended_runs.get(order.task, 0))
-            self.at(
-                self.latency(),
-                self._tell,
-                primary,
-                StopAnswered(order.runner, order.task, order.number, not fenced, fenced),
-            )
+            self._stop(primary, term, order, runner)
+        elif self.luck.random() < self.hold_faults:
+            # Either the call or its answer is lost.
+            if self.luck.random() < 0.5:
+                self._hold(primary, term, order, runner, answering=False)
+            self.at(1.0, self._lose_answer, primary, order)
         else:
             self._hold(primary, term, order, runner)
 
+    def _stop(self, primary, term, order, runner):
+        fenced = term < runner.fence
+        if not fenced:
+            runner.fence = term
+            run = runner.running.get(order.task)
+            if run is not None and run.number == order.number:
+                self.at(0.1, self._end, runner, order.task, run, "stopped")
+            else:
+                runner.ended_runs[order.task] = max(order.number, runner.ended_runs.get(order.task, 0))
+        self.at(
+            self.latency(),
+            self._tell,
+            primary,
+            StopAnswered(order.runner, order.task, order.number, not fenced, fenced),
+        )
+
     def _lose_answer(self, primary, order):
         if isinstance(order, StartRun):
             self._tell(primary, StartAnswered(order.runner, order.task, order.number, StartResult.NO_ANSWER))
@@ -213,9 +234,10 @@
         else:
             self._tell(primary, HoldFailed(order.runner, HoldFailure.NO_ANSWER))
 
-    def _hold(self, primary, term, order, runner, waited=False):
+    def _hold(self, primary, term, order, runner, waited=False, answering=True):
         if term < runner.fence:
-            self.at(self.latency(), self._tell, primary, HoldFailed(order.runner, HoldFailure.FENCED))
+            if answering:
+                self.at(self.latency(), self._tell, primary, HoldFailed(order.runner, HoldFailure.FENCED))
             return
         runner.fence = term
         if not waited:
@@ -223,6 +245,8 @@
             runner.ends = [e for e in runner.ends if e.sequence > order.last_seen]
             if order.deadline_ms and runner.running:
                 self._hold_until(runner, order.deadline_ms)
+            if not answering:
+                return
             if not runner.ends and order.wait_ms:
                 self.at(0.2, self._hold, primary, term, order, runner, True)
                 return
@@ -263,6 +287,7 @@
         self._check_start(runner, order)
         self._hold_until(runner, order.deadline_ms)
         seconds, how = self.work(order.task)
+        how = "failed" if runner.sick else how
         run = runner.running[order.task] = SimulatedRun(order.number, self.now + seconds, how)
         self.starts.append((self.now, runner.id, order.task, order.number))
         if step.gang:
@@ -293,10 +318,11 @@
             self.at(4.0, self._gang_late, task, number, step)
 
     def _gang_done(self, task, number, step):
+        """Ends a gang's run: done where all members are there and none fails; else it breaks for those that don't."""
         members = self._members(task, number)
-        how = "done" if len(members) == step.replica_count else "broken"
+        all_done = len(members) == step.replica_count and all(run.how == "done" for _, _, run in members)
         for runner, name, run in members:
-            self._end(runner, name, run, how)
+            self._end(runner, name, run, "done" if all_done else "failed" if run.how == "failed" else "broken")
 
     def _gang_late(self, task, number, step):
         members = self._members(task, number)
@@ -314,6 +340,12 @@
         runner.ends.append(TaskEnd(runner.last_end, task, run.number, how))
         if how == "done":
             self.done.add(task)
+        if how == "failed":
+            self.failed_runs.setdefault(self._unit(task), set()).add(run.number)
+
+    def _unit(self, task):
+        """What attempts are counted for: a task, or the step of a gang."""
+        return task.rpartition(".")[0] if self._step(task).gang else task
 
     def crash(self, runner_id):
         """A runner ends; another one, with a new id, comes up later."""
@@ -330,6 +362,18 @@
         self.runners[new] = SimulatedRunner(new, runner.capacity)
 
     # -- what must not happen -------------------------------------------------------
+    def _check_shown(self, job_id):
+        """A job is shown as failed, or as completed, only with cause."""
+        name, state = f"{job_id:016x}", self.shown[job_id]
+        failed = {unit: len(runs) for unit, runs in self.failed_runs.items() if unit.startswith(name)}
+        if state is JobState.FAILED and max(failed.values(), default=0) < POLICY.maximum_attempts:
+            self.wrong.append(f"{self.now:.3f} LOST {name} is shown as failed; failed runs: {failed}")
+        if state is JobState.COMPLETED:
+            for number, step in enumerate(self.specifications[job_id].steps):
+                tasks = {f"{name}.0.{number}.{index}" for index in range(step.replica_count)}
+                if not (tasks & self.done if step.gang else tasks <= self.done):
+                    self.wrong.append(f"{self.now:.3f} MIXED {name} is shown as completed; step {number} has not ended")
+
     def _check_start(self, runner, order):
         for other in self.runners.values():
             if other.up and order.task in other.running:
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -7,7 +7,7 @@
 
 from sparloom.scheduler import runners
 from sparloom.scheduler.events import StartAnswered, StartResult, StartRun
-from sparloom.scheduler.jobs import Job
+from sparloom.scheduler.jobs import Job, Step
 from sparloom.scheduler.messages import JobState
 from sparloom.scheduler.scheduler import Scheduler
 from tests.scheduler import simulated_cluster
@@ -141,6 +141,47 @@
                     self.assertIn(state, (JobState.COMPLETED, JobState.FAILED), job)
 
 
+class FailingWork(unittest.TestCase):
+    """Runners that fail all they run, gangs of which members fail, calls that fail, and primaries that change."""
+
+    def play(self, seed, seconds=25):
+        luck = random.Random(f"failing {seed}")
+        cluster = Cluster(seed, runners=10, faults=0.06, hold_faults=luck.choice((0.0, 0.1, 0.3)))
+        cluster.work = lambda _task: (luck.uniform(0.1, 1.5), "failed" if luck.random() < 0.12 else "done")
+        for job in range(1, 31):
+            steps = [{"replicaCount": luck.randint(1, 5), "cpu": luck.choice((500, 1500, 3000))}]
+            if luck.random() < 0.4:
+                steps.append({"replicaCount": luck.randint(1, 4), "cpu": 1000, "dependsOn": [0]})
+            for step in steps:
+                step["gangScheduled"] = luck.random() < 0.4
+            cluster.at(luck.uniform(0, seconds * 0.6), cluster.submit, job, body(*steps))
+        for _ in range(6):
+            cluster.at(luck.uniform(1, seconds), cluster.new_primary)
+        for _ in range(3):
+            runner = cluster.runners[f"i-{luck.randrange(10)}"]
+            at = luck.uniform(0, seconds)
+            cluster.at(at, setattr, runner, "sick", True)
+            cluster.at(at + luck.uniform(1, 8), setattr, runner, "sick", False)
+            runner = cluster.runners[f"i-{luck.randrange(10)}"]
+            at = luck.uniform(0, seconds)
+            cluster.at(at, setattr, runner, "reachable", False)
+            cluster.at(at + luck.uniform(0.5, 12), setattr, runner, "reachable", True)
+        cluster.run(seconds)
+        cluster.faults = cluster.hold_faults = 0.0
+        cluster.run(40)
+        return cluster
+
+    def test_a_job_is_shown_as_failed_or_completed_only_with_cause(self):
+        failed = 0
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                cluster = self.play(seed)
+                self.assertEqual(cluster.wrong, [])
+                self.assertEqual(sorted(cluster.shown), list(range(1, 31)))
+                failed += sum(state is JobState.FAILED for state in cluster.shown.values())
+        self.assertGreater(failed, 30)
+
+
 class Mutations(unittest.TestCase):
     """Without one of its guards the scheduler does what it must not, and the play sees it."""
 
@@ -164,6 +205,26 @@
         with slow_disk, mock.patch.object(Scheduler, "_take_instructions", forget_at_once):
             self.assertTrue(any("after its end was noted" in wrong for wrong in self.faults()))
 
+    def failing_work(self, seeds=12):
+        return [wrong for seed in range(seeds) for wrong in FailingWork().play(seed).wrong]
+
+    def test_attempts_that_are_ends_and_not_runs(self):
+        def count_each_end(step, task, _run):
+            counting = step.tasks[0] if step.specification.gang else task
+            counting.failures += 1
+            return True
+
+        with mock.patch.object(Step, "count_failure", count_each_end):
+            self.assertTrue(any("is shown as failed" in wrong for wrong in self.failing_work()))
+
+    def test_failed_runs_whose_numbers_are_not_stored(self):
+        with mock.patch.object(Step, "_restore_failed_runs", lambda _step, _packed: None):
+            self.assertTrue(any("is shown as failed" in wrong for wrong in self.failing_work(24)))
+
+    def test_a_task_that_is_dropped_and_not_put_back(self):
+        with mock.patch.object(Scheduler, "_restart", lambda _self, step, task, slowly: setattr(task, "run", None)):
+            self.assertTrue(any("neither runs nor waits" in wrong for wrong in self.failing_work(2)))
+
     def test_a_hold_that_is_given_up_too_early(self):
         with mock.patch.object(runners, "SLOW_CLOCK", -0.5), mock.patch.object(runners, "LAPSE_MARGIN_S", 0.0):
             self.assertTrue(any("TWICE" in wrong and "beside" in wrong for wrong in self.faults()))
