Scheduler: checkpoints of ended runs are stored before their runners forget them

Cause: a job with a new checkpoint was not among what was stored, its end was; an adopted run without a checkpoint wiped the stored one. Change: such a job is stored; an empty checkpoint replaces none. Measured: both tests pass, the scheduler's suite too.

--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -387,7 +387,7 @@
             self._out.append(StopRun(runner.listing.id, runner.listing.address, running.task, running.number))
             return
         step, task = found
-        task.checkpoint = running.checkpoint
+        task.checkpoint = running.checkpoint or task.checkpoint
         run = Run(step, task, running.number, runner, RunPhase.RUNNING, self.now, self.now)
         # The earlier primary may have asked for the longest hold there is just now.
         runner.hold_until = max(runner.hold_until, self.now + self._longest_hold_s())
@@ -421,6 +421,8 @@
         job.begun = self._dirty = True
         if end.checkpoint and step.specification.checkpoints:
             task.checkpoint = end.checkpoint
+            # Its runner may forget the end once this is stored, and the checkpoint with it.
+            self._changed_jobs[job.id] = job
         if end.how in ("done", "failed"):
             runner.note_end(end.how == "done", self.now)
         if end.how == "done" and not step.specification.long_running:
