Graceful shutdown: a test whose event loop stands still across each moment of the stop

Change: four clients on kept connections send as the loop stops, 50 moments from 2.5 to 3.0 s, 50 and 100 ms each.

--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -83,6 +83,35 @@
             with self.subTest(moment=moment):
                 self.assertEqual(self.at(moment, turn=0.004).lost, [])
 
+    def stands_still_at(self, moment, seconds):
+        """A play in which the event loop stands still as several clients send, on connections used before."""
+
+        async def client(number):
+            connection = await self.client()
+            await self.ask(connection, id=f"before-{number}")
+            # All requests are read at one moment: as the loop goes on.
+            await self.until(moment - 0.0004 + number * 0.0001)
+            if connection.open:
+                await self.ask(connection, id=f"late-{number}")
+
+        async def story():
+            clients = [asyncio.ensure_future(client(number)) for number in range(4)]
+            await self.until(0.5)
+            self.script("still", 0.2)
+            await self.until(moment)
+            self.loop.now += seconds
+            await asyncio.gather(*clients)
+
+        return self.play(story)
+
+    def test_a_loop_that_stands_still_across_any_moment_of_the_stop(self):
+        """Two streams were cut 2.87 s after SIGTERM, both read in one turn of a loop that had stood still for 80 ms."""
+        for step in range(50):
+            for seconds in (0.05, 0.1):
+                moment = 2.5 + step * 0.01
+                with self.subTest(moment=moment, seconds=seconds):
+                    self.assertEqual(self.stands_still_at(moment, seconds).lost, [])
+
     def test_a_request_of_many_packets_at_any_moment(self):
         for step in range(-20, 170, 3):
             with self.subTest(moment=step * STEP):
