--- a/tests/controller/test_program.py
+++ b/tests/controller/test_program.py
@@ -34,7 +34,7 @@
     return ports
 
 
-class Case(unittest.IsolatedAsyncioTestCase):
+class ControllerCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.dir = tempfile.TemporaryDirectory()
         self.addCleanup(self.dir.cleanup)
@@ -87,6 +87,8 @@
         async with self.http.request(method, self.url, data=raw, headers=headers, allow_redirects=False) as response:
             return response.status, await response.json()
 
+
+class Case(ControllerCase):
     async def test_the_operators_calls(self):
         status, _ = await self.call("GET", b"")
         self.assertEqual(status, 404)
