Evacuation of a zone: ordered, kept with the control state, fed with it, in force at routers

Cause: POST and DELETE /-/evacuation/ZONE were no calls. An unknown zone is refused with a sentence (404). GET /-/evacuation lists them. Golden bytes by hand for version 3, the new paths and keys of beliefs added by hand; the older ones as they were.

--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -7,6 +7,8 @@
 
 from attrs import define, field
 
+from .evacuation import evacuated_zones
+
 if TYPE_CHECKING:
     from .check import ConfigurationDocument
 
@@ -141,6 +143,8 @@
         What clients may send.
     hosts
         The routes of each host, the longest prefix first.
+    evacuated_zones
+        Zones whose runners are to be sent nothing.
     """
 
     revision: int
@@ -148,6 +152,7 @@
     services: dict[str, Service]
     limits: RequestLimits
     hosts: dict[str, tuple[Route, ...]] = field(repr=False, factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a host with the longest prefix that begins the path; None where there is none.
@@ -243,4 +248,5 @@
         services={item["name"]: _service(item) for item in document.get("services", [])},
         limits=_request_limits(document.get("limits", {})),
         hosts=_by_host(routes),
+        evacuated_zones=evacuated_zones(document),
     )
--- a/sparloom/controller/change_requests.py
+++ b/sparloom/controller/change_requests.py
@@ -50,14 +50,14 @@
         revision: int = self.change["revision"]
         return revision
 
-    def is_retry_of(self, other: ChangeRequest) -> bool:
+    def is_retry_of(self, other: object) -> bool:
         """Whether this is the other change, sent again.
 
         >>> a, b = (parse_change_request("PATCH", base, b'{"revision": 4}').unwrap() for base in "12")
         >>> a.is_retry_of(a), a.is_retry_of(b)
         (True, False)
         """
-        return self.fingerprint == other.fingerprint
+        return isinstance(other, ChangeRequest) and self.fingerprint == other.fingerprint
 
 
 class Verdict(Enum):
--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -1,4 +1,4 @@
-"""Reads and changes the configuration: one write at a time, and what became of it.
+"""Reads and changes the control state, configuration and evacuations: one write at a time, and what became of it.
 
 Every answer rests on committed state that a majority confirmed after the
 request came. That assumes what the consensus assumes: a primary serves only
@@ -15,12 +15,14 @@
 from absl import logging
 from attrs import define
 
+from sparloom.configuration import with_evacuated_zones
 from sparloom.feed import CONFIGURATION
 from sparloom.membership import ROUTER
 from sparloom.transport import monotonic
 
 from .change_requests import Verdict, judge
 from .control_state import State
+from .evacuation_orders import EvacuationOrder, judge_evacuation
 from .offload import is_large, run
 
 if TYPE_CHECKING:
@@ -28,11 +30,12 @@
 
     from sparloom.consensus import Data
 
-    from .change_requests import ChangeRequest
+    from .change_requests import ChangeRequest, Judgement
     from .consensus_service import ConsensusService
     from .feed_server import FeedServer
 
     Version = tuple[int, int]
+    Order = ChangeRequest | EvacuationOrder
 
 # Callers move on after a second of silence; a large body is given more.
 ANSWER_WITHIN = timedelta(milliseconds=800)
@@ -88,7 +91,7 @@
 
     Attributes
     ----------
-    request : ChangeRequest
+    request : ChangeRequest or EvacuationOrder
         The change.
     blob : bytes
         The packed state that is being written.
@@ -98,7 +101,7 @@
         Gives whether the write is known to be committed.
     """
 
-    request: ChangeRequest
+    request: Order
     blob: bytes
     state: State
     committed: asyncio.Task[bool]
@@ -106,7 +109,7 @@
 
 @define(frozen=True, slots=True)
 class Acknowledged:
-    """The change is committed."""
+    """The change is committed; ``revision`` is that of the configuration."""
 
     revision: int
 
@@ -176,7 +179,8 @@
         self.committed = self._snapshot(data)
         state = self.committed.state
         if state.revision:
-            self.feed_server.publish(CONFIGURATION, data.version, state.configuration)
+            document = with_evacuated_zones(state.configuration, state.evacuated)
+            self.feed_server.publish(CONFIGURATION, data.version, document)
 
     def _snapshot(self, data: Data) -> Snapshot:
         """The state in some data; the same bytes are unpacked once only."""
@@ -216,7 +220,7 @@
 
     # -- changing -------------------------------------------------------------------
     async def change(
-        self, request: ChangeRequest, deadline: Deadline, is_wanted: Callable[[], bool] = lambda: True
+        self, request: Order, deadline: Deadline, is_wanted: Callable[[], bool] = lambda: True
     ) -> ChangeOutcome:
         """Carries out a change, and returns its outcome by the deadline.
 
@@ -232,14 +236,14 @@
             if self.pending is not None:
                 pending = self.pending
                 committed = await self._committed_in_time(pending, deadline)
-                if pending.request.is_retry_of(request):
-                    return Acknowledged(request.revision) if committed else OutcomeUnknown()
+                if request.is_retry_of(pending.request):
+                    return Acknowledged(pending.state.revision) if committed else OutcomeUnknown()
                 continue
             snapshot = await self.confirmed(deadline)
             if snapshot is None:
                 return NotConfirmed()
             # Another write may have begun, or ended, while the state was being confirmed.
-            if self.pending is not None or not self._is_newest(snapshot):
+            if self.pending is not None or not self._is_newest(snapshot) or not is_wanted():
                 continue
             outcome = await self._judge(request, snapshot)
             if outcome is not None:
@@ -253,36 +257,44 @@
         done, _ = await asyncio.wait({task}, timeout=deadline.left().total_seconds())
         return bool(done) and not task.cancelled() and task.result()
 
-    async def _judge(self, request: ChangeRequest, snapshot: Snapshot) -> ChangeOutcome | None:
+    async def _judgement(self, request: Order, state: State) -> Judgement:
+        if isinstance(request, EvacuationOrder):
+            return judge_evacuation(state, request)
+        is_long = is_large(state.configuration) or is_large(request.change)
+        return await run(is_long, judge, state, request, self._visible_routers())
+
+    async def _judge(self, request: Order, snapshot: Snapshot) -> ChangeOutcome | None:
         """The outcome of a change; None when its write has begun, or the state has changed meanwhile."""
-        is_long = is_large(snapshot.state.configuration) or is_large(request.change)
-        judgement = await run(is_long, judge, snapshot.state, request, self._visible_routers())
+        judgement = await self._judgement(request, snapshot.state)
         if judgement.verdict is Verdict.ALREADY_COMMITTED:
-            return Acknowledged(request.revision)
+            return Acknowledged(snapshot.state.revision if isinstance(request, EvacuationOrder) else request.revision)
         if judgement.verdict is Verdict.FORGOTTEN:
             return OutcomeUnknown()
         if judgement.verdict is Verdict.STALE:
             return Stale(snapshot.state.revision)
         if judgement.state is None:
             return Invalid(judgement.fault)
-        blob = await run(is_long, judgement.state.pack)
+        blob = await run(is_large(judgement.state.configuration), judgement.state.pack)
         # The loop ran on while threads judged and packed.
         if self.pending is None and self._is_newest(snapshot):
-            write = self._write(request, snapshot, blob)
+            write = self._write(request, snapshot, judgement.state, blob)
             task = asyncio.get_running_loop().create_task(write)
             self.pending = PendingWrite(request, blob, judgement.state, task)
         return None
 
-    async def _write(self, request: ChangeRequest, snapshot: Snapshot, blob: bytes) -> bool:
+    async def _write(self, request: Order, snapshot: Snapshot, state: State, blob: bytes) -> bool:
         """Writes a state over the one that it was made from; returns whether it is known to be committed."""
         try:
             # The task starts a turn of the event loop after the last check.
             if not self._is_newest(snapshot):
                 return False
-            data = await self.consensus.write(request.revision, blob, self.write_timeout())
-            if data is None or data.revision != request.revision:
+            data = await self.consensus.write(state.revision, blob, self.write_timeout())
+            if data is None or data.revision != state.revision:
                 return False
-            logging.info("control: revision committed revision=%d", request.revision)
+            if isinstance(request, EvacuationOrder):
+                logging.info("control: evacuation committed zone=%s evacuated=%s", request.zone, request.evacuate)
+            else:
+                logging.info("control: revision committed revision=%d", state.revision)
             return True
         finally:
             self.pending = None
--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -1,7 +1,7 @@
-"""What operators call over HTTP: PUT, PATCH and GET of the configuration, and the controller's beliefs.
+"""What operators call over HTTP: the configuration, the evacuation of zones, and the controller's beliefs.
 
 Any controller answers 400, 408 and 413 for faults of the request alone, and
-the beliefs. Whatever depends on the configuration is answered by the primary
+the beliefs. Whatever depends on the control state is answered by the primary
 alone: 200 to a change once every holder has it on disk, a read or a refusal
 from state that a majority confirmed after the request came. Otherwise the
 answer is a 503 or a redirect. What a change leads to is decided in
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
-from attrs import define
+from attrs import define, field
 from mode import Service
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -37,6 +37,7 @@
     Stale,
 )
 from .control_state import json_text
+from .evacuation_orders import EvacuationOrder, zone_fault
 from .offload import LARGE_BYTES, is_large, run
 
 if TYPE_CHECKING:
@@ -53,6 +54,8 @@
 
 CONFIGURATION_PATH = "/-/configuration"
 BELIEFS_PATH = "/-/beliefs"
+EVACUATIONS_PATH = "/-/evacuation"
+EVACUATION_PREFIX = EVACUATIONS_PATH + "/"
 MAXIMUM_BODY_BYTES = 16 << 20
 # A body of which nothing more comes for so long is given up.
 BODY_TIMEOUT = timedelta(seconds=5)
@@ -131,9 +134,18 @@
 
 @define(frozen=True, slots=True)
 class RoutingTable:
-    """The handlers by path, then by method."""
+    """The handlers by path, then by method.
+
+    Attributes
+    ----------
+    paths : dict
+        Of whole paths.
+    prefixes : dict
+        Of paths that begin so and go on.
+    """
 
     paths: Mapping[str, Mapping[str, Handler]]
+    prefixes: Mapping[str, Mapping[str, Handler]] = field(factory=dict)
 
     def find(self, method: str, path: str) -> Handler | int:
         """The handler, or the status that says why there is none.
@@ -142,8 +154,12 @@
         True
         >>> int(RoutingTable({"/a": {}}).find("GET", "/a")), int(RoutingTable({}).find("GET", "/a"))
         (405, 404)
+        >>> RoutingTable({}, {"/a/": {"GET": print}}).find("GET", "/a/b") is print
+        True
         """
         methods = self.paths.get(path)
+        if methods is None:
+            methods = next((found for prefix, found in self.prefixes.items() if path.startswith(prefix)), None)
         if methods is None:
             return HTTPStatus.NOT_FOUND
         return methods.get(method, HTTPStatus.METHOD_NOT_ALLOWED)
@@ -168,7 +184,9 @@
             {
                 CONFIGURATION_PATH: {"PUT": self.change, "PATCH": self.change, "GET": self.get},
                 BELIEFS_PATH: {"GET": self.beliefs},
-            }
+                EVACUATIONS_PATH: {"GET": self.evacuations},
+            },
+            {EVACUATION_PREFIX: {"POST": self.evacuate, "DELETE": self.restore}},
         )
         self.runner: web.ServerRunner | None = None
 
@@ -206,7 +224,7 @@
             return error(handler, "no such call")
         return await handler(request)
 
-    def redirect(self) -> web.Response:
+    def redirect(self, path: str = CONFIGURATION_PATH) -> web.Response:
         """The response to what this controller can't answer: to the primary, if that was confirmed of late."""
         member = self.consensus.member
         primary = member.primary()
@@ -215,7 +233,7 @@
         age = timedelta(milliseconds=self.feed_server.confirmation_age_ms())
         if age > self.settings.bounds.contact / REDIRECT_AGES_PER_CONTACT_BOUND:
             return error(HTTPStatus.SERVICE_UNAVAILABLE, "the primary has not been heard of lately", **RETRY_AFTER)
-        location = f"http://{primary.control}{CONFIGURATION_PATH}"
+        location = f"http://{primary.control}{path}"
         return error(HTTPStatus.TEMPORARY_REDIRECT, "the primary serves this", Location=location)
 
     # -- the configuration ------------------------------------------------------
@@ -243,14 +261,42 @@
         outcome = await self.writer.change(parsed.unwrap(), deadline, lambda: not client_left(request))
         return self._response_to(outcome)
 
-    def _response_to(self, outcome: ChangeOutcome) -> web.Response:
+    # -- evacuations --------------------------------------------------------------
+    async def evacuations(self, request: web.BaseRequest) -> web.Response:
+        """Answers GET: the zones that are evacuated."""
+        snapshot = await self.writer.confirmed(Deadline.after_body(0))
+        if snapshot is None:
+            return self.redirect(EVACUATIONS_PATH)
+        return reply(HTTPStatus.OK, {"zones": sorted(snapshot.state.evacuated)})
+
+    async def evacuate(self, request: web.BaseRequest) -> web.Response:
+        """Answers POST: nothing more is to be sent to the runners of a zone."""
+        zone = request.path.removeprefix(EVACUATION_PREFIX)
+        fault = zone_fault(zone, self.settings.zones)
+        if fault is not None:
+            return error(HTTPStatus.NOT_FOUND, fault)
+        return await self._order(request, EvacuationOrder(zone, evacuate=True))
+
+    async def restore(self, request: web.BaseRequest) -> web.Response:
+        """Answers DELETE: a zone is taken back; also one that the startup file doesn't name any more."""
+        zone = request.path.removeprefix(EVACUATION_PREFIX)
+        fault = zone_fault(zone, ())
+        if fault is not None:
+            return error(HTTPStatus.NOT_FOUND, fault)
+        return await self._order(request, EvacuationOrder(zone, evacuate=False))
+
+    async def _order(self, request: web.BaseRequest, order: EvacuationOrder) -> web.Response:
+        outcome = await self.writer.change(order, Deadline.after_body(0), lambda: not client_left(request))
+        return self._response_to(outcome, request.raw_path)
+
+    def _response_to(self, outcome: ChangeOutcome, path: str = CONFIGURATION_PATH) -> web.Response:
         match outcome:
             case Acknowledged(revision=revision):
                 return acknowledged(revision)
             case OutcomeUnknown():
                 return outcome_unknown()
             case NotConfirmed():
-                return self.redirect()
+                return self.redirect(path)
             case Stale(current_revision=current):
                 text = f"the current revision is {current}"
                 return error(HTTPStatus.PRECONDITION_FAILED, text, revision=str(current))
@@ -273,6 +319,7 @@
                 "policy": list(feed.store.version(CONFIGURATION)),
                 "runners": list(feed.store.version(ENDPOINTS)),
                 "revision": configuration["revision"] if configuration else 0,
+                "evacuated": sorted(feed.evacuated_zones() or ()),
                 "fleet": {endpoint.id: "draining" if endpoint.draining else "ready" for endpoint in endpoints},
                 "members": {peer.key: MEMBER_STATES[peer.state] for peer in peers},
                 "view": self._view(),
--- a/sparloom/controller/control_state.py
+++ b/sparloom/controller/control_state.py
@@ -1,9 +1,12 @@
-"""The control state as bytes: the newest configuration, and which changes led to it.
+"""The control state as bytes: the newest configuration, which changes led to it, and which zones are evacuated.
 
 Layout of version 2: a header (version, newest revision that is forgotten - of
 it and all below nothing is known -, number of routers, number of records), one
 record of fixed size for each committed change, ascending by revision, then the
-configuration as compressed JSON. Version 1 was one compressed JSON list, whose first byte is
+configuration as compressed JSON. Version 3 has the evacuated zones besides, as
+JSON behind its length, before the configuration; it is written only while there
+are any, so that programs that know version 2 alone are not kept from what is in
+it for nothing. Version 1 was one compressed JSON list, whose first byte is
 that of a zlib stream.
 """
 
@@ -16,15 +19,17 @@
 import zlib
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from sparloom.errors import SparloomError
 
 VERSION = 2
+VERSION_WITH_EVACUATIONS = 3
 REMEMBERED = 2048
 FINGERPRINT_BYTES = 12
 _HEADER = struct.Struct(">BQII")
 _RECORD = struct.Struct(f">Q{FINGERPRINT_BYTES}s")
+_LENGTH = struct.Struct(">I")
 _ZLIB_FIRST_BYTE = 0x78
 _FASTEST = 1
 
@@ -139,11 +144,14 @@
         The changes that led to it.
     router_count : int
         The number of routers that were known when it was committed.
+    evacuated : frozenset of str
+        The zones whose runners are to be sent nothing.
     """
 
     configuration: ConfigurationDict
     history: History = field(factory=History)
     router_count: int = 0
+    evacuated: frozenset[str] = frozenset()
 
     @property
     def revision(self) -> int:
@@ -162,18 +170,42 @@
         b'mmmmmmmmmmmm'
         """
         history = self.history.add(configuration["revision"], change_fingerprint)
-        return State(configuration, history, router_count)
+        return State(configuration, history, router_count, self.evacuated)
+
+    def evacuate(self, zone: str) -> State:
+        """The state after the order to evacuate a zone.
+
+        >>> State({}).evacuate("z").evacuated
+        frozenset({'z'})
+        """
+        return evolve(self, evacuated=self.evacuated | {zone})
+
+    def restore(self, zone: str) -> State:
+        """The state after the order to take a zone back.
+
+        >>> State({}).evacuate("z").restore("z") == State({})
+        True
+        """
+        return evolve(self, evacuated=self.evacuated - {zone})
 
     def pack(self) -> bytes:
         """The bytes to store.
 
-        >>> State.unpack(State({"revision": 1}, router_count=7).pack())
-        State(configuration={'revision': 1}, history=History(records=b'', forgotten_through=0), router_count=7)
+        >>> state = State({"revision": 1}, router_count=7)
+        >>> State.unpack(state.pack()) == state, State.unpack(state.evacuate("z").pack()).evacuated
+        (True, frozenset({'z'}))
         """
         text = json_text(self.configuration)
         history = self.history
-        header = _HEADER.pack(VERSION, history.forgotten_through, self.router_count, len(history))
-        return header + history.records + zlib.compress(text.encode(), _FASTEST)
+        version = VERSION_WITH_EVACUATIONS if self.evacuated else VERSION
+        header = _HEADER.pack(version, history.forgotten_through, self.router_count, len(history))
+        return header + history.records + self._pack_evacuated() + zlib.compress(text.encode(), _FASTEST)
+
+    def _pack_evacuated(self) -> bytes:
+        if not self.evacuated:
+            return b""
+        text = _COMPACT.encode(sorted(self.evacuated)).encode()
+        return _LENGTH.pack(len(text)) + text
 
     @staticmethod
     def unpack(raw: bytes) -> State:
@@ -192,11 +224,17 @@
         if raw[0] == _ZLIB_FIRST_BYTE:
             return _unpack_first_version(raw)
         version, forgotten_through, router_count, length = _HEADER.unpack_from(raw)
-        if version != VERSION:
-            raise ControlStateError(f"expected a control state of version 1 or {VERSION}, found version {version}")
+        if version not in (VERSION, VERSION_WITH_EVACUATIONS):
+            expected = f"expected a control state of version 1 to {VERSION_WITH_EVACUATIONS}"
+            raise ControlStateError(f"{expected}, found version {version}")
         end = _HEADER.size + length * _RECORD.size
         history = History(raw[_HEADER.size : end], forgotten_through)
-        return State(json.loads(zlib.decompress(raw[end:])), history, router_count)
+        evacuated: frozenset[str] = frozenset()
+        if version == VERSION_WITH_EVACUATIONS:
+            start = end + _LENGTH.size
+            end = start + _LENGTH.unpack_from(raw, end)[0]
+            evacuated = frozenset(json.loads(raw[start:end]))
+        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated)
 
 
 def _unpack_first_version(raw: bytes) -> State:
--- a/sparloom/controller/feed_server.py
+++ b/sparloom/controller/feed_server.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from sparloom.codec import DecodeError
+from sparloom.configuration import evacuated_zones
 from sparloom.feed import (
     CONFIGURATION,
     NO_VERSION,
@@ -80,6 +81,9 @@
         self.primary_interval, self.write_timeout = contact_bound / 10, contact_bound / 3
         self.tracker = SourceTracker(contact_bound / 3, contact_bound / 3)
         self.dialing = DialTimeout(contact_bound / 40, contact_bound / 5)
+        # Decoded once for each version of the configuration.
+        self._evacuated: frozenset[str] | None = None
+        self._evacuated_at: Version = NO_VERSION
 
     # -- the source that followers are served from ----------------------------
     def is_open(self) -> bool:
@@ -108,6 +112,13 @@
         if isinstance(first, Subscribe):
             await serve_follower(frames, first.versions, self)
 
+    def evacuated_zones(self) -> frozenset[str] | None:
+        """The evacuated zones, as far as this controller has been told; None before it has a configuration."""
+        version = self.store.version(CONFIGURATION)
+        if version != self._evacuated_at:
+            self._evacuated_at, self._evacuated = version, evacuated_zones(self.state_of(CONFIGURATION))
+        return self._evacuated
+
     # -- publishing -------------------------------------------------------------
     def state_of(self, topic: int) -> Any:
         """The newest state of a topic (a configuration's dict, or an ``EndpointList``), or None."""
--- a/sparloom/feed/payload.py
+++ b/sparloom/feed/payload.py
@@ -68,11 +68,21 @@
 def _delta(topic: int, old: State, new: State) -> Delta | None:
     """The delta from one state to the next; None where no delta gives exactly the new state."""
     if topic == CONFIGURATION:
-        return configuration.delta(cast("ConfigurationDocument", old), cast("ConfigurationDocument", new))
+        return _configuration_delta(cast("ConfigurationDocument", old), cast("ConfigurationDocument", new))
     delta: EndpointDelta = discovery.delta(cast("EndpointList", old), cast("EndpointList", new))
     return delta
 
 
+def _configuration_delta(old: ConfigurationDocument, new: ConfigurationDocument) -> ConfigurationDocument | None:
+    """A PATCH body as operators send it, and the evacuated zones beside it where they differ."""
+    before, after = configuration.without_evacuated_zones(old), configuration.without_evacuated_zones(new)
+    patch: ConfigurationDocument | None = configuration.delta(before, after)
+    zones = configuration.evacuated_zones(new)
+    if patch is None or zones == configuration.evacuated_zones(old):
+        return patch
+    return {**patch, configuration.EVACUATED_ZONES: sorted(zones)}
+
+
 def decode_payload(topic: int, payload: bytes) -> Any:
     """The snapshot or the delta in a payload.
 
@@ -135,4 +145,6 @@
     new = configuration.apply_patch(old, patch).value_or(None)
     if new is None:
         raise PayloadError(f"the patch does not apply to revision {old.get('revision')}")
+    if isinstance(patch, dict) and configuration.EVACUATED_ZONES in patch:
+        return configuration.with_evacuated_zones(new, patch[configuration.EVACUATED_ZONES])
     return new
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -18,7 +18,7 @@
 from .target import RawTargetRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from sparloom.discovery import Endpoint
 
@@ -164,7 +164,7 @@
     Attributes
     ----------
     by_id: each backend.
-    services: for each service the backends that take new requests.
+    services: for each service the backends that take new requests: those that drain or whose zone is evacuated don't.
     ids_by_number: backend ids by their number in the gossip.
 
     >>> BackendTable().of("s")
@@ -179,10 +179,16 @@
         """The backends of a service that take new requests."""
         return self.services.get(service, ())
 
-    def renew(self, endpoints: Iterable[Endpoint], cache_tokens: Callable[[str], int]) -> BackendTable:
+    def renew(
+        self,
+        endpoints: Iterable[Endpoint],
+        cache_tokens: Callable[[str], int],
+        evacuated_zones: Collection[str] = (),
+    ) -> BackendTable:
         """The next snapshot; instances that go on keep what was learned of them.
 
         ``cache_tokens(service)``: how many tokens a backend of a service caches.
+        ``evacuated_zones``: whose backends take no new requests.
         """
         by_id: dict[str, Backend] = {}
         for endpoint in endpoints:
@@ -196,8 +202,9 @@
             backend.cached.capacity = tokens
             by_id[endpoint.id] = backend
         names = {backend.service for backend in by_id.values()}
+        taking = [b for b in by_id.values() if not b.draining and b.zone not in evacuated_zones]
         return BackendTable(
             by_id,
-            {name: tuple(b for b in by_id.values() if b.service == name and not b.draining) for name in names},
+            {name: tuple(backend for backend in taking if backend.service == name) for name in names},
             {backend.number: backend.id for backend in by_id.values()},
         )
--- a/sparloom/router/feed_client.py
+++ b/sparloom/router/feed_client.py
@@ -202,7 +202,11 @@
         if is_configuration:
             self.raw_configuration = new
             state.configuration = build(new)
-            logging.info("feed: configuration in force revision=%d", state.configuration.revision)
+            logging.info(
+                "feed: configuration in force revision=%d evacuated=%s",
+                state.configuration.revision,
+                ",".join(sorted(state.configuration.evacuated_zones)) or "none",
+            )
         else:
             state.endpoint_list = new
             self.on_endpoints()
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -274,6 +274,7 @@
         "policy": list(node.shelf.version(CONFIGURATION)),
         "runners": list(node.shelf.version(ENDPOINTS)),
         "revision": configuration.revision if configuration else 0,
+        "evacuated": sorted(configuration.evacuated_zones) if configuration else [],
         "members": {peer.key: PEER_STATES[peer.state] for peer in peers},
         "fleet": {backend.id: "draining" if backend.draining else "ready" for backend in backends.values()},
         "counts": {backend_id: node.in_flight.count(backend_id, now) for backend_id in backends},
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -177,7 +177,8 @@
         """Takes the next snapshot of the backends, after a change came."""
         state = self.snapshots
         if state.endpoint_list is not None:
-            state.backends = state.backends.renew(state.endpoint_list.runners, self._cache_tokens)
+            evacuated = state.configuration.evacuated_zones if state.configuration else ()
+            state.backends = state.backends.renew(state.endpoint_list.runners, self._cache_tokens, evacuated)
         if state.configuration is not None and state.endpoint_list is not None and not state.prefixes_known.is_set():
             self.prefix_recall.request()
 
--- a/tests/controller/test_control_api.py
+++ b/tests/controller/test_control_api.py
@@ -71,7 +71,7 @@
     return {**POLICY, "revision": number, "routes": list(routes)}
 
 
-class Changes(unittest.TestCase):
+class ControlApiCase(unittest.TestCase):
     """Each story runs in simulated time; ``self.send`` gives a task whose result is the status."""
 
     def play(self, story):
@@ -105,6 +105,8 @@
             self.consensus.end_write(self.handler, True)
             self.assertEqual(await task, 200)
 
+
+class Changes(ControlApiCase):
     def test_a_retry_waits_for_the_outcome_of_the_first_attempt(self):
         async def story():
             for committed, status in ((True, 200), (False, 503)):
--- a/tests/golden_names.py
+++ b/tests/golden_names.py
@@ -102,7 +102,8 @@
 
 def control_paths() -> dict[str, list[str]]:
     """The paths of the control address and the methods of each."""
-    return {path: sorted(methods) for path, methods in control.ControlApi(None, None, None).routes.paths.items()}
+    routes = control.ControlApi(None, None, None).routes
+    return {path: sorted(methods) for path, methods in (*routes.paths.items(), *routes.prefixes.items())}
 
 
 def not_primary(known: bool, sure_ms: int) -> Any:
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -159,12 +159,18 @@
 
 
 class ControlState(unittest.TestCase):
-    """The blob of the control state, of both versions."""
+    """The blob of the control state, of all versions."""
 
     def test_golden_blobs_are_read(self) -> None:
         for version, blob in golden()["state"].items():
             with self.subTest(version):
-                self.assertEqual(plain(names.State.unpack(bytes.fromhex(blob["bytes"]))), blob["values"])
+                # Versions 1 and 2 have no evacuated zones; the bytes of 3 were written by hand.
+                values = blob["values"] if version == "3" else [*blob["values"], []]
+                self.assertEqual(plain(names.State.unpack(bytes.fromhex(blob["bytes"]))), values)
+
+    def test_a_state_with_evacuated_zones_is_written_as_by_hand(self) -> None:
+        raw = bytes.fromhex(golden()["state"]["3"]["bytes"])
+        self.assertEqual(names.State.unpack(raw).pack(), raw)
 
     def test_the_state_is_written_as_before(self) -> None:
         blob = golden()["state"]["2"]
