Evacuation of a zone: no task is started there

Cause: the scheduler did not know of zones, nor of evacuations. Change: a runner's zone is read from the platform's list; the job primary takes the evacuated zones from its own copy of the control state, at each tick, and begins no term before it has one; runners there get no start, and a start that was left without an answer is stopped there and not repeated, as on a runner that drains. What runs goes on.

--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -20,7 +20,7 @@
 from attrs import define, evolve, field
 from mode import Service
 
-from sparloom.scheduler.events import RunnersListed
+from sparloom.scheduler.events import RunnersListed, ZonesEvacuated
 from sparloom.scheduler.jobs import Job, JobStore, queue_checksum
 from sparloom.scheduler.messages import JobAction, JobCall, JobOutcome, JobReply, JobState
 from sparloom.scheduler.runners import RunnerListing, read_listing
@@ -36,6 +36,8 @@
 from .runner_calls import RunnerCalls
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sparloom.codec import Record
     from sparloom.consensus import Data
     from sparloom.scheduler.events import Event
@@ -122,11 +124,16 @@
         The settings of the process.
     consensus : ConsensusService
         This controller's member of the jobs' consensus group.
+    evacuated_zones : callable
+        Gives the evacuated zones as this controller knows them; None before it knows any control state.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, evacuated_zones: Callable[[], frozenset[str] | None] = lambda: frozenset()
+    ) -> None:
         super().__init__()
         self.settings = settings
+        self.evacuated_zones = evacuated_zones
         self.consensus = ConsensusService(self._group_settings(settings), self._serve, self._on_committed)
         self._term: _Term | None = None
         self._wake = asyncio.Event()
@@ -183,7 +190,8 @@
     async def _begin_term(self, epoch: int) -> None:
         """Stores a new term, then takes up what the last one has stored."""
         data = await self.consensus.confirm(CONFIRM_TIMEOUT)
-        if data is None or self._leading_epoch() != epoch:
+        # Without the control state, a task might be started in a zone that is evacuated.
+        if data is None or self._leading_epoch() != epoch or self.evacuated_zones() is None:
             await asyncio.sleep(IDLE_PAUSE_S)
             return
         store = JobStore.load(data.blob)
@@ -194,7 +202,9 @@
             await asyncio.sleep(IDLE_PAUSE_S)
             return
         timing = JobTiming(self.settings.jobs.hold_limit.total_seconds(), self.settings.jobs.gang.total_seconds())
-        scheduler = Scheduler(store.term, monotonic().total_seconds(), timing)
+        scheduler = Scheduler(
+            store.term, monotonic().total_seconds(), timing, evacuated_zones=self.evacuated_zones() or frozenset()
+        )
         calls = RunnerCalls(store.term, self._on_event)
         self._term = _Term(epoch, store, scheduler, calls, ended=dict(store.ended))
         for job in store.jobs():
@@ -324,6 +334,10 @@
             term = self._active()
             if term is None:
                 continue
+            zones = self.evacuated_zones()
+            if zones is not None and zones != term.scheduler.evacuated_zones:
+                logging.info("jobs: zones evacuated zones=%s", ",".join(sorted(zones)) or "none")
+                self._on_event(ZonesEvacuated(zones))
             for instruction in term.scheduler.tick(monotonic().total_seconds(), wall_clock_ms()):
                 term.calls.carry_out(instruction)
 
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -50,17 +50,17 @@
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
         self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
         self.feed_server.consensus = self.consensus
-        self.jobs = self._job_service(settings)
+        self.jobs = self._job_service(settings, self.feed_server)
         self._leave_timeout = settings.bounds.grace * LEAVE_PART_OF_GRACE
 
     @staticmethod
-    def _job_service(settings: Settings) -> JobService | None:
+    def _job_service(settings: Settings, feed_server: FeedServer) -> JobService | None:
         if settings.deployment != JOB_DEPLOYMENT:
             return None
         # Other deployments don't spend time and memory of a start on it.
         from .job_service import JobService
 
-        return JobService(settings)
+        return JobService(settings, feed_server.evacuated_zones)
 
     def _on_committed(self, data: Data) -> None:
         self.control_api.on_committed(data)
--- a/sparloom/scheduler/events.py
+++ b/sparloom/scheduler/events.py
@@ -22,6 +22,13 @@
     runners: tuple[RunnerListing, ...]
 
 
+@define(frozen=True, slots=True)
+class ZonesEvacuated:
+    """The operators' orders have changed: these zones are evacuated, and no others."""
+
+    zones: frozenset[str]
+
+
 class StartResult(Enum):
     """How a runner answered an order to start a run."""
 
@@ -131,7 +138,7 @@
     why: HoldFailure
 
 
-Event = RunnersListed | StartAnswered | StopAnswered | HoldAnswered | HoldFailed
+Event = RunnersListed | ZonesEvacuated | StartAnswered | StopAnswered | HoldAnswered | HoldFailed
 
 
 # -- what it asks for -----------------------------------------------------------
--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -43,6 +43,8 @@
         What it has for tasks.
     labels
         Its kind and its rack.
+    zone
+        The zone of its machine, or empty.
     """
 
     id: str
@@ -51,6 +53,7 @@
     draining: bool
     capacity: Resources
     labels: frozenset[str]
+    zone: str = ""
 
 
 def _listing(item: dict[str, Any]) -> RunnerListing:
@@ -64,6 +67,7 @@
             int(capacity.get("cpu", 0)), int(capacity.get("memoryRequestMb", 0)), int(capacity.get("gpuCount", 0))
         ),
         labels=frozenset(item.get("labels") or ()),
+        zone=item.get("zone") or "",
     )
 
 
@@ -158,6 +162,8 @@
     ----------
     listing
         How the platform lists it; ``listed`` tells whether it still does.
+    evacuated
+        Whether its zone is evacuated.
     used
         What the runs under way take of it.
     runs
@@ -192,6 +198,7 @@
 
     listing: RunnerListing
     listed: bool = True
+    evacuated: bool = False
     used: Resources = field(factory=Resources)
     runs: dict[str, Run] = field(factory=dict)
     known: bool = False
@@ -212,10 +219,15 @@
     avoided_for: float = 0.0
     failures: int = 0
 
+    @property
+    def leaving(self) -> bool:
+        """Whether nothing more is to be started there."""
+        return self.replaced or self.evacuated or self.listing.draining
+
     @property
     def serving(self) -> bool:
         """Whether it takes starts at all."""
-        return self.known and self.listed and not self.replaced and not self.listing.draining
+        return self.known and self.listed and not self.leaving
 
     @property
     def needs_call(self) -> bool:
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -35,6 +35,7 @@
     StopAnswered,
     StopRun,
     TaskEnd,
+    ZonesEvacuated,
 )
 from .job_queue import JobQueue
 from .jobs import RUNS_PER_TERM, Job, Step, Task
@@ -143,6 +144,8 @@
         The runners, by id.
     deposed
         Whether a runner has seen a higher fence: nothing more is to be ordered.
+    evacuated_zones
+        Zones in which nothing is to be started.
     """
 
     term: int
@@ -151,6 +154,7 @@
     jobs: dict[int, Job] = field(factory=dict)
     runners: dict[str, Runner] = field(factory=dict)
     deposed: bool = False
+    evacuated_zones: frozenset[str] = frozenset()
     now: float = 0.0
     now_ms: float = 0.0
     _queue: JobQueue = field(factory=JobQueue)
@@ -255,11 +259,20 @@
                 runner.listing = listing
         for runner_id, runner in list(self.runners.items()):
             runner.listed = runner_id in listed
+            runner.evacuated = runner.listing.zone in self.evacuated_zones
             self._reindex(runner)
             if not runner.listed and not runner.runs and not runner.calling:
                 del self.runners[runner_id]
         self._dirty = True
 
+    @_apply.register(ZonesEvacuated)
+    def _(self, event: ZonesEvacuated) -> None:
+        self.evacuated_zones = event.zones
+        for runner in self.runners.values():
+            runner.evacuated = runner.listing.zone in event.zones
+            self._reindex(runner)
+        self._dirty = True
+
     @_apply.register(StartAnswered)
     def _(self, event: StartAnswered) -> None:
         runner = self.runners.get(event.runner)
@@ -574,10 +587,18 @@
     def _repeat_order(self, run: Run) -> None:
         if run.in_call or self.now - run.ordered_at < ORDER_RETRY_S:
             return
-        if run.phase is RunPhase.STARTING:
-            self._order_start(run)
-        elif run.phase is RunPhase.STOPPING:
+        if run.phase is RunPhase.STOPPING:
             self._order_stop(run)
+        elif run.phase is RunPhase.STARTING and run.runner.leaving:
+            # The order may have been carried out, or may be yet; it is not given once more.
+            self._stop_with_gang(run)
+        elif run.phase is RunPhase.STARTING:
+            self._order_start(run)
+
+    def _stop_with_gang(self, run: Run) -> None:
+        """Stop a run, and with it the others of its gang, which can't work without it."""
+        for member in run.step.runs if run.step.specification.gang else [run]:
+            self._stop(member)
 
     def _check_gang(self, run: Run) -> None:
         """Stop a gang that does not come together in time, before its runs give each other up."""
--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -25,6 +25,7 @@
     StopAnswered,
     StopRun,
     TaskEnd,
+    ZonesEvacuated,
 )
 from sparloom.scheduler.jobs import Job, JobStore
 from sparloom.scheduler.messages import JobState, QueuePolicy
@@ -58,6 +59,7 @@
     reachable: bool = True
     listed: bool = True
     sick: bool = False
+    zone: str = "z1"
     fence: int = 0
     hold_ms: float = 0.0
     running: dict[str, SimulatedRun] = field(factory=dict)
@@ -83,7 +85,8 @@
             lambda _task: (self.luck.uniform(0.1, 2.0), "failed" if self.luck.random() < 0.03 else "done")
         )
         capacity = Resources(8000, 16000, 0)
-        self.runners = {f"i-{n}": SimulatedRunner(f"i-{n}", capacity) for n in range(runners)}
+        self.runners = {f"i-{n}": SimulatedRunner(f"i-{n}", capacity, zone=f"z{n % 2}") for n in range(runners)}
+        self.evacuated = frozenset()
         self.events, self.sequence = [], count()
         self.wrong, self.starts = [], []
         self.noted, self.done = set(), set()
@@ -121,7 +124,7 @@
         store.term += 1
         self.blob = store.blob()
         self.store = store
-        self.scheduler = Scheduler(store.term, self.now, self.timing)
+        self.scheduler = Scheduler(store.term, self.now, self.timing, evacuated_zones=self.evacuated)
         for job in store.jobs():
             self.scheduler.add(job)
         self.writing = False
@@ -163,19 +166,26 @@
 
     def _list(self):
         listing = [
-            RunnerListing(r.id, "s", f"{r.id}:1", False, r.capacity, frozenset(("a", "r1-1")))
+            RunnerListing(r.id, "s", f"{r.id}:1", False, r.capacity, frozenset(("a", "r1-1")), r.zone)
             for r in self.runners.values()
             if r.listed
         ]
         self._tell(self.primary, RunnersListed(tuple(listing)))
         self.at(1.0, self._list)
 
+    def evacuate(self, *zones):
+        """Evacuates these zones and no others."""
+        self.evacuated = frozenset(zones)
+        self._tell(self.primary, ZonesEvacuated(self.evacuated))
+
     def _tell(self, primary, event):
         if primary == self.primary:
             self._carry_out(self.scheduler.handle(event, self.now, self.wall_ms()))
 
     def _carry_out(self, instructions):
         for order in instructions:
+            if isinstance(order, StartRun) and self.runners[order.runner].zone in self.evacuated:
+                self.wrong.append(f"{self.now:.3f} EVAC {order.task} is to start on {order.runner}")
             self.at(self.latency(), self._arrive, self.primary, self.scheduler.term, order)
 
     # -- the runners' side --------------------------------------------------------
@@ -359,7 +369,7 @@
     def _unlist(self, runner):
         runner.listed = False
         new = f"{runner.id}x"
-        self.runners[new] = SimulatedRunner(new, runner.capacity)
+        self.runners[new] = SimulatedRunner(new, runner.capacity, zone=runner.zone)
 
     # -- what must not happen -------------------------------------------------------
     def _check_shown(self, job_id):
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -9,6 +9,7 @@
 from sparloom.scheduler.events import StartAnswered, StartResult, StartRun
 from sparloom.scheduler.jobs import Job, Step
 from sparloom.scheduler.messages import JobState
+from sparloom.scheduler.runners import Runner
 from sparloom.scheduler.scheduler import Scheduler
 from tests.scheduler import simulated_cluster
 from tests.scheduler.simulated_cluster import Cluster
@@ -142,7 +143,7 @@
 
 
 class FailingWork(unittest.TestCase):
-    """Runners that fail all they run, gangs of which members fail, calls that fail, and primaries that change."""
+    """Runners that fail all they run, gangs that fail, calls that fail, primaries that change, zones evacuated."""
 
     def play(self, seed, seconds=25):
         luck = random.Random(f"failing {seed}")
@@ -157,6 +158,10 @@
             cluster.at(luck.uniform(0, seconds * 0.6), cluster.submit, job, body(*steps))
         for _ in range(6):
             cluster.at(luck.uniform(1, seconds), cluster.new_primary)
+        for _ in range(2):
+            at = luck.uniform(1, seconds - 6)
+            cluster.at(at, cluster.evacuate, luck.choice(("z0", "z1")))
+            cluster.at(at + luck.uniform(1, 6), cluster.evacuate)
         for _ in range(3):
             runner = cluster.runners[f"i-{luck.randrange(10)}"]
             at = luck.uniform(0, seconds)
@@ -225,6 +230,10 @@
         with mock.patch.object(Scheduler, "_restart", lambda _self, step, task, slowly: setattr(task, "run", None)):
             self.assertTrue(any("neither runs nor waits" in wrong for wrong in self.failing_work(2)))
 
+    def test_a_start_that_is_repeated_in_an_evacuated_zone(self):
+        with mock.patch.object(Runner, "leaving", property(lambda runner: runner.replaced)):
+            self.assertTrue(any("EVAC" in wrong for wrong in self.failing_work(2)))
+
     def test_a_hold_that_is_given_up_too_early(self):
         with mock.patch.object(runners, "SLOW_CLOCK", -0.5), mock.patch.object(runners, "LAPSE_MARGIN_S", 0.0):
             self.assertTrue(any("TWICE" in wrong and "beside" in wrong for wrong in self.faults()))
