--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -65,6 +65,8 @@
     running: dict[str, SimulatedRun] = field(factory=dict)
     ends: list[TaskEnd] = field(factory=list)
     ended_runs: dict[str, int] = field(factory=dict)
+    ended_at: dict[int, float] = field(factory=dict)
+    lapsed_at: float = 0.0
     last_end: int = 0
     generation: int = 0
 
@@ -93,6 +95,8 @@
         self.blob, self.scheduler, self.primary = b"", None, 0
         self.specifications, self.shown = {}, {}
         self.alone = 0
+        # When a job was shown as ended, by id, and when an order to start a run was given first.
+        self.shown_at, self.ordered_at = {}, {}
         # The runners' account: numbers of the runs that failed, by task, or by step for a gang.
         self.failed_runs = {}
         self.new_primary()
@@ -162,6 +166,7 @@
         self.scheduler.stored(changes)
         for job_id in changes.ended:
             self.shown[job_id] = JobState(self.store.ended[job_id].state)
+            self.shown_at[job_id] = self.now
             self._check_shown(job_id)
 
     def _list(self):
@@ -186,6 +191,8 @@
         for order in instructions:
             if isinstance(order, StartRun) and self.runners[order.runner].zone in self.evacuated:
                 self.wrong.append(f"{self.now:.3f} EVAC {order.task} is to start on {order.runner}")
+            if isinstance(order, StartRun):
+                self.ordered_at.setdefault((order.task, order.number), self.now)
             self.at(self.latency(), self._arrive, self.primary, self.scheduler.term, order)
 
     # -- the runners' side --------------------------------------------------------
@@ -251,7 +258,14 @@
             return
         runner.fence = term
         if not waited:
-            self.noted |= {e.task for e in runner.ends if e.sequence <= order.last_seen and e.how == "done"}
+            # An end counts as taken note of only if the runner's hold has not lapsed in between.
+            self.noted |= {
+                end.task
+                for end in runner.ends
+                if end.sequence <= order.last_seen
+                and end.how == "done"
+                and runner.ended_at[end.sequence] > runner.lapsed_at
+            }
             runner.ends = [e for e in runner.ends if e.sequence > order.last_seen]
             if order.deadline_ms and runner.running:
                 self._hold_until(runner, order.deadline_ms)
@@ -274,6 +288,7 @@
 
     def _lapse(self, runner):
         if self.clock_ms(runner) >= runner.hold_ms:
+            runner.lapsed_at = self.now
             for task, run in list(runner.running.items()):
                 self._end(runner, task, run, "lapsed")
 
@@ -347,6 +362,7 @@
         del runner.running[task]
         runner.ended_runs[task] = run.number
         runner.last_end += 1
+        runner.ended_at[runner.last_end] = self.now
         runner.ends.append(TaskEnd(runner.last_end, task, run.number, how))
         if how == "done":
             self.done.add(task)
@@ -398,5 +414,7 @@
             if any(f"{job}.{time}.{earlier}.{i}" not in self.done for i in range(count_needed)):
                 self.wrong.append(f"{self.now:.3f} ORDER {order.task}")
         state = self.shown.get(int(job, 16))
-        if state is JobState.COMPLETED:
+        # What was ordered before, a runner may carry out seconds later.
+        ordered_at = self.ordered_at[order.task, order.number]
+        if state is JobState.COMPLETED and ordered_at >= self.shown_at[int(job, 16)]:
             self.wrong.append(f"{self.now:.3f} TWICE {order.task} after its job was shown as completed")
