Histories: dispatchers evacuate zones and take them back under troubles, and are judged

Cause: orders to evacuate were tested one by one only. Change: beside the operators of a history two dispatchers order and read, each its own zone, while members are killed, cut, stalled, lose disks and are replaced, and answers are lost; a read must show what was acknowledged last or what is being asked for, and nothing that was given up takes effect later. Two mutations are found: a change of the configuration that forgets evacuations, an acknowledgement without a write.

--- a/simulator/operators.py
+++ b/simulator/operators.py
@@ -9,6 +9,7 @@
 
 from . import virtual
 from .caller import MOST_REDIRECTS, call, redirected
+from .evacuations import dispatchers
 from .fleet import SERVICE
 from .history import Call, Outcome, Sent, fault_in
 from .site import Site, storm_disks
@@ -49,6 +50,7 @@
     calls: list = field(factory=list)
     troubles: list = field(factory=list)
     fault: str | None = None
+    evacuations: list = field(factory=list)
 
     def count(self, outcome):
         """How many calls were answered so.
@@ -62,10 +64,13 @@
         """The calls by their answers, and the troubles, in a line.
 
         >>> Played([Call(0.0)]).summary()
-        '1 unclear; 0 troubles'
+        '1 unclear; 0 evacuations, 0 reads of them; 0 troubles'
         """
+        orders = sum(len(dispatch.orders) for dispatch in self.evacuations)
+        reads = sum(len(dispatch.reads) for dispatch in self.evacuations)
         counts = ((self.count(outcome), outcome.name.lower()) for outcome in Outcome)
-        return f"{', '.join(f'{n} {name}' for n, name in counts if n)}; {len(self.troubles)} troubles"
+        calls = ", ".join(f"{n} {name}" for n, name in counts if n)
+        return f"{calls}; {orders} evacuations, {reads} reads of them; {len(self.troubles)} troubles"
 
 
 def route(name, target):
@@ -292,11 +297,15 @@
     await site.start()
     until = loop.time() + plan.seconds
     troubles = Troubles(site, operators, random.Random(rng.random()), played)
-    work = [asyncio.ensure_future(o.work(until)) for o in operators]
+    evacuating = dispatchers(site, rng)
+    played.evacuations = [dispatcher.done for dispatcher in evacuating]
+    work = [asyncio.ensure_future(o.work(until)) for o in (*operators, *evacuating)]
     if plan.troubles:
         await troubles.run(plan.troubles, until)
     await asyncio.gather(*work)
     await asyncio.sleep(plan.settle)
+    for dispatcher in evacuating:
+        await dispatcher.last()
     return await _last(operators[0])
 
 
@@ -323,5 +332,6 @@
     rng, played = random.Random(seed), Played()
     with world(seed, loss=0.01) as loop, storm_disks():
         ended = loop.run_until_complete(_play(loop, plan, rng, played))
-    played.fault = fault_in(played.calls) or ended
+    evacuation_faults = filter(None, (dispatch.fault() for dispatch in played.evacuations))
+    played.fault = fault_in(played.calls) or next(evacuation_faults, None) or ended
     return played
--- a/tests/simulator/test_history.py
+++ b/tests/simulator/test_history.py
@@ -9,6 +9,7 @@
 
 from simulator.history import Call, Outcome, Sent, broken_rule, fault_in, linearize
 from simulator.operators import Plan, play_history
+from sparloom.controller import configuration_writer
 from sparloom.controller.change_requests import Judgement, Verdict, judge
 from sparloom.controller.configuration_writer import ConfigurationWriter, Snapshot
 from sparloom.controller.control_state import History, State
@@ -119,6 +120,17 @@
     def test_a_handler_that_forgets_what_was_taken_is_caught(self):
         self.assertIsNotNone(self.caught("add", lambda self, revision, mark: self, History))
 
+    def test_a_change_of_the_configuration_that_forgets_evacuations_is_caught(self):
+        def then(state, configuration, change_fingerprint, router_count=0):
+            history = state.history.add(configuration["revision"], change_fingerprint)
+            return State(configuration, history, router_count)
+
+        self.assertIsNotNone(self.caught("then", then, State))
+
+    def test_an_evacuation_that_is_acknowledged_and_not_written_is_caught(self):
+        taken = Judgement(Verdict.ALREADY_COMMITTED)
+        self.assertIsNotNone(self.caught("judge_evacuation", lambda _state, _order: taken, configuration_writer))
+
     def test_a_handler_that_goes_by_the_number_alone_is_caught(self):
         with mock.patch("sparloom.controller.configuration_writer.judge", _number_only):
             seeds = range(1, self.MOST_SEEDS + 1)
