Command line of the controller: evacuate, restore, evacuated

Cause: an operator had no command for orders to evacuate. Change: python -m sparloom.controller evacuate ZONE ADDRESS..., restore, evacuated; an order is repeated at any of the controllers, redirects followed, until it is acknowledged or 15 s have passed; refusals are told in their sentence. Measured: its two tests over loopback pass.

--- a/sparloom/cli.py
+++ b/sparloom/cli.py
@@ -7,7 +7,7 @@
 import json
 import os
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from absl import logging
 
@@ -21,6 +21,8 @@
     from sparloom.settings import Settings
 
 EXIT_OK, EXIT_FAILED, EXIT_USAGE = 0, 1, 2
+# For how long an operator's order is repeated, in seconds.
+ORDER_PATIENCE_S = 15.0
 
 
 def _set_up_logging() -> None:
@@ -146,7 +148,64 @@
         print(json.dumps(fetched.unwrap(), indent=2))
         return EXIT_OK
 
-    return [serve, check, beliefs]
+    return [serve, check, beliefs, *(_controller_commands() if name == "controller" else ())]
+
+
+def _call_controllers(addresses: tuple[str, ...], method: str, path: str) -> Any:
+    """The body of controllers' answer; None, and a sentence on standard error, where there is none."""
+    from sparloom.controller.operator_client import call_until_answered
+
+    if not addresses:
+        _print_error("name at least one control address, HOST:PORT.")
+        return None
+    called = call_until_answered(addresses, method, path, ORDER_PATIENCE_S)
+    if called.value_or(None) is None:
+        _print_error(f"{called.failure()}.")
+    return called.value_or(None)
+
+
+def _controller_commands() -> list[Callable[..., int]]:
+    from urllib.parse import quote
+
+    from sparloom.controller.operator_client import EVACUATIONS_PATH
+
+    def evacuate(zone: str, *addresses: str) -> int:
+        """Have nothing more sent to the runners of a zone, until it is taken back with restore.
+
+        :param zone: the zone's name
+        :param addresses: HOST:PORT of control addresses; the order is repeated until it is acknowledged
+        """
+        answer = _call_controllers(addresses, "POST", f"{EVACUATIONS_PATH}/{quote(zone, safe='')}")
+        if answer is None:
+            return EXIT_FAILED
+        print(f"{zone} is evacuated")
+        return EXIT_OK
+
+    def restore(zone: str, *addresses: str) -> int:
+        """Take back a zone that was evacuated.
+
+        :param zone: the zone's name
+        :param addresses: HOST:PORT of control addresses; the order is repeated until it is acknowledged
+        """
+        answer = _call_controllers(addresses, "DELETE", f"{EVACUATIONS_PATH}/{quote(zone, safe='')}")
+        if answer is None:
+            return EXIT_FAILED
+        print(f"{zone} is taken back")
+        return EXIT_OK
+
+    def evacuated(*addresses: str) -> int:
+        """Print the zones that are evacuated, a line each.
+
+        :param addresses: HOST:PORT of control addresses
+        """
+        answer = _call_controllers(addresses, "GET", EVACUATIONS_PATH)
+        if answer is None:
+            return EXIT_FAILED
+        for zone in answer["zones"]:
+            print(zone)
+        return EXIT_OK
+
+    return [evacuate, restore, evacuated]
 
 
 def main(name: str) -> None:
--- /dev/null
+++ b/tests/evacuation/test_command_line.py
@@ -0,0 +1,46 @@
+"""The operator's commands: a zone is evacuated, listed and taken back, and a refusal is told in a sentence."""
+
+import asyncio
+import contextlib
+import io
+import unittest
+
+import defopt
+
+from sparloom.cli import _commands
+from tests.evacuation.test_evacuation_on_loopback import EvacuationCase
+
+
+def command(*words):
+    """The exit status, standard output and standard error of a command of the controller."""
+    out, error = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(error):
+        status = defopt.run(_commands("controller"), argv=list(words))
+    return status, out.getvalue(), error.getvalue()
+
+
+class CommandLine(EvacuationCase):
+    async def run_command(self, *words):
+        return await asyncio.to_thread(command, *words)
+
+    async def test_a_zone_is_evacuated_listed_and_taken_back(self):
+        control = self.url.removeprefix("http://").partition("/")[0]
+        nobody = "127.0.0.1:1"
+        self.assertEqual(await self.run_command("evacuated", control), (0, "", ""))
+        # The first address doesn't answer, so the next one is called.
+        done = await self.run_command("evacuate", "z1", nobody, control)
+        self.assertEqual(done, (0, "z1 is evacuated\n", ""))
+        self.assertEqual(await self.run_command("evacuated", control), (0, "z1\n", ""))
+        self.assertEqual(await self.run_command("restore", "z1", control), (0, "z1 is taken back\n", ""))
+        self.assertEqual(await self.run_command("evacuated", control), (0, "", ""))
+
+    async def test_what_is_wrong_is_said_in_a_sentence(self):
+        self.controller.control_api.settings.zones["z1"] = "r"
+        control = self.url.removeprefix("http://").partition("/")[0]
+        status, out, error = await self.run_command("evacuate", "nowhere", control)
+        self.assertEqual((status, out, error), (1, "", f"{control} refuses it: the zone nowhere is unknown.\n"))
+        self.assertEqual((await self.run_command("evacuated"))[0], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
