Cold runners are sent no more than a sure share of what they bear

Cause: cold runners were tried last and without a bound, so a zone that is taken back got all that found no room elsewhere. Change: coldPerS of a service and coldOverage and coldSlack of the bounds are read; of what all routers may send to a cold runner within a second each has an indivisible share, reckoned from the size of the fleet and not from what others sent; runners of a zone that is taken back count as cold for 4 s, by when a list made afterwards tells.

--- a/sparloom/configuration/check.py
+++ b/sparloom/configuration/check.py
@@ -61,6 +61,7 @@
         "name": _NAME,
         Optional("healthPath"): str,
         Optional("connectionLimit"): And(_INTEGER, lambda value: value > 0),
+        Optional("coldPerS"): And(_NUMBER, lambda value: value >= 0),
         Optional("engine"): Or(
             None, And(dict, lambda engine: _has_numbers(engine), error="engine: slots, cacheTokens")
         ),
@@ -143,6 +144,7 @@
         "name": _is_name,
         "healthPath": _is_instance(str),
         "connectionLimit": _is_integer_from(1),
+        "coldPerS": _is_non_negative,
         "engine": _is_engine,
     },
 }
--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -36,6 +36,8 @@
         Tokens that a runner's prefix cache holds; 0 where it is not given.
     health_path
         ``healthPath`` of the configuration; kept, but routers don't probe runners.
+    cold_rate
+        Requests that a cold runner bears each second; 0 where it is not given.
     supported
         Whether its runners speak what this program speaks: HTTP/1.1 without TLS.
     """
@@ -45,6 +47,7 @@
     slots: int = 0
     cache_tokens: int = 0
     health_path: str = ""
+    cold_rate: float = 0.0
     supported: bool = True
 
 
@@ -211,6 +214,7 @@
         slots=int(engine.get("slots") or 0),
         cache_tokens=int(engine.get("cacheTokens") or 0),
         health_path=item.get("healthPath", ""),
+        cold_rate=float(item.get("coldPerS") or 0),
         supported=item.get("protocol", SUPPORTED_PROTOCOL) == SUPPORTED_PROTOCOL and not item.get("tls", False),
     )
 
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -10,6 +10,7 @@
 from sparloom.metrics import count_event
 from sparloom.transport import monotonic
 
+from .cold_rate import fleet_limit
 from .timeout_buckets import buckets_for
 
 if TYPE_CHECKING:
@@ -119,13 +120,26 @@
             backend = backends[candidate.id]
             if backend.id in self.tried or backend.open_calls >= connection_limits[backend.id]:
                 continue
+            if candidate.cold and not self._bears_one_more(backend, now):
+                continue
             choice = self._take_slot(backend, candidate.prefill_tokens, now, reserved)
             if choice is not None:
                 self.tried.add(backend.id)
+                if candidate.cold:
+                    backend.cold_sends.note(now)
                 self._announce_prompt(backend)
                 return choice
         return None
 
+    def _bears_one_more(self, backend: Backend, now: timedelta) -> bool:
+        """Whether this router's share of what a cold backend bears allows one more request."""
+        state = self._services.state
+        service = state.configuration.services.get(backend.service) if state.configuration else None
+        limit = fleet_limit(service, state.settings.bounds)
+        if limit is None:
+            return True
+        return backend.cold_sends.allows(now, state.fleet_size.indivisible_share(limit, backend.number))
+
     def _candidate(self, backend: Backend, now: timedelta) -> Candidate:
         in_flight = self._services.in_flight
         return Candidate(
@@ -134,7 +148,7 @@
             in_flight.prefill_tokens(backend.id, now),
             in_flight.count(backend.id, now),
             backend.slots,
-            backend.warming_up,
+            backend.is_cold(now),
             self._penalty(backend, now),
             backend.zone == self._services.state.settings.zone,
             backend.has_idle_connection(),
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -15,6 +15,7 @@
 from sparloom.transport import tune
 from sparloom.transport.http_client import Connector, open_session
 
+from .cold_rate import ColdSends
 from .target import RawTargetRequest
 
 if TYPE_CHECKING:
@@ -23,6 +24,9 @@
     from sparloom.discovery import Endpoint
 
 NOT_SUSPECTED = timedelta(0)
+NEVER = timedelta(0)
+# Runners of a zone that is taken back count as cold for so long: by then a list that was made afterwards tells.
+RETURN_TIME = timedelta(seconds=4)
 # Of failures in a row so many lengthen the suspicion; each doubles it.
 MAXIMUM_STRIKES = 4
 # Seconds for which an unused connection is kept where the runner says nothing.
@@ -58,6 +62,9 @@
     ----------
     id, service, address, zone, slots, draining: as the endpoint list has them.
     warming_up: whether it has started a short time ago (slow start).
+    evacuated: whether its zone is evacuated.
+    returned_at: when its zone was taken back; ``NEVER`` if it was not evacuated.
+    cold_sends: what was sent to it while it was cold.
     number: the 64-bit number of its id in the gossip.
     cached: the prompt prefixes that it is believed to have cached.
     client_session: the open connections; made when first needed.
@@ -83,6 +90,27 @@
     unresponsive_calls: int = 0
     open_calls: int = 0
     idle_timeout: float = DEFAULT_IDLE_TIMEOUT_S
+    evacuated: bool = False
+    returned_at: timedelta = NEVER
+    cold_sends: ColdSends = field(factory=ColdSends)
+
+    def is_cold(self, now: timedelta) -> bool:
+        """Whether it is warming up, or may be: it may have become cold shortly before its zone was taken back.
+
+        >>> backend = Backend("i", "s", "h:1", "z", 1, False, False, 0, None)
+        >>> backend.is_cold(timedelta(seconds=9))
+        False
+        >>> backend.note_evacuation(True, timedelta(seconds=8)); backend.note_evacuation(False, timedelta(seconds=9))
+        >>> backend.is_cold(timedelta(seconds=10)), backend.is_cold(timedelta(seconds=14))
+        (True, False)
+        """
+        return self.warming_up or (self.returned_at != NEVER and now < self.returned_at + RETURN_TIME)
+
+    def note_evacuation(self, evacuated: bool, now: timedelta) -> None:
+        """Notes whether its zone is evacuated now."""
+        if self.evacuated and not evacuated:
+            self.returned_at = now
+        self.evacuated = evacuated
 
     def is_suspected(self, now: timedelta) -> bool:
         """Whether traffic says to avoid it for now.
@@ -184,11 +212,12 @@
         endpoints: Iterable[Endpoint],
         cache_tokens: Callable[[str], int],
         evacuated_zones: Collection[str] = (),
+        now: timedelta = NEVER,
     ) -> BackendTable:
         """The next snapshot; instances that go on keep what was learned of them.
 
         ``cache_tokens(service)``: how many tokens a backend of a service caches.
-        ``evacuated_zones``: whose backends take no new requests.
+        ``evacuated_zones``: whose backends take no new requests; ``now`` is when that is so.
         """
         by_id: dict[str, Backend] = {}
         for endpoint in endpoints:
@@ -199,10 +228,11 @@
             backend.draining = endpoint.draining
             backend.warming_up = bool(endpoint.cold)
             backend.slots = endpoint.slots
+            backend.note_evacuation(endpoint.zone in evacuated_zones, now)
             backend.cached.capacity = tokens
             by_id[endpoint.id] = backend
         names = {backend.service for backend in by_id.values()}
-        taking = [b for b in by_id.values() if not b.draining and b.zone not in evacuated_zones]
+        taking = [backend for backend in by_id.values() if not backend.draining and not backend.evacuated]
         return BackendTable(
             by_id,
             {name: tuple(backend for backend in taking if backend.service == name) for name in names},
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -178,7 +178,8 @@
         state = self.snapshots
         if state.endpoint_list is not None:
             evacuated = state.configuration.evacuated_zones if state.configuration else ()
-            state.backends = state.backends.renew(state.endpoint_list.runners, self._cache_tokens, evacuated)
+            runners = state.endpoint_list.runners
+            state.backends = state.backends.renew(runners, self._cache_tokens, evacuated, monotonic())
         if state.configuration is not None and state.endpoint_list is not None and not state.prefixes_known.is_set():
             self.prefix_recall.request()
 
--- a/sparloom/settings/checks.py
+++ b/sparloom/settings/checks.py
@@ -176,6 +176,8 @@
         budget_window=_seconds(table, "bounds.budgetWindowS", default.budget_window),
         budget_ratio=_number(table, "bounds.retryBudgetRatio", default.budget_ratio),
         budget_slack=_number(table, "bounds.retryBudgetSlack", default.budget_slack),
+        cold_overage=_number(table, "bounds.coldOverage", default.cold_overage),
+        cold_slack=_number(table, "bounds.coldSlack", default.cold_slack),
         pass_time=_milliseconds(table, "bounds.passMs", default.pass_time),
         recovery=_seconds(table, "bounds.recoveryS", default.recovery),
     )
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -113,6 +113,8 @@
         Retries allowed for each request.
     budget_slack
         Retries allowed beyond the ratio.
+    cold_overage, cold_slack
+        A cold runner is sent at most its cold rate times the one, and the other besides, within a second.
     pass_time
         ``passMs`` of the startup file; kept, not read.
     recovery
@@ -127,6 +129,8 @@
     budget_window: timedelta = timedelta(seconds=10)
     budget_ratio: float = 0.2
     budget_slack: float = 10
+    cold_overage: float = 1.0
+    cold_slack: float = 0
     pass_time: timedelta = timedelta(milliseconds=120)
     recovery: timedelta = timedelta(seconds=12)
 
--- a/tests/router/test_cold_runners.py
+++ b/tests/router/test_cold_runners.py
@@ -5,10 +5,15 @@
 """
 
 import asyncio
+import random
 import unittest
+from datetime import timedelta
 
+from sparloom.admission import FleetSize
 from sparloom.configuration import build
 from sparloom.discovery import Endpoint, EndpointList
+from sparloom.router.backends import RETURN_TIME
+from sparloom.transport import monotonic
 from tests.support.router_fixture import POLICY, STARTUP, Rig
 
 BOUNDS = {**STARTUP["bounds"], "coldOverage": 1.5, "coldSlack": 1}
@@ -45,7 +50,40 @@
             self.assertEqual(await self.statuses(rig, 2), [503] * 2)
             rig.state.configuration = build(COLD_POLICY)
             rig.state.update_backends()
+            (backend,) = rig.state.backends.of("s")
             self.assertEqual(await self.statuses(rig, 20), [200] * 6 + [503] * 14)
+            self.assertTrue(backend.is_cold(monotonic()))
+            self.assertFalse(backend.is_cold(monotonic() + RETURN_TIME + timedelta(milliseconds=1)))
+
+
+class Shares(unittest.TestCase):
+    """What all routers together may send to one cold runner within a second."""
+
+    LIMIT = 29
+
+    def total(self, views, salt):
+        """The sum of the shares; a view is the divisor and the index that a router reckons with."""
+        bound = timedelta(seconds=4)
+        shares = (FleetSize(bound, divisor=divisor, index=index) for divisor, index in views)
+        return sum(share.indivisible_share(self.LIMIT, salt) for share in shares)
+
+    def test_routers_that_see_each_other_use_most_of_the_bound_and_never_more(self):
+        for routers in range(1, 201):
+            total = self.total([(routers, index) for index in range(routers)], salt=routers * 7919)
+            self.assertLessEqual(total, self.LIMIT)
+            self.assertGreater(total, 0.7 * self.LIMIT)
+
+    def test_routers_that_miss_a_few_others_stay_within_the_bound(self):
+        luck = random.Random(1)
+        for _ in range(300):
+            routers = luck.choice((10, 63, 73, 200, 1600))
+            missing = luck.sample(range(routers), luck.randint(1, 3))
+            views = []
+            for own in range(routers):
+                # The divisor is the most that were seen of late, so only positions differ.
+                unseen = sum(other < own for other in missing if luck.random() < 0.5)
+                views.append((routers, own - unseen))
+            self.assertLessEqual(self.total(views, luck.getrandbits(64)), self.LIMIT)
 
 
 if __name__ == "__main__":
