Soak of requests: zones are evacuated and taken back among the other troubles

Change: nothing may reach the runners of an evacuated zone from 4 s after the acknowledgement until it is taken back.

--- a/simulator/soak/requests.py
+++ b/simulator/soak/requests.py
@@ -28,6 +28,9 @@
 # The platform takes a router out after two failed checks, a second apart.
 CHECK_INTERVAL_S = 1.0
 FAILED_CHECKS = 2
+ZONES = ("z0", "z1")
+# An evacuation is in force everywhere so many seconds after its acknowledgement.
+EVACUATED_S = 4.0
 
 
 def _route(name: str, prefix: str, resume: bool) -> dict[str, Any]:
@@ -84,6 +87,7 @@
     luck: random.Random = field(init=False)
     _number: int = 0
     _revision: int = 1
+    _evacuating: bool = False
     _ends_at: float = 0.0
 
     async def run(self) -> list[str]:
@@ -95,7 +99,10 @@
         for runner in self.runners:
             runner.script = self.luck.choices(("ok", "late", "still"), self.luck.choice(MIXES), k=20000)
             runner.silence = self.luck.choice((0.15, 0.3, 1.2)) * self.luck.uniform(0.5, 1.0)
-        entries = [Platform.entry(r.id, "s", f"127.0.0.1:{r.port}", slots=64) for r in self.runners]
+        entries = [
+            Platform.entry(runner.id, "s", f"127.0.0.1:{runner.port}", slots=64, zone=ZONES[number % len(ZONES)])
+            for number, runner in enumerate(self.runners)
+        ]
         platform = await Platform(entries).start()
         self.fleet = Fleet.make(3, self.routers, platform.port, GRACE_S, self.root, bounds={"graceS": GRACE_S})
         self.fleet.start()
@@ -162,7 +169,8 @@
         running: set[asyncio.Task[Any]] = set()
         while self._time_left() > GRACE_S * 0.4:
             await asyncio.sleep(self.luck.uniform(0.05, 0.7))
-            kind = self.luck.choice(("term", "term", "hup", "pause", "pause", "change", "controller"))
+            kinds = ("term", "term", "hup", "pause", "pause", "change", "controller", "evacuate")
+            kind = self.luck.choice(kinds)
             task = asyncio.ensure_future(getattr(self, f"_{kind}")(http))
             running.add(task)
             task.add_done_callback(running.discard)
@@ -198,6 +206,37 @@
         base, self._revision = self._revision, self._revision + 1
         await self._put(http, base, self.luck.randrange(20))
 
+    async def _order(self, http: aiohttp.ClientSession, method: str, zone: str) -> bool:
+        """Give an order about a zone until it is acknowledged, or the play ends."""
+        timeout = aiohttp.ClientTimeout(total=1.5)
+        while self._time_left() > 0:
+            for node in self.fleet.controllers:
+                url = f"http://{node.ip}:{CONTROL_PORT}/-/evacuation/{zone}"
+                try:
+                    async with http.request(method, url, timeout=timeout) as response:
+                        if response.status == 200:
+                            return True
+                except (aiohttp.ClientError, OSError, TimeoutError):
+                    continue
+            await asyncio.sleep(0.1)
+        return False
+
+    async def _evacuate(self, http: aiohttp.ClientSession) -> None:
+        """A zone is evacuated and taken back; nothing may reach its runners in between, but for a while at first."""
+        if self._evacuating or self._time_left() < EVACUATED_S + 1:
+            return
+        self._evacuating = True
+        zone = self.luck.choice(ZONES)
+        if await self._order(http, "POST", zone):
+            await asyncio.sleep(EVACUATED_S)
+            emptied = [runner for number, runner in enumerate(self.runners) if ZONES[number % len(ZONES)] == zone]
+            before = [len(runner.got) for runner in emptied]
+            await asyncio.sleep(min(self.luck.uniform(0.5, 2.0), max(0.0, self._time_left())))
+            late = [runner.id for runner, count in zip(emptied, before, strict=True) if len(runner.got) > count]
+            self.fleet.faults += [f"EVAC a request reached {runner_id} in {zone}" for runner_id in late]
+        await self._order(http, "DELETE", zone)
+        self._evacuating = False
+
     async def _controller(self, _http: aiohttp.ClientSession) -> None:
         node = self.luck.choice(self.fleet.controllers)
         if all(n.incarnations and n.current.terminated_at is None for n in self.fleet.controllers):
