Logs: which runners drain, as the primary publishes it and as a router takes it

Cause: of a request that reached a runner 4.2 s after it had said that it leaves, nothing told what the router knew. Change: one line at the primary for each list that it publishes, one at a router for each that it takes.

--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -92,6 +92,11 @@
         if self.session:
             await self.session.close()
 
+    @property
+    def last_version(self) -> tuple[int, int]:
+        """The version of the list that was published last: epoch and number."""
+        return self.epoch, self.number
+
     def primary_epoch(self) -> int | None:
         """The epoch in which this controller is the primary at this moment, or None."""
         member = self.consensus.member
@@ -178,5 +183,7 @@
         endpoint_list = EndpointList(complete.runners, self.fleet_size())
         if endpoint_list.differs_from(self.last):
             self.last, self.number = endpoint_list, self.number + 1
-            self.feed_server.publish(ENDPOINTS, (self.epoch, self.number), endpoint_list)
+            draining = [endpoint.id for endpoint in endpoint_list.runners if endpoint.draining]
+            logging.info("platform: list published version=%d.%d draining=%s", *self.last_version, ",".join(draining))
+            self.feed_server.publish(ENDPOINTS, self.last_version, endpoint_list)
         return False
--- a/sparloom/router/feed_client.py
+++ b/sparloom/router/feed_client.py
@@ -209,6 +209,8 @@
             )
         else:
             state.endpoint_list = new
+            draining = [endpoint.id for endpoint in new.runners if endpoint.draining]
+            logging.info("feed: endpoints in force runners=%d draining=%s", len(new.runners), ",".join(draining))
             self.on_endpoints()
         self.on_change()
 
