Job service in four modules; one owner of the leading epoch; an unread field goes

Change: the term, the answers to calls and the reading of the list are modules of their own; ConsensusService.leading_epoch serves the job service and the endpoint poller, which had it twice; StopAnswered.answered, which nothing read, is gone. Behaviour as before. Measured: tests of the scheduler, the controller, evacuation, the pages and jobs on loopback pass.

--- a/sparloom/controller/consensus_service.py
+++ b/sparloom/controller/consensus_service.py
@@ -127,6 +127,11 @@
         assert self.settings.data is not None, "the command line refuses to serve without dataDirectory"
         return self.settings.data
 
+    def leading_epoch(self) -> int | None:
+        """The epoch in which this member is the primary at this moment, or None."""
+        leadership = self.member.leadership if self.member.leading() else None
+        return leadership.epoch if leadership else None
+
     # -- start and stop -----------------------------------------------------
     async def on_start(self) -> None:
         """Loads the disk and joins the others; raises OSError if the internal address can't be bound."""
--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -97,12 +97,6 @@
         """The version of the list that was published last: epoch and number."""
         return self.epoch, self.number
 
-    def primary_epoch(self) -> int | None:
-        """The epoch in which this controller is the primary at this moment, or None."""
-        member = self.consensus.member
-        leadership = member.leadership if member.leading() else None
-        return leadership.epoch if leadership else None
-
     @Service.task
     async def _poll(self) -> None:
         platform = self.settings.cloud
@@ -110,13 +104,13 @@
             return
         schedule = PollSchedule.of(platform.rate, self.settings.bounds.drain)
         while not self.should_stop:
-            epoch = self.primary_epoch()
+            epoch = self.consensus.leading_epoch()
             self.enter_epoch(epoch)
             if epoch is None:
                 await asyncio.sleep(NOT_PRIMARY_PAUSE_S)
                 continue
             await asyncio.sleep(max(0.0, (schedule.next_call - monotonic()).total_seconds()))
-            if self.primary_epoch() != epoch:
+            if self.consensus.leading_epoch() != epoch:
                 continue
             if self.pages.token is None:
                 schedule.round_started_at = max(schedule.round_started_at, monotonic())
@@ -138,7 +132,7 @@
     async def poll_page(self, platform: CloudApi, epoch: int) -> PollOutcome:
         """Requests one page, and publishes the list if it was the last one."""
         status, document = await self._request_page(platform)
-        if self.primary_epoch() != epoch:
+        if self.consensus.leading_epoch() != epoch:
             self.pages = PageAssembler()
             return PollOutcome(more_pages=False, rate_limited=False)
         if status == HTTPStatus.TOO_MANY_REQUESTS:
--- /dev/null
+++ b/sparloom/controller/job_answers.py
@@ -0,0 +1,95 @@
+"""What the job primary answers to one call: a job handed in, shown or cancelled, or the count of a queue."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sparloom.scheduler.jobs import Job, queue_checksum
+from sparloom.scheduler.messages import JobAction, JobOutcome, JobReply, JobState
+from sparloom.scheduler.specification import parse_job
+
+from .job_term import wall_clock_ms
+
+if TYPE_CHECKING:
+    from sparloom.scheduler.messages import EndedJob, JobCall
+
+    from .job_term import JobTerm
+
+MAXIMUM_ACTIVE_JOBS = 20_000
+MAXIMUM_ENDED_JOBS = 60_000
+
+
+async def answer_call(term: JobTerm, call: JobCall, wake: asyncio.Event) -> JobReply:
+    """Answer a call in a term; ``wake`` is set where something is to be stored."""
+    if call.action == JobAction.SUBMIT:
+        return await _submit(term, call, wake)
+    if call.action == JobAction.CANCEL:
+        return await _cancel(term, call, wake)
+    if call.action == JobAction.SHOW:
+        return _show(term, call)
+    return _reply(call, JobOutcome.OK, count=_count_queued(term, call.queue))
+
+
+def _reply(call: JobCall, outcome: JobOutcome, state: int = 0, count: int = 0, text: str = "") -> JobReply:
+    return JobReply(call.number, outcome, state, count, text)
+
+
+async def _submit(term: JobTerm, call: JobCall, wake: asyncio.Event) -> JobReply:
+    if call.job in term.ended or call.job in term.scheduler.jobs:
+        return _reply(call, JobOutcome.OK)
+    if call.job in term.arriving:
+        # The same job came by another connection and is not stored yet.
+        in_next = call.job in term.unstored
+        write = term.next_write if in_next or term.current_write is None else term.current_write
+    else:
+        parsed = parse_job(call.body)
+        specification = parsed.value_or(None)
+        if specification is None:
+            return _reply(call, JobOutcome.INVALID, text=str(parsed.failure()))
+        if len(term.store.active) >= MAXIMUM_ACTIVE_JOBS or len(term.store.ended) >= MAXIMUM_ENDED_JOBS:
+            return _reply(call, JobOutcome.REJECTED)
+        job = Job(call.job, call.queue, call.policy, specification, call.body, wall_clock_ms())
+        term.arriving[job.id] = term.unstored[job.id] = job
+        write = term.next_write
+    wake.set()
+    return _reply(call, JobOutcome.OK if await asyncio.shield(write) else JobOutcome.UNKNOWN)
+
+
+async def _cancel(term: JobTerm, call: JobCall, wake: asyncio.Event) -> JobReply:
+    if call.job in term.arriving:
+        await _stored(term, wake)
+    job = term.scheduler.jobs.get(call.job)
+    if job is None or job.queue != call.queue:
+        return _reply(call, JobOutcome.OK if _ended_in_queue(term, call) else JobOutcome.GONE)
+    if job.end_stored:
+        return _reply(call, JobOutcome.OK)
+    term.scheduler.cancel(job)
+    return _reply(call, JobOutcome.OK if await _stored(term, wake) else JobOutcome.UNKNOWN)
+
+
+async def _stored(term: JobTerm, wake: asyncio.Event) -> bool:
+    """Wait until what has changed up to now is stored; return whether it is known to be."""
+    term.awaited = True
+    wake.set()
+    return await asyncio.shield(term.next_write)
+
+
+def _ended_in_queue(term: JobTerm, call: JobCall) -> EndedJob | None:
+    ended = term.ended.get(call.job)
+    return ended if ended is not None and ended.queue == queue_checksum(call.queue) else None
+
+
+def _show(term: JobTerm, call: JobCall) -> JobReply:
+    ended = _ended_in_queue(term, call)
+    if ended is not None:
+        return _reply(call, JobOutcome.OK, state=ended.state)
+    job = term.scheduler.jobs.get(call.job) or term.arriving.get(call.job)
+    if job is None or job.queue != call.queue:
+        return _reply(call, JobOutcome.GONE)
+    return _reply(call, JobOutcome.OK, state=JobState.SERVING if job.begun else JobState.QUEUED)
+
+
+def _count_queued(term: JobTerm, queue: str) -> int:
+    """The accepted jobs of a queue of which no task has begun."""
+    return sum(job.queue == queue and not job.begun and job.end is None for job in term.scheduler.jobs.values())
--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -11,29 +11,29 @@
 import asyncio
 import itertools
 import os
-import time
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import aiohttp
 from absl import logging
-from attrs import define, evolve, field
+from attrs import evolve
 from mode import Service
 
 from sparloom.scheduler.events import RunnersListed, ZonesEvacuated
-from sparloom.scheduler.jobs import Job, JobStore, queue_checksum
-from sparloom.scheduler.messages import JobAction, JobCall, JobOutcome, JobReply, JobState
-from sparloom.scheduler.runners import RunnerListing, read_listing
+from sparloom.scheduler.jobs import Job, JobStore
+from sparloom.scheduler.messages import JobCall, JobOutcome, JobReply
 from sparloom.scheduler.scheduler import JobTiming, Scheduler
-from sparloom.scheduler.specification import parse_job
 from sparloom.scheduler.stalled import stalled_tasks
 from sparloom.settings import ORDERS_BY_CALL
 from sparloom.transport import monotonic
 from sparloom.transport.http_client import Connector, open_session
 
 from .consensus_service import ConsensusService
+from .job_answers import answer_call
 from .job_calls import serve_job_calls
+from .job_term import JobTerm, wall_clock_ms
 from .runner_calls import RunnerCalls
+from .runner_list import read_all_pages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +41,6 @@
     from sparloom.codec import Record
     from sparloom.consensus import Data
     from sparloom.scheduler.events import Event
-    from sparloom.scheduler.messages import EndedJob
     from sparloom.scheduler.scheduler import Changes
     from sparloom.settings import Settings
     from sparloom.transport import Frames
@@ -54,8 +53,6 @@
 LIST_TIMEOUT_S = 1.0
 # Ended jobs are shown for longer than is asked for by this.
 KEPT_MARGIN = timedelta(seconds=30)
-MAXIMUM_ACTIVE_JOBS = 20_000
-MAXIMUM_ENDED_JOBS = 60_000
 # Tasks that are stalled are logged so often, in seconds, and at most so many of them.
 STALLED_INTERVAL_S = 5.0
 LOGGED_STALLED_TASKS = 5
@@ -67,54 +64,6 @@
 STALL_TIMEOUT = timedelta(seconds=2)
 
 
-def wall_clock_ms() -> int:
-    """Return the time of day, in milliseconds since 1970.
-
-    >>> wall_clock_ms() > 1_600_000_000_000
-    True
-    """
-    return int(time.time() * 1000)
-
-
-@define(slots=True, eq=False)
-class _Term:
-    """What lives as long as this member is the job primary without a break.
-
-    Attributes
-    ----------
-    epoch
-        The epoch of the consensus group; it may change while this member goes on to lead.
-    store
-        The bytes of all jobs, those that are not stored yet included.
-    scheduler, calls
-        Decide where tasks run, and carry it out.
-    arriving
-        Jobs that are not stored yet, by id.
-    ended
-        Jobs whose end is stored, by id: what clients are shown.
-    unstored
-        Jobs that the next write takes.
-    deferred
-        Events that came while this member did not lead.
-    next_write, current_write
-        Resolved with whether the next write, or the one under way, has been stored.
-    awaited
-        Whether somebody waits for the next write, even if it has nothing to store.
-    """
-
-    epoch: int
-    store: JobStore
-    scheduler: Scheduler
-    calls: RunnerCalls
-    arriving: dict[int, Job] = field(factory=dict)
-    ended: dict[int, EndedJob] = field(factory=dict)
-    unstored: dict[int, Job] = field(factory=dict)
-    deferred: list[Event] = field(factory=list)
-    next_write: asyncio.Future[bool] = field(factory=lambda: asyncio.get_running_loop().create_future())
-    awaited: bool = False
-    current_write: asyncio.Future[bool] | None = None
-
-
 class JobService(Service):
     """One controller's part in keeping and running jobs.
 
@@ -135,7 +84,7 @@
         self.settings = settings
         self.evacuated_zones = evacuated_zones
         self.consensus = ConsensusService(self._group_settings(settings), self._serve, self._on_committed)
-        self._term: _Term | None = None
+        self._term: JobTerm | None = None
         self._wake = asyncio.Event()
 
     @staticmethod
@@ -163,21 +112,16 @@
         """The group has committed a state; the write's caller takes note of it."""
 
     # -- terms --------------------------------------------------------------------
-    def _leading_epoch(self) -> int | None:
-        member = self.consensus.member
-        leadership = member.leadership if member.leading() else None
-        return leadership.epoch if leadership else None
-
-    def _active(self) -> _Term | None:
+    def _active(self) -> JobTerm | None:
         """The term, if this member is still its primary."""
         term = self._term
-        return term if term is not None and self._leading_epoch() == term.epoch else None
+        return term if term is not None and self.consensus.leading_epoch() == term.epoch else None
 
     @Service.task
     async def _lead(self) -> None:
         """Begins and ends terms, and writes what has changed."""
         while not self.should_stop:
-            epoch, term = self._leading_epoch(), self._term
+            epoch, term = self.consensus.leading_epoch(), self._term
             if term is not None and (term.scheduler.deposed or not await self._resume(term)):
                 await self._end_term()
             elif term is not None:
@@ -191,14 +135,14 @@
         """Stores a new term, then takes up what the last one has stored."""
         data = await self.consensus.confirm(CONFIRM_TIMEOUT)
         # Without the control state, a task might be started in a zone that is evacuated.
-        if data is None or self._leading_epoch() != epoch or self.evacuated_zones() is None:
+        if data is None or self.consensus.leading_epoch() != epoch or self.evacuated_zones() is None:
             await asyncio.sleep(IDLE_PAUSE_S)
             return
         store = JobStore.load(data.blob)
         store.term += 1
         # The fence must be on the disks before a runner sees it: the next primary goes above it.
         written = await self.consensus.write(0, store.blob(), WRITE_TIMEOUT)
-        if written is None or self._leading_epoch() != epoch:
+        if written is None or self.consensus.leading_epoch() != epoch:
             await asyncio.sleep(IDLE_PAUSE_S)
             return
         timing = JobTiming(self.settings.jobs.hold_limit.total_seconds(), self.settings.jobs.gang.total_seconds())
@@ -206,24 +150,24 @@
             store.term, monotonic().total_seconds(), timing, evacuated_zones=self.evacuated_zones() or frozenset()
         )
         calls = RunnerCalls(store.term, self._on_event)
-        self._term = _Term(epoch, store, scheduler, calls, ended=dict(store.ended))
+        self._term = JobTerm(epoch, store, scheduler, calls, ended=dict(store.ended))
         for job in store.jobs():
             scheduler.add(job)
         logging.info("jobs: term began term=%d active=%d ended=%d", store.term, len(store.active), len(store.ended))
 
-    async def _resume(self, term: _Term) -> bool:
+    async def _resume(self, term: JobTerm) -> bool:
         """Returns whether a term goes on: at once while this member leads, else once it leads again.
 
         A member leads again in a new epoch when the group's view changes. Had another one ordered
         runners meanwhile, it would have stored a term of its own before.
         """
-        if self._leading_epoch() == term.epoch:
+        if self.consensus.leading_epoch() == term.epoch:
             return True
         gives_up_at = monotonic() + RESUME_TIMEOUT
         while monotonic() < gives_up_at and not self.should_stop:
-            epoch = self._leading_epoch()
+            epoch = self.consensus.leading_epoch()
             data = await self.consensus.confirm(CONFIRM_TIMEOUT) if epoch is not None else None
-            if epoch is None or data is None or self._leading_epoch() != epoch:
+            if epoch is None or data is None or self.consensus.leading_epoch() != epoch:
                 await asyncio.sleep(TICK_S)
                 continue
             if JobStore.load(data.blob).term != term.store.term:
@@ -247,7 +191,7 @@
         logging.info("jobs: term ended term=%d", term.store.term)
 
     # -- storing ------------------------------------------------------------------
-    async def _write_changes(self, term: _Term) -> None:
+    async def _write_changes(self, term: JobTerm) -> None:
         """Stores what has changed since the last write, all of it in one."""
         changes = term.scheduler.take_changes()
         if changes is None and not term.unstored and not term.awaited:
@@ -274,7 +218,7 @@
         if not write.done():
             write.set_result(True)
 
-    async def _write(self, term: _Term) -> bool:
+    async def _write(self, term: JobTerm) -> bool:
         """Writes the store, again and again while the term goes on; returns whether it is stored."""
         blob = term.store.blob()
         while self._term is term and not term.scheduler.deposed and await self._resume(term):
@@ -284,7 +228,7 @@
         return False
 
     @staticmethod
-    def _log_failures(term: _Term, changes: Changes) -> None:
+    def _log_failures(term: JobTerm, changes: Changes) -> None:
         """Tells of each attempt that was counted: the only way to a job that is shown as failed."""
         for failure in changes.failures:
             logging.info(
@@ -297,7 +241,7 @@
                 failure.allowed,
             )
 
-    def _on_stored(self, term: _Term, arrived: dict[int, Job], changes: Changes | None) -> None:
+    def _on_stored(self, term: JobTerm, arrived: dict[int, Job], changes: Changes | None) -> None:
         for job in arrived.values():
             if term.arriving.pop(job.id, None) is not None:
                 term.scheduler.add(job)
@@ -309,12 +253,6 @@
         if len(term.ended) > len(term.store.ended):
             term.ended = {job_id: ended for job_id, ended in term.ended.items() if job_id in term.store.ended}
 
-    async def _stored(self, term: _Term) -> bool:
-        """Waits until what has changed up to now is stored; returns whether it is known to be."""
-        term.awaited = True
-        self._wake.set()
-        return await asyncio.shield(term.next_write)
-
     # -- the scheduler --------------------------------------------------------------
     def _on_event(self, event: Event) -> None:
         term = self._active()
@@ -370,32 +308,11 @@
                 if term is None:
                     await asyncio.sleep(IDLE_PAUSE_S)
                     continue
-                runners = await self._read_list(session, f"http://{platform.address}/instances")
+                runners = await read_all_pages(session, f"http://{platform.address}/instances")
                 if runners is not None and self._active() is term:
                     self._on_event(RunnersListed(tuple(runners)))
                 await asyncio.sleep(LIST_INTERVAL_S if runners is not None else IDLE_PAUSE_S * 4)
 
-    @staticmethod
-    async def _read_list(session: aiohttp.ClientSession, url: str) -> list[RunnerListing] | None:
-        """Reads all pages; None where one can't be had."""
-        runners: list[RunnerListing] = []
-        token: str | None = None
-        try:
-            while True:
-                params = {"pageToken": token} if token else {}
-                async with session.get(url, params=params, allow_redirects=False) as response:
-                    document = await response.json(content_type=None) if response.status == 200 else None
-                page = read_listing(document).value_or(None)
-                if page is None:
-                    return None
-                runners += page[0]
-                token = page[1]
-                if token is None:
-                    return runners
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            logging.debug("jobs: the list of runners failed error=%s", type(error).__name__)
-            return None
-
     # -- routers' calls ---------------------------------------------------------------
     async def _serve(self, frames: Frames, first: Record) -> None:
         await serve_job_calls(frames, first, self.answer, STALL_TIMEOUT)
@@ -407,13 +324,7 @@
         term = self._active()
         if term is None:
             return self._not_primary(call)
-        if call.action == JobAction.SUBMIT:
-            return await self._submit(term, call)
-        if call.action == JobAction.CANCEL:
-            return await self._cancel(term, call)
-        if call.action == JobAction.SHOW:
-            return self._show(term, call)
-        return JobReply(call.number, JobOutcome.OK, 0, self._count_queued(term, call.queue), "")
+        return await answer_call(term, call, self._wake)
 
     def _not_primary(self, call: JobCall) -> JobReply:
         member = self.consensus.member
@@ -421,56 +332,3 @@
         known = primary is not None and primary.id != member.member.id
         address = f"{primary.host}:{primary.port}" if primary is not None and known else ""
         return JobReply(call.number, JobOutcome.NOT_PRIMARY, 0, 0, address)
-
-    async def _submit(self, term: _Term, call: JobCall) -> JobReply:
-        if call.job in term.ended or call.job in term.scheduler.jobs:
-            return JobReply(call.number, JobOutcome.OK, 0, 0, "")
-        if call.job not in term.arriving:
-            parsed = parse_job(call.body)
-            specification = parsed.value_or(None)
-            if specification is None:
-                return JobReply(call.number, JobOutcome.INVALID, 0, 0, str(parsed.failure()))
-            if len(term.store.active) >= MAXIMUM_ACTIVE_JOBS or len(term.store.ended) >= MAXIMUM_ENDED_JOBS:
-                return JobReply(call.number, JobOutcome.REJECTED, 0, 0, "")
-            job = Job(call.job, call.queue, call.policy, specification, call.body, wall_clock_ms())
-            term.arriving[job.id] = term.unstored[job.id] = job
-            write = term.next_write
-        else:
-            # The same job came by another connection and is not stored yet.
-            in_next = call.job in term.unstored
-            write = term.next_write if in_next or term.current_write is None else term.current_write
-        self._wake.set()
-        outcome = JobOutcome.OK if await asyncio.shield(write) else JobOutcome.UNKNOWN
-        return JobReply(call.number, outcome, 0, 0, "")
-
-    async def _cancel(self, term: _Term, call: JobCall) -> JobReply:
-        if call.job in term.arriving:
-            await self._stored(term)
-        job = term.scheduler.jobs.get(call.job)
-        if job is None or job.queue != call.queue:
-            known = self._ended_in_queue(term, call) is not None
-            return JobReply(call.number, JobOutcome.OK if known else JobOutcome.GONE, 0, 0, "")
-        if job.end_stored:
-            return JobReply(call.number, JobOutcome.OK, 0, 0, "")
-        term.scheduler.cancel(job)
-        stored = await self._stored(term)
-        return JobReply(call.number, JobOutcome.OK if stored else JobOutcome.UNKNOWN, 0, 0, "")
-
-    def _ended_in_queue(self, term: _Term, call: JobCall) -> EndedJob | None:
-        ended = term.ended.get(call.job)
-        return ended if ended is not None and ended.queue == queue_checksum(call.queue) else None
-
-    def _show(self, term: _Term, call: JobCall) -> JobReply:
-        ended = self._ended_in_queue(term, call)
-        if ended is not None:
-            return JobReply(call.number, JobOutcome.OK, ended.state, 0, "")
-        job = term.scheduler.jobs.get(call.job) or term.arriving.get(call.job)
-        if job is None or job.queue != call.queue:
-            return JobReply(call.number, JobOutcome.GONE, 0, 0, "")
-        state = JobState.SERVING if job.begun else JobState.QUEUED
-        return JobReply(call.number, JobOutcome.OK, state, 0, "")
-
-    @staticmethod
-    def _count_queued(term: _Term, queue: str) -> int:
-        """The accepted jobs of a queue of which no task has begun."""
-        return sum(job.queue == queue and not job.begun and job.end is None for job in term.scheduler.jobs.values())
--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -142,14 +142,13 @@
 
     async def _stop(self, order: StopRun) -> None:
         body = {"task": order.task, "runId": order.number, "fenceNumber": self.term}
-        answered = fenced = False
+        fenced = False
         try:
             status, document = await self._post(order.address, STOP_PATH, order.runner, body, ORDER_TIMEOUT_S)
-            answered = status == HTTPStatus.OK
             fenced = status == HTTPStatus.CONFLICT and document.get("reason") == "fence"
         except CALL_ERRORS:
             pass
-        self.on_event(StopAnswered(order.runner, order.task, order.number, answered, fenced))
+        self.on_event(StopAnswered(order.runner, order.task, order.number, fenced))
 
     async def _hold(self, order: HoldRunner) -> None:
         body = {"fenceNumber": self.term, "lastSeen": order.last_seen}
--- /dev/null
+++ b/sparloom/controller/runner_list.py
@@ -0,0 +1,34 @@
+"""Reads the platform's list of runners as the scheduler needs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from absl import logging
+
+from sparloom.scheduler.runners import read_listing
+
+if TYPE_CHECKING:
+    from sparloom.scheduler.runners import RunnerListing
+
+
+async def read_all_pages(session: aiohttp.ClientSession, url: str) -> list[RunnerListing] | None:
+    """Read all pages of the list; None where one can't be had."""
+    runners: list[RunnerListing] = []
+    token: str | None = None
+    try:
+        while True:
+            params = {"pageToken": token} if token else {}
+            async with session.get(url, params=params, allow_redirects=False) as response:
+                document = await response.json(content_type=None) if response.status == 200 else None
+            page = read_listing(document).value_or(None)
+            if page is None:
+                return None
+            runners += page[0]
+            token = page[1]
+            if token is None:
+                return runners
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        logging.debug("jobs: the list of runners failed error=%s", type(error).__name__)
+        return None
--- a/sparloom/scheduler/events.py
+++ b/sparloom/scheduler/events.py
@@ -71,12 +71,11 @@
 
 @define(frozen=True, slots=True)
 class StopAnswered:
-    """An order to stop has been answered, or not (``answered``); ``fenced``: a later primary orders this runner."""
+    """An order to stop has been answered, or not; ``fenced``: a later primary orders this runner."""
 
     runner: str
     task: str
     number: int
-    answered: bool = True
     fenced: bool = False
 
 
--- a/tests/controller/test_endpoint_poller.py
+++ b/tests/controller/test_endpoint_poller.py
@@ -1,9 +1,11 @@
 """The platform's pages: each is tied to the epoch in which it was asked for."""
 
 import unittest
+from functools import partial
 from types import SimpleNamespace
 
 from fakes.platform import Platform
+from sparloom.controller.consensus_service import ConsensusService
 from sparloom.controller.endpoint_poller import EndpointPoller
 from sparloom.settings import from_dict
 from tests.support.router_fixture import STARTUP
@@ -43,12 +45,15 @@
         self.addAsyncCleanup(self.platform.stop)
         self.member, self.feed_server = Member(), FeedServer()
         self.cloud = SimpleNamespace(address=f"127.0.0.1:{self.platform.port}", rate=40.0)
-        self.poller = EndpointPoller(from_dict(STARTUP).unwrap(), SimpleNamespace(member=self.member), self.feed_server)
+        consensus = SimpleNamespace(member=self.member)
+        consensus.leading_epoch = partial(ConsensusService.leading_epoch, consensus)
+        self.consensus = consensus
+        self.poller = EndpointPoller(from_dict(STARTUP).unwrap(), consensus, self.feed_server)
         self.addAsyncCleanup(self.poller.on_stop)
 
     async def call(self):
         """One request in the epoch of this moment."""
-        epoch = self.poller.primary_epoch()
+        epoch = self.consensus.leading_epoch()
         self.poller.enter_epoch(epoch)
         return await self.poller.poll_page(self.cloud, epoch)
 
--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -240,14 +240,14 @@
             self.latency(),
             self._tell,
             primary,
-            StopAnswered(order.runner, order.task, order.number, not fenced, fenced),
+            StopAnswered(order.runner, order.task, order.number, fenced),
         )
 
     def _lose_answer(self, primary, order):
         if isinstance(order, StartRun):
             self._tell(primary, StartAnswered(order.runner, order.task, order.number, StartResult.NO_ANSWER))
         elif isinstance(order, StopRun):
-            self._tell(primary, StopAnswered(order.runner, order.task, order.number, answered=False))
+            self._tell(primary, StopAnswered(order.runner, order.task, order.number))
         else:
             self._tell(primary, HoldFailed(order.runner, HoldFailure.NO_ANSWER))
 
