--- a/fakes/runner.py
+++ b/fakes/runner.py
@@ -79,6 +79,8 @@
         The requests that arrived.
     pipes
         Connections that were accepted.
+    leaving
+        Whether it says in its answers that it leaves; ``arrivals`` holds the loop's time of each request.
     dropped
         Requests whose connection the client closed while they hung.
     """
@@ -91,6 +93,8 @@
     raw: bytes = b""
     got: list[Got] = field(factory=list)
     pipes: int = 0
+    leaving: bool = False
+    arrivals: list[float] = field(factory=list)
     dropped: int = 0
     server: asyncio.Server | None = None
     port: int = 0
@@ -129,6 +133,7 @@
         request = Got(raw[0], heads, b"")
         request.body = await reader.readexactly(int(request.head("Content-Length") or 0))
         self.got.append(request)
+        self.arrivals.append(asyncio.get_running_loop().time())
         request.word = script = self.script.pop(0) if self.script else "ok"
         if script == "hang":
             await reader.read(-1)
@@ -148,6 +153,7 @@
         chunked: bool = True,
     ) -> None:
         lines = [f"HTTP/1.1 {status}", f"{ID}: {id or request.head(ID)}", *more]
+        lines += ["Connection: close"] if self.leaving else []
         lines += [f"{SEAL}: seal.{self.id}.{request.head(ID)}"] if seal else []
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"] if chunked else []
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
