A router that hears no confirmation sends only to runners whose answers show that they stay

Cause: a router's last list had no age; a cut router sent to a runner 4.2 s after it had said that it leaves. Change: after 0.7 of the drain bound without a confirmation of the primary, and until 1.25 of the contact bound, only runners are chosen that answered within 0.7 of the drain bound without Connection: close.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -66,6 +66,7 @@
         self.backend = choice.backend
         self.slot = choice.slot
         self._response: aiohttp.ClientResponse | None = None
+        self._asked_at = monotonic()
         self.connected = True
         self.backend.open_calls += 1
         self.inactivity = InactivityTimer(self.backend, self.slot, lambda: self._suspect(UNRESPONSIVE), on_unresponsive)
@@ -101,6 +102,7 @@
 
     async def _send(self, last_event_id: str | None) -> aiohttp.ClientResponse:
         request = self._request
+        self._asked_at = monotonic()
         connect_timeout = max(MINIMUM_CONNECT_TIMEOUT_S, request.route.target.total_seconds() * CONNECT_TIMEOUT_PART)
         return await self.backend.session().request(
             request.method,
@@ -120,6 +122,8 @@
     async def _judge(self, response: aiohttp.ClientResponse) -> Verdict | None:
         head = response_head(response, self._request.attempt_id)
         verdict, may_relay = judge_head(head)
+        if head.belongs:
+            self.backend.note_answer(self._asked_at, "close" in response.headers.get("Connection", "").lower())
         if "Keep-Alive" in response.headers and head.belongs:
             self.backend.apply_keep_alive(response.headers["Keep-Alive"])
         if verdict is NOT_RUN:
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -11,6 +11,7 @@
 from sparloom.transport import monotonic
 
 from .cold_rate import fleet_limit
+from .router_state import DOUBT_AFTER_DRAIN_PART
 from .timeout_buckets import buckets_for
 
 if TYPE_CHECKING:
@@ -115,11 +116,14 @@
         connection_limits = self._services.queues.connections(self.service)
         count_event("weighed runners", len(backends))
         candidates = [self._candidate(backend, now) for backend in backends.values()]
+        in_doubt = self._services.state.doubts_endpoints(now)
         shared_tokens = sum(tokens for _, tokens in self._request.shared_parts)
         for candidate in choose(candidates, shared_tokens):
             backend = backends[candidate.id]
             if backend.id in self.tried or backend.open_calls >= connection_limits[backend.id]:
                 continue
+            if in_doubt and not backend.has_stayed(now, self._longest_trust()):
+                continue
             if candidate.cold and not self._bears_one_more(backend, now):
                 continue
             choice = self._take_slot(backend, candidate.prefill_tokens, now, reserved)
@@ -131,6 +135,10 @@
                 return choice
         return None
 
+    def _longest_trust(self) -> timedelta:
+        """For how long an answer shows that a backend isn't leaving; what is sent then arrives within the bound."""
+        return self._services.state.settings.bounds.drain * DOUBT_AFTER_DRAIN_PART
+
     def _bears_one_more(self, backend: Backend, now: timedelta) -> bool:
         """Whether this router's share of what a cold backend bears allows one more request."""
         state = self._services.state
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -64,6 +64,7 @@
     warming_up: whether it has started a short time ago (slow start).
     evacuated: whether its zone is evacuated.
     returned_at: when its zone was taken back; ``NEVER`` if it was not evacuated.
+    stays_at: when it was last seen not to be leaving, by an answer; ``NEVER`` if it wasn't, or said that it leaves.
     cold_sends: what was sent to it while it was cold.
     number: the 64-bit number of its id in the gossip.
     cached: the prompt prefixes that it is believed to have cached.
@@ -92,6 +93,7 @@
     idle_timeout: float = DEFAULT_IDLE_TIMEOUT_S
     evacuated: bool = False
     returned_at: timedelta = NEVER
+    stays_at: timedelta = NEVER
     cold_sends: ColdSends = field(factory=ColdSends)
 
     def is_cold(self, now: timedelta) -> bool:
@@ -106,6 +108,20 @@
         """
         return self.warming_up or (self.returned_at != NEVER and now < self.returned_at + RETURN_TIME)
 
+    def note_answer(self, asked_at: timedelta, closes: bool) -> None:
+        """Notes an answer to a request that was sent at ``asked_at``; a runner that leaves says that it ``closes``."""
+        self.stays_at = NEVER if closes else max(self.stays_at, asked_at)
+
+    def has_stayed(self, now: timedelta, within: timedelta) -> bool:
+        """Whether an answer has shown, no longer ago than ``within``, that it isn't leaving.
+
+        >>> backend, second = Backend("i", "s", "h:1", "z", 1, False, False, 0, None), timedelta(seconds=1)
+        >>> backend.note_answer(5 * second, False)
+        >>> backend.has_stayed(7 * second, 3 * second), backend.has_stayed(9 * second, 3 * second)
+        (True, False)
+        """
+        return self.stays_at != NEVER and now - self.stays_at < within
+
     def note_evacuation(self, evacuated: bool, now: timedelta) -> None:
         """Notes whether its zone is evacuated now."""
         if self.evacuated and not evacuated:
--- a/sparloom/router/feed_client.py
+++ b/sparloom/router/feed_client.py
@@ -13,7 +13,7 @@
 
 from sparloom.codec import DecodeError
 from sparloom.configuration import build
-from sparloom.feed import CONFIGURATION, NO_VERSION, TOPICS, Change, FeedHeartbeat, VersionedStore
+from sparloom.feed import CONFIGURATION, ENDPOINTS, NO_VERSION, TOPICS, Change, FeedHeartbeat, VersionedStore
 from sparloom.feed import payload as feed_payload
 from sparloom.feed.serving import ChangeSignal
 from sparloom.membership import CONTROLLER
@@ -163,6 +163,9 @@
         up_to_date = self.store.version(CONFIGURATION) >= self.newest_configuration()
         recent = heartbeat.confirmation_age_ms < self.upstream.tracker.maximum_age / MS
         state.confirmed = state.confirmed or known and up_to_date and recent
+        confirmed_at = self.upstream.tracker.confirmed_at
+        if confirmed_at is not None and ENDPOINTS not in self.resync:
+            state.note_confirmation(confirmed_at)
         self.change_signal.notify()
 
     def newest_configuration(self) -> tuple[int, int]:
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -18,6 +18,8 @@
 from .backends import BackendTable
 
 if TYPE_CHECKING:
+    from datetime import timedelta
+
     from sparloom.configuration import Configuration
     from sparloom.discovery import EndpointList
     from sparloom.isolation import Isolation
@@ -29,6 +31,11 @@
 
 # Without confirmation, a router counts as ready after so many contact bounds.
 UNCONFIRMED_READY_BOUNDS = 2
+# A list is a poll older than the confirmation of its primary (a quarter of the drain bound), and a request takes
+# a moment to arrive: after this part of the drain bound without a confirmation, any runner may be leaving.
+DOUBT_AFTER_DRAIN_PART = 0.7
+# After this part of the contact bound without a confirmation, this router is out of touch.
+OUT_OF_TOUCH_AFTER_PART = 1.25
 
 
 class RouterState:
@@ -48,6 +55,7 @@
     endpoint_list: the newest list of runners; None until the first one came.
     backends: the runners of that list, with what traffic has shown of them.
     confirmed: whether a primary has confirmed what this router holds.
+    primary_confirmed_at: when the primary was confirmed last, as far as this router was told; None before the first.
     started_at: when this process started, on the monotonic clock.
     in_flight: requests in flight per backend, own and of the other routers.
     fleet_size: among how many routers budgets and capacity are divided.
@@ -63,6 +71,7 @@
         self.endpoint_list: EndpointList | None = None
         self.backends = BackendTable()
         self.confirmed = False
+        self.primary_confirmed_at: timedelta | None = None
         self.started_at = monotonic()
         self.in_flight = InFlightCounts(settings.bounds.contact)
         self.fleet_size = FleetSize(settings.bounds.contact)
@@ -84,6 +93,21 @@
         unconfirmed_for = monotonic() - self.started_at
         return self.confirmed or unconfirmed_for > self.settings.bounds.contact * UNCONFIRMED_READY_BOUNDS
 
+    def note_confirmation(self, at: timedelta) -> None:
+        """Notes that the primary was confirmed at a moment, and that what it published by then is here."""
+        known = self.primary_confirmed_at
+        self.primary_confirmed_at = at if known is None else max(known, at)
+
+    def doubts_endpoints(self, now: timedelta) -> bool:
+        """Whether a runner may have left for longer than the drain bound without this router having been told.
+
+        Only until this router is out of touch: from then on what it knows is all there is.
+        """
+        if self.primary_confirmed_at is None:
+            return False
+        bounds, age = self.settings.bounds, now - self.primary_confirmed_at
+        return bounds.drain * DOUBT_AFTER_DRAIN_PART <= age < bounds.contact * OUT_OF_TOUCH_AFTER_PART
+
     def note_isolation(self, isolation: Isolation | None) -> None:
         """Remembers which backends are older than other settings of isolation, which are about to be used."""
         if isolation != self.settings.isolation:
