--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -128,7 +128,7 @@
         clock_ms = 0.0
         try:
             status, document = await self._post(order.address, START_PATH, order.runner, body, ORDER_TIMEOUT_S)
-            clock_ms = float(document.get("clockMs", 0))
+            clock_ms = float(document.get("clockMs") or 0)
             result = _START_STATUSES.get(HTTPStatus(status), StartResult.NO_ANSWER)
             if status == HTTPStatus.CONFLICT:
                 result = _START_REASONS.get(str(document.get("reason")), StartResult.NO_ANSWER)
