--- a/sparloom/launch/early_listen.py
+++ b/sparloom/launch/early_listen.py
@@ -21,7 +21,11 @@
 DEFAULT_SETTINGS_PATH = "/etc/sparloom/node.toml"
 LISTEN_BACKLOG = 512
 UNUSED_MODULES = ("ssl", "_ssl", "_hashlib")
-PLACEHOLDER_MODULES = {"croniter": (), "croniter.croniter": ("croniter",)}
+PLACEHOLDER_MODULES = {
+    "croniter": (),
+    "croniter.croniter": ("croniter",),
+    "xml.dom.minidom": ("Document", "Element"),
+}
 
 _early_sockets: dict[tuple[str, int], socket.socket] = {}
 _pending_hangups: list[int] = []
@@ -39,8 +43,9 @@
 
     A placeholder stands for a module that a library imports without need:
     ``mode`` loads a parser of cron tables, which loads time zones and starts
-    another program to learn what machine this is. The placeholder has the
-    given attributes, each of them None.
+    another program to learn what machine this is; ``absl.flags`` loads a parser
+    of XML for a help text that nobody asks for. The placeholder has the given
+    attributes, each of them None.
 
     >>> block_unused_modules((), {})
     """
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -143,7 +143,7 @@
         """Whether this router's share of what a cold backend bears allows one more request."""
         state = self._services.state
         service = state.configuration.services.get(backend.service) if state.configuration else None
-        limit = fleet_limit(service, state.settings.bounds)
+        limit = fleet_limit(service, state.settings.cold)
         if limit is None:
             return True
         return backend.cold_sends.allows(now, state.fleet_size.indivisible_share(limit, backend.number))
--- a/sparloom/router/cold_rate.py
+++ b/sparloom/router/cold_rate.py
@@ -20,23 +20,23 @@
 
 if TYPE_CHECKING:
     from sparloom.configuration import Service
-    from sparloom.settings.model import Bounds
+    from sparloom.settings import ColdBounds
 
 # The bound is over each second; requests may take this much longer or shorter on their way.
 WINDOW = timedelta(milliseconds=1100)
 
 
-def fleet_limit(service: Service | None, bounds: Bounds) -> int | None:
+def fleet_limit(service: Service | None, bounds: ColdBounds) -> int | None:
     """How many requests all routers together may send to a cold backend within a second; None for any number.
 
     >>> from sparloom.configuration import Service
-    >>> from sparloom.settings.model import Bounds
-    >>> fleet_limit(Service("s", cold_rate=16.0), Bounds(cold_overage=1.5, cold_slack=5)), fleet_limit(None, Bounds())
+    >>> from sparloom.settings import ColdBounds
+    >>> fleet_limit(Service("s", cold_rate=16.0), ColdBounds(1.5, 5)), fleet_limit(None, ColdBounds())
     (29, None)
     """
     if service is None or not service.cold_rate:
         return None
-    return int(service.cold_rate * bounds.cold_overage + bounds.cold_slack)
+    return int(service.cold_rate * bounds.overage + bounds.slack)
 
 
 @define(slots=True, eq=False)
--- a/sparloom/settings/checks.py
+++ b/sparloom/settings/checks.py
@@ -20,6 +20,7 @@
     Address,
     Bounds,
     CloudApi,
+    ColdBounds,
     JobBounds,
     Limits,
     ListenAddresses,
@@ -176,13 +177,19 @@
         budget_window=_seconds(table, "bounds.budgetWindowS", default.budget_window),
         budget_ratio=_number(table, "bounds.retryBudgetRatio", default.budget_ratio),
         budget_slack=_number(table, "bounds.retryBudgetSlack", default.budget_slack),
-        cold_overage=_number(table, "bounds.coldOverage", default.cold_overage),
-        cold_slack=_number(table, "bounds.coldSlack", default.cold_slack),
         pass_time=_milliseconds(table, "bounds.passMs", default.pass_time),
         recovery=_seconds(table, "bounds.recoveryS", default.recovery),
     )
 
 
+def _cold_bounds(table: Table) -> ColdBounds:
+    default = ColdBounds()
+    return ColdBounds(
+        overage=_number(table, "bounds.coldOverage", default.overage),
+        slack=_number(table, "bounds.coldSlack", default.slack),
+    )
+
+
 def _job_bounds(table: Table) -> JobBounds:
     default = JobBounds()
     return JobBounds(
@@ -247,6 +254,7 @@
         deployment=_get(table, "deployment", str, MODEL_DEPLOYMENT),
         orders=_get(table, "orders", str, ORDERS_BY_CALL),
         jobs=_job_bounds(table),
+        cold=_cold_bounds(table),
     )
 
 
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -113,8 +113,6 @@
         Retries allowed for each request.
     budget_slack
         Retries allowed beyond the ratio.
-    cold_overage, cold_slack
-        A cold runner is sent at most its cold rate times the one, and the other besides, within a second.
     pass_time
         ``passMs`` of the startup file; kept, not read.
     recovery
@@ -129,8 +127,6 @@
     budget_window: timedelta = timedelta(seconds=10)
     budget_ratio: float = 0.2
     budget_slack: float = 10
-    cold_overage: float = 1.0
-    cold_slack: float = 0
     pass_time: timedelta = timedelta(milliseconds=120)
     recovery: timedelta = timedelta(seconds=12)
 
@@ -154,6 +150,22 @@
     status: timedelta = timedelta(seconds=120)
 
 
+@define(frozen=True, slots=True)
+class ColdBounds:
+    """How many requests a cold runner may be sent within a second, by all routers together.
+
+    Attributes
+    ----------
+    overage
+        So many times its cold rate,
+    slack
+        and so many requests more.
+    """
+
+    overage: float = 1.0
+    slack: float = 0
+
+
 @define(frozen=True, slots=True)
 class CloudApi:
     """Where the platform lists its runners.
@@ -215,6 +227,8 @@
         How runners of tasks are told what to do; only ``ORDERS_BY_CALL`` is served.
     jobs
         See ``JobBounds``.
+    cold
+        See ``ColdBounds``.
     """
 
     node: str
@@ -237,6 +251,7 @@
     deployment: str = MODEL_DEPLOYMENT
     orders: str = ORDERS_BY_CALL
     jobs: JobBounds = field(factory=JobBounds)
+    cold: ColdBounds = field(factory=ColdBounds)
 
     @property
     def controller_port(self) -> int:
