A signal in the last moments of a planned end changes nothing

Cause: the event loop takes its signal handlers along as it closes. Change: SIGHUP and SIGTERM are blocked once all services have stopped. Measured: the failing test passes.

--- a/sparloom/serving_program.py
+++ b/sparloom/serving_program.py
@@ -134,3 +134,5 @@
     await program.graceful_shutdown()
     async with asyncio.timeout(STOP_TIMEOUT_S):
         await program.stop()
+    # The event loop takes its handlers along as it closes; what comes behind them must not end the process by itself.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM})
