A call about a job is numbered by its connection as it is sent; replies name their question

Cause: a number was taken before the wait for a connection and read after it, so calls that waited together shared one, and the first reply settled the second call (MIXED). Change: the connection numbers its calls when they are sent, and passes over numbers that are pending. A reply names action and job in its text, which programs from before left empty; a reply to another question ends the connection and the call is made again.

--- a/sparloom/router/job_channel.py
+++ b/sparloom/router/job_channel.py
@@ -6,12 +6,12 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from attrs import evolve
+from attrs import define, evolve
 
 from sparloom.codec import DecodeError
 from sparloom.errors import SparloomError
 from sparloom.membership import CONTROLLER
-from sparloom.scheduler.messages import JobOutcome, JobReply
+from sparloom.scheduler.messages import JobOutcome, JobReply, answers, question_of
 from sparloom.transport import dial, monotonic
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
 REPLY_TIMEOUT_S = 1.5
 # Between two looks for the primary, in seconds.
 RETRY_PAUSE_S = 0.05
+MAXIMUM_CALL_NUMBER = 0xFFFFFFFF
 CONNECTION_ERRORS = (OSError, EOFError, DecodeError, TimeoutError)
 
 
@@ -38,51 +39,88 @@
         self.may_have_run = may_have_run
 
 
+@define(frozen=True, slots=True, eq=False)
+class _PendingCall:
+    """A call that was sent and has no reply yet."""
+
+    call: JobCall
+    reply: asyncio.Future[JobReply]
+
+
 class _Connection:
-    """One connection with the calls that wait for a reply on it."""
+    """One connection with the calls that wait for a reply on it.
+
+    It numbers its calls itself, at the moment of sending: a number that was
+    taken before a wait could be that of another call after it.
+    """
 
     def __init__(self, frames: Frames) -> None:
         self.frames = frames
-        self.waiting: dict[int, asyncio.Future[JobReply]] = {}
+        self.pending: dict[int, _PendingCall] = {}
+        self._last_number = 0
         self.reader = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self) -> None:
         try:
             while True:
                 reply = await self.frames.read()
-                future = self.waiting.pop(reply.number, None) if isinstance(reply, JobReply) else None
-                if future is not None and not future.done():
-                    future.set_result(reply)
+                if isinstance(reply, JobReply):
+                    self._settle(reply)
         except CONNECTION_ERRORS:
             pass
         finally:
             self.close()
 
+    def _settle(self, reply: JobReply) -> None:
+        """Hand a reply to the call that it answers.
+
+        Raises
+        ------
+        DecodeError
+            It names another question than the call of its number asked.
+        """
+        pending = self.pending.get(reply.number)
+        if pending is None:
+            return
+        if not answers(pending.call, reply):
+            raise DecodeError(f"expected a reply to {question_of(pending.call)}, found {reply.text}")
+        if not pending.reply.done():
+            pending.reply.set_result(reply)
+
+    def _next_number(self) -> int:
+        """Return a number that no pending call on this connection has."""
+        while True:
+            self._last_number = (self._last_number + 1) & MAXIMUM_CALL_NUMBER
+            if self._last_number not in self.pending:
+                return self._last_number
+
     async def call(self, call: JobCall, timeout_s: float) -> JobReply:
-        """Return the reply to a call.
+        """Return the reply to a call, whose own number is replaced.
 
         Raises
         ------
         EOFError, OSError, TimeoutError
             No reply came.
         """
+        number = self._next_number()
+        # mypy can't see that ``record`` makes attrs classes.
+        numbered = evolve(call, number=number)  # type: ignore[misc]
         future: asyncio.Future[JobReply] = asyncio.get_running_loop().create_future()
-        self.waiting[call.number] = future
+        self.pending[number] = _PendingCall(numbered, future)
         try:
             async with asyncio.timeout(timeout_s):
-                await self.frames.write(call, STALL_TIMEOUT)
+                await self.frames.write(numbered, STALL_TIMEOUT)
                 return await future
         finally:
-            self.waiting.pop(call.number, None)
+            self.pending.pop(number, None)
 
     def close(self) -> None:
         """Close the connection; those that wait are told."""
         self.reader.cancel()
         self.frames.close()
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(EOFError("the connection to the job primary ended"))
-        self.waiting = {}
+        for pending in self.pending.values():
+            if not pending.reply.done():
+                pending.reply.set_exception(EOFError("the connection to the job primary ended"))
 
 
 class JobChannel:
@@ -97,7 +135,6 @@
         self._connecting = asyncio.Lock()
         self._primary = ""
         self._turn = 0
-        self._last_number = 0
 
     def close(self) -> None:
         """Close the connection."""
@@ -115,16 +152,13 @@
         """
         may_have_run = False
         while (left_s := (deadline - monotonic()).total_seconds()) > 0:
-            self._last_number = (self._last_number + 1) & 0xFFFFFFFF
             connection = await self._connect(left_s)
             if connection is None:
                 await asyncio.sleep(min(left_s, RETRY_PAUSE_S))
                 continue
             may_have_run_before, may_have_run = may_have_run, True
             try:
-                # mypy can't see that ``record`` makes attrs classes.
-                numbered = evolve(call, number=self._last_number)  # type: ignore[misc]
-                reply = await connection.call(numbered, min(left_s, REPLY_TIMEOUT_S))
+                reply = await connection.call(call, min(left_s, REPLY_TIMEOUT_S))
             except CONNECTION_ERRORS:
                 self._drop(connection)
                 continue
--- a/sparloom/scheduler/messages.py
+++ b/sparloom/scheduler/messages.py
@@ -117,7 +117,8 @@
     count
         The jobs that wait, for ``COUNT``.
     text
-        What is wrong (``INVALID``), or the primary's HOST:PORT if it is known (``NOT_PRIMARY``).
+        What is wrong (``INVALID``), or the primary's HOST:PORT if it is known (``NOT_PRIMARY``); otherwise the
+        question that is answered (``question_of``), which programs from before it leave empty.
     """
 
     number: UInt32
@@ -127,6 +128,33 @@
     text: str
 
 
+def question_of(call: JobCall) -> str:
+    """Return what a call asks, for the reply to name.
+
+    >>> question_of(JobCall(1, JobAction.SHOW, 171, "h /q/", QueuePolicy(1, "s", 0, 3), b""))
+    'SHOW 00000000000000ab'
+    """
+    return f"{JobAction(call.action).name} {call.job:016x}"
+
+
+def answers(call: JobCall, reply: JobReply) -> bool:
+    """Return whether a reply with the call's number may be the answer to it.
+
+    >>> call = JobCall(1, JobAction.SHOW, 171, "h /q/", QueuePolicy(1, "s", 0, 3), b"")
+    >>> answers(call, JobReply(1, JobOutcome.OK, 0, 0, "SHOW 00000000000000ab"))
+    True
+    >>> answers(call, JobReply(1, JobOutcome.OK, 0, 0, "SHOW 00000000000000ac"))
+    False
+    """
+    if reply.number != call.number:
+        return False
+    if reply.outcome == JobOutcome.NOT_PRIMARY:
+        return True
+    if reply.outcome == JobOutcome.INVALID:
+        return call.action == JobAction.SUBMIT
+    return reply.text in ("", question_of(call))
+
+
 @record(117)
 class FailedRun(Record):
     """A run that has ended ``failed`` and is counted.
