Soak of jobs: answers that watchers get are compared with the account of the runners

Three watchers ask one router for the states of eight jobs at once while primaries change; an answer that the runners' account contradicts is a fault.

--- a/simulator/soak/jobs.py
+++ b/simulator/soak/jobs.py
@@ -25,6 +25,9 @@
 ZONES = ("z0", "z1")
 BOUNDS = {"graceS": GRACE_S, "contactMs": 3000, "holdLimitMs": 4000, "gang_ms": 3000, "status_s": 300}
 ENDED = ("completed", "failed", "cancelled")
+# Clients that ask for the state of jobs while these run, and how many of them ask at once.
+WATCHERS = 3
+QUESTIONS_AT_ONCE = 8
 CONFIGURATION = {
     "revision": 1,
     "routes": [
@@ -58,6 +61,8 @@
         Ids of those whose cancellation was acknowledged.
     counts
         How jobs ended.
+    cancel_sent
+        Ids of those whose cancellation was sent, acknowledged or not.
     """
 
     seed: int
@@ -71,6 +76,7 @@
     refused: set[str] = field(factory=set)
     cancelled: set[str] = field(factory=set)
     counts: dict[str, int] = field(factory=dict)
+    cancel_sent: set[str] = field(factory=set)
     luck: random.Random = field(init=False)
     _ends_at: float = 0.0
     _runner_number: int = 0
@@ -99,7 +105,9 @@
             async with aiohttp.ClientSession(timeout=timeout) as http:
                 await self._until_ready(http)
                 self._ends_at = asyncio.get_running_loop().time() + self.seconds
-                await asyncio.gather(self._chaos(platform), *(self._client(http, number) for number in range(6)))
+                clients = [self._client(http, number) for number in range(6)]
+                watchers = [self._watch(http, number) for number in range(WATCHERS)]
+                await asyncio.gather(self._chaos(platform), *clients, *watchers)
                 await self._until_all_ended(http)
         finally:
             await self.fleet.stop()
@@ -259,11 +267,33 @@
             ]
             await self._submit(http, job, steps)
             if job in self.accepted and luck.random() < 0.08:
+                self.cancel_sent.add(job)
                 status, _ = await self._call(http, "DELETE", self._url(job))
                 if status == 200:
                     self.cancelled.add(job)
             await asyncio.sleep(luck.uniform(0.05, 0.4))
 
+    async def _watch(self, http: aiohttp.ClientSession, number: int) -> None:
+        """Ask one router for the state of several jobs at once, again and again, also while the primary changes."""
+        luck = random.Random(f"jobs {self.seed} watcher {number}")
+        while asyncio.get_running_loop().time() < self._ends_at:
+            known = sorted(self.accepted)
+            jobs = luck.sample(known, min(len(known), QUESTIONS_AT_ONCE))
+            router = luck.choice(self.fleet.routers)
+            await asyncio.gather(*(self._ask(http, f"http://{router.ip}:{FRONT_PORT}/q/{job}", job) for job in jobs))
+            await asyncio.sleep(luck.uniform(0.01, 0.1))
+
+    async def _ask(self, http: aiohttp.ClientSession, url: str, job: str) -> None:
+        """Compare one answer with what the runners have done until it came."""
+        status, body = await self._call(http, "GET", url)
+        if status == 410:
+            self.fleet.faults.append(f"LOST {job} was accepted and is not known to a watcher")
+        state = str(body.get("state"))
+        self.counts["watched"] = self.counts.get("watched", 0) + 1
+        if state == "cancelled" and job not in self.cancel_sent:
+            self.fleet.faults.append(f"MIXED {job} is shown as cancelled, and nobody asked for that")
+        self._judge_end(job, state)
+
     async def _submit(self, http: aiohttp.ClientSession, job: str, steps: list[dict[str, Any]]) -> None:
         """Hand a job in, again while that may help; a job of which each try was refused must never run."""
         refused = True
@@ -298,6 +328,10 @@
         if state == "cancelled" and job not in self.cancelled:
             # A cancellation whose answer was lost may have taken effect.
             self.counts["cancelled unasked"] = self.counts.get("cancelled unasked", 0) + 1
+        self._judge_end(job, state)
+
+    def _judge_end(self, job: str, state: str) -> None:
+        """Compare a state that was shown with the account of the runners."""
         undone = [task for task in self._tasks[job] if task not in self.log.done]
         if state == "completed" and undone:
             self.fleet.faults.append(f"MIXED {job} is shown as completed, and not done: {', '.join(undone[:3])}")
