Keys of tenants are checked, runners are told the tenant; PATCH of tenants; scaling is read

Change: tenants in the checked configuration and in patches; routers look a key up by a digest under a secret of the process, answer 401 only while their configuration is known to be the newest and 503 otherwise, strip the key and name the tenant. A tenant's priority goes before its route's. Patches stand in a module of their own.

--- a/sparloom/configuration/__init__.py
+++ b/sparloom/configuration/__init__.py
@@ -1,8 +1,10 @@
 """The operator's configuration: checked, patched, compared and looked up."""
 
-from .check import MAXIMUM_REVISION, ConfigurationDocument, apply_patch, check, delta, parse
+from .check import MAXIMUM_REVISION, ConfigurationDocument, check, parse
 from .evacuation import EVACUATED_ZONES, evacuated_zones, with_evacuated_zones, without_evacuated_zones
-from .table import Configuration, RequestLimits, Route, Service, build
+from .patch import apply_patch, delta
+from .table import Configuration, RequestLimits, Route, Scaling, Service, build
+from .tenants import Tenant, TenantKeys
 
 __all__ = [
     "EVACUATED_ZONES",
@@ -11,7 +13,10 @@
     "ConfigurationDocument",
     "RequestLimits",
     "Route",
+    "Scaling",
     "Service",
+    "Tenant",
+    "TenantKeys",
     "apply_patch",
     "build",
     "check",
--- a/sparloom/configuration/check.py
+++ b/sparloom/configuration/check.py
@@ -1,4 +1,4 @@
-"""Checks a configuration document and applies patches; a fault is described in one sentence.
+"""Checks a configuration document; a fault is described in one sentence.
 
 The sentences go out over HTTP. Those of the schema library show the name of a
 failed condition, so the conditions of the schemas stay lambdas.
@@ -13,12 +13,15 @@
 from schema import And, Optional, Or, Schema, SchemaError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Hashable, Iterable, Iterator
+    from collections.abc import Callable, Hashable, Iterable, Iterator
     from typing import NoReturn
 
 # A JSON object: a whole configuration, or the body of a PATCH.
 ConfigurationDocument = dict[str, Any]
 
+# The lists of a configuration whose items have names, so that a PATCH can change them one by one.
+NAMED_LISTS = ("routes", "services", "tenants")
+
 # Beyond this many milliseconds a duration is no timedelta; it also excludes a number that was read as infinite.
 MAXIMUM_NUMBER = 1e12
 # The control state stores a revision in eight bytes.
@@ -65,6 +68,11 @@
         Optional("engine"): Or(
             None, And(dict, lambda engine: _has_numbers(engine), error="engine: slots, cacheTokens")
         ),
+        Optional("scaling"): And(
+            object,
+            lambda scaling: _is_scaling(scaling),
+            error="scaling must name minimum and maximum, whole numbers of runners in a zone",
+        ),
         Optional(str): object,
     }
 )
@@ -79,6 +87,17 @@
 )
 
 
+# The priority of a tenant goes before that of a route.
+TENANT = Schema(
+    {
+        "name": _NAME,
+        "apiKeys": [_NAME],
+        Optional("priority"): And(_INTEGER, lambda value: value >= 0),
+        Optional(str): object,
+    }
+)
+
+
 def _is_instance(kind: type) -> Callable[[Any], bool]:
     return lambda value: type(value) is kind
 
@@ -120,10 +139,27 @@
     return type(value) is list and all(map(_is_weighted_service, value))
 
 
+def _are_names(value: Any) -> bool:
+    return type(value) is list and all(map(_is_name, value))
+
+
+def _is_scaling(value: Any) -> bool:
+    """Whether the limits of a service's runners in a zone are numbers, the lower one first."""
+    if value is None:
+        return True
+    if type(value) is not dict or not all(_is_integer_from(0)(value.get(key)) for key in ("minimum", "maximum")):
+        return False
+    return bool(value["minimum"] <= value["maximum"]) and _is_non_negative(value.get("bootTimeS", 0))
+
+
 # The schema library takes over a millisecond for a route, and a controller that checks thousands of routes
 # sends no heartbeat meanwhile. An item that passes these checks is valid by its schema too; one that does
 # not is left to its schema, which alone refuses and says why.
-_REQUIRED_KEYS = {"route": ("name", "hostname", "pathPrefix", "routeKind"), "service": ("name",)}
+_REQUIRED_KEYS = {
+    "route": ("name", "hostname", "pathPrefix", "routeKind"),
+    "service": ("name",),
+    "tenant": ("name", "apiKeys"),
+}
 _FIELD_CHECKS: dict[str, dict[str, Callable[[Any], bool]]] = {
     "route": {
         "name": _is_name,
@@ -146,12 +182,18 @@
         "connectionLimit": _is_integer_from(1),
         "coldPerS": _is_non_negative,
         "engine": _is_engine,
+        "scaling": _is_scaling,
+    },
+    "tenant": {
+        "name": _is_name,
+        "apiKeys": _are_names,
+        "priority": _is_integer_from(0),
     },
 }
 
 
 def _passes_quick_checks(item: Any, kind: str) -> bool:
-    """Whether an item is valid without asking its schema; ``kind``: ``route``, ``service`` or ``limits``."""
+    """Whether an item of a kind (``route``, ``service``, ``tenant``, ``limits``) is valid without its schema."""
     if kind not in _FIELD_CHECKS or type(item) is not dict:
         return False
     checks = _FIELD_CHECKS[kind]
@@ -186,7 +228,7 @@
     return [part["service"] for part in route["weightedServices"]]
 
 
-def _first_duplicate(values: Iterable[Hashable]) -> Any:
+def first_duplicate(values: Iterable[Hashable]) -> Any:
     """The first value that occurs for the second time, or None."""
     seen = set()
     for value in values:
@@ -203,7 +245,7 @@
     revision = document.get("revision")
     if type(revision) is not int or not 0 < revision <= MAXIMUM_REVISION:
         return f"revision must be a whole number from 1 to {MAXIMUM_REVISION}"
-    for key in ("routes", "services"):
+    for key in NAMED_LISTS:
         if not isinstance(document.get(key, []), list):
             return f"{key} must be a list"
     return None
@@ -215,6 +257,8 @@
         yield _shape_fault(ROUTE, route, "route")
     for service in document.get("services", []):
         yield _shape_fault(SERVICE, service, "service")
+    for tenant in document.get("tenants", []):
+        yield _shape_fault(TENANT, tenant, "tenant")
     yield _shape_fault(LIMITS, document.get("limits", {}), "limits")
 
 
@@ -227,12 +271,24 @@
         for name in _service_names(route):
             if name not in known:
                 yield f"route {route['name']}: the service {name} is unknown"
-    if name := _first_duplicate(service["name"] for service in services):
+    if name := first_duplicate(service["name"] for service in services):
         yield f"two services are named {name}"
-    if name := _first_duplicate(route["name"] for route in routes):
+    if name := first_duplicate(route["name"] for route in routes):
         yield f"two routes are named {name}"
-    if shared := _first_duplicate((route["hostname"].lower(), route["pathPrefix"]) for route in routes):
+    if shared := first_duplicate((route["hostname"].lower(), route["pathPrefix"]) for route in routes):
         yield f"two routes share host and prefix {' '.join(shared)}"
+    yield from _tenant_faults(document.get("tenants", []))
+
+
+def _tenant_faults(tenants: list[dict[str, Any]]) -> Iterator[str]:
+    """What is wrong between tenants; no sentence shows a key."""
+    if name := first_duplicate(tenant["name"] for tenant in tenants):
+        yield f"two tenants are named {name}"
+    owners: dict[str, str] = {}
+    for tenant in tenants:
+        for key in tenant["apiKeys"]:
+            if owners.setdefault(key, tenant["name"]) != tenant["name"]:
+                yield f"the tenants {owners[key]} and {tenant['name']} share a key"
 
 
 def _first_fault(document: Any) -> str | None:
@@ -287,104 +343,3 @@
         return Success(json.loads(raw, parse_constant=_refuse_constant))
     except (ValueError, RecursionError) as error:
         return Failure(f"the body is not JSON: {error}")
-
-
-def _edited(items: list[Any], upsert: list[Any], remove: Collection[str]) -> list[Any]:
-    """A list after a patch: items keep their places, new ones follow."""
-    new = {item["name"]: item for item in upsert}
-    edited = [new.pop(item["name"], item) for item in items if item["name"] not in remove]
-    return edited + list(new.values())
-
-
-def _patch_fault(patch: Any) -> str | None:
-    """What is wrong with the sections of a patch, or None."""
-    if not isinstance(patch, dict):
-        return "the change must be an object"
-    upsert, remove = patch.get("upsert", {}), patch.get("remove", {})
-    if not isinstance(upsert, dict) or not isinstance(remove, dict):
-        return "upsert and remove must be objects"
-    unknown = [key for key in (*upsert, *remove) if key not in ("routes", "services", "limits")]
-    if unknown:
-        return f"the change names an unknown list {unknown[0]}"
-    return None
-
-
-def _edit_fault(key: str, upsert: Any, remove: Any) -> str | None:
-    """What is wrong with the edits of one list of a patch, or None."""
-    if not isinstance(upsert, list) or not all(
-        isinstance(item, dict) and isinstance(item.get("name"), str) for item in upsert
-    ):
-        return f"upsert.{key} must be a list of items with names"
-    if not isinstance(remove, list) or not all(isinstance(name, str) for name in remove):
-        return f"remove.{key} must be a list of names"
-    duplicate = _first_duplicate(item["name"] for item in upsert)
-    return f"upsert.{key} names {duplicate} twice" if duplicate else None
-
-
-def apply_patch(base: ConfigurationDocument, patch: Any) -> Result[ConfigurationDocument, str]:
-    """The whole configuration that a PATCH body makes of another; ``check`` must follow.
-
-    Parameters
-    ----------
-    base
-        The current configuration; it is left as it is.
-    patch
-        What was received: ``revision``, ``upsert``, ``remove`` and ``limits``.
-
-    Returns
-    -------
-    Result
-        The new configuration, or a sentence about the first fault of the patch.
-
-    Examples
-    --------
-    >>> apply_patch({"revision": 1, "routes": [], "services": []}, {"revision": 2}).unwrap()["revision"]
-    2
-    """
-    fault = _patch_fault(patch)
-    if fault:
-        return Failure(fault)
-    upserts, removals = patch.get("upsert", {}), patch.get("remove", {})
-    new = {**base, "revision": patch.get("revision")}
-    if "limits" in patch:
-        new["limits"] = patch["limits"]
-    if isinstance(upserts.get("limits"), dict):
-        new["limits"] = {**base.get("limits", {}), **upserts["limits"]}
-    for key in ("routes", "services"):
-        upsert, remove = upserts.get(key, []), removals.get(key, [])
-        fault = _edit_fault(key, upsert, remove)
-        if fault:
-            return Failure(fault)
-        new[key] = _edited(base.get(key, []), upsert, set(remove))
-    return Success(new)
-
-
-def delta(old: ConfigurationDocument, new: ConfigurationDocument) -> ConfigurationDocument | None:
-    """The PATCH body from which ``apply_patch`` makes exactly ``new`` of ``old``; None where there is none.
-
-    Examples
-    --------
-    >>> old = {"revision": 1, "routes": [{"name": "a"}], "services": []}
-    >>> delta(old, {"revision": 2, "routes": [], "services": []})
-    {'revision': 2, 'remove': {'routes': ['a']}}
-    >>> delta({"revision": 1, "x": 1}, {"revision": 2}) is None
-    True
-    """
-    patch: ConfigurationDocument = {"revision": new.get("revision")}
-    if old.get("limits") != new.get("limits"):
-        if "limits" not in new:
-            return None
-        patch["limits"] = new["limits"]
-    upsert, remove = {}, {}
-    for key in ("routes", "services"):
-        old_items = {item["name"]: item for item in old.get(key, ())}
-        new_items = {item["name"]: item for item in new.get(key, ())}
-        if changed := [item for name, item in new_items.items() if old_items.get(name) != item]:
-            upsert[key] = changed
-        if removed := [name for name in old_items if name not in new_items]:
-            remove[key] = removed
-    if upsert:
-        patch["upsert"] = upsert
-    if remove:
-        patch["remove"] = remove
-    return patch if apply_patch(old, patch).value_or(None) == new else None
--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from .evacuation import evacuated_zones
+from .tenants import TenantKeys
 
 if TYPE_CHECKING:
     from .check import ConfigurationDocument
@@ -20,6 +21,23 @@
 DEFAULT_TARGET_RATIO = 1 / 4
 
 
+@define(frozen=True, slots=True)
+class Scaling:
+    """How many runners of a service may be ordered in each zone.
+
+    Attributes
+    ----------
+    minimum, maximum
+        The limits, for each zone.
+    boot_time
+        From the order of a runner until it serves.
+    """
+
+    minimum: int
+    maximum: int
+    boot_time: timedelta
+
+
 @define(frozen=True, slots=True)
 class Service:
     """A service, and what each of its runners can take.
@@ -40,6 +58,8 @@
         Requests that a cold runner bears each second; 0 where it is not given.
     supported
         Whether its runners speak what this program speaks: HTTP/1.1 without TLS.
+    scaling
+        How many of its runners may be ordered; None where their number is not ours to order.
     """
 
     name: str
@@ -49,6 +69,7 @@
     health_path: str = ""
     cold_rate: float = 0.0
     supported: bool = True
+    scaling: Scaling | None = None
 
 
 @define(frozen=True, slots=True)
@@ -81,6 +102,8 @@
         Whether an interrupted stream is resumed at another runner.
     sticky
         ``stickySessions`` of the configuration; kept, but nothing depends on it.
+    public
+        Whether a request needs no tenant's key.
     """
 
     name: str
@@ -95,6 +118,7 @@
     max_attempts: int = 1
     resume: bool = False
     sticky: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -148,6 +172,8 @@
         The routes of each host, the longest prefix first.
     evacuated_zones
         Zones whose runners are to be sent nothing.
+    tenants
+        The tenants by their keys; None where requests need no key.
     """
 
     revision: int
@@ -156,6 +182,7 @@
     limits: RequestLimits
     hosts: dict[str, tuple[Route, ...]] = field(repr=False, factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
+    tenants: TenantKeys | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a host with the longest prefix that begins the path; None where there is none.
@@ -203,6 +230,7 @@
         max_attempts=item.get("maxAttempts", 1),
         resume=item.get("resumeStreams", False),
         sticky=item.get("stickySessions", False),
+        public=item.get("public", False) is True,
     )
 
 
@@ -216,9 +244,16 @@
         health_path=item.get("healthPath", ""),
         cold_rate=float(item.get("coldPerS") or 0),
         supported=item.get("protocol", SUPPORTED_PROTOCOL) == SUPPORTED_PROTOCOL and not item.get("tls", False),
+        scaling=_scaling(item.get("scaling")),
     )
 
 
+def _scaling(item: dict[str, Any] | None) -> Scaling | None:
+    if item is None:
+        return None
+    return Scaling(item["minimum"], item["maximum"], timedelta(seconds=item.get("bootTimeS", 0)))
+
+
 def _request_limits(item: dict[str, Any]) -> RequestLimits:
     default = RequestLimits()
     return RequestLimits(
@@ -253,4 +288,5 @@
         limits=_request_limits(document.get("limits", {})),
         hosts=_by_host(routes),
         evacuated_zones=evacuated_zones(document),
+        tenants=TenantKeys.of(document["tenants"]) if "tenants" in document else None,
     )
--- a/sparloom/router/admission_queues.py
+++ b/sparloom/router/admission_queues.py
@@ -167,7 +167,7 @@
         self._tick(service_name, controller)
         route = request.route
         decision = controller.acquire(
-            monotonic(), request_id, self.member(route), route.priority, demand, request.deadline
+            monotonic(), request_id, self.member(route), request.priority, demand, request.deadline
         )
         if not isinstance(decision, Queued):
             return decision
--- a/sparloom/router/feed_client.py
+++ b/sparloom/router/feed_client.py
@@ -166,6 +166,8 @@
         confirmed_at = self.upstream.tracker.confirmed_at
         if confirmed_at is not None and ENDPOINTS not in self.resync:
             state.note_confirmation(confirmed_at)
+        if confirmed_at is not None and up_to_date and recent:
+            state.note_configuration(confirmed_at)
         self.change_signal.notify()
 
     def newest_configuration(self) -> tuple[int, int]:
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -10,15 +10,17 @@
 from aiohttp import web
 from mode import Service
 
+from sparloom.configuration.tenants import AUTHORIZATION_SCHEME
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
 
+from .access import Denial, authorize
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
 from .forwarding import RequestForwarder
 from .graceful_shutdown import GracefulShutdown
-from .headers import time_remaining
+from .headers import AUTHORIZATION, time_remaining
 from .outcomes import Outcome, Outcomes
 from .refusal import UNAVAILABLE, closing_response
 from .request import RequestBodyError, parse_request, read_body
@@ -35,13 +37,14 @@
 IDLE_SWEEP_INTERVAL = timedelta(seconds=1)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=25)
 SERVER_SHUTDOWN_TIMEOUT_S = 0.1
-# Retry-After, in seconds, of a router that has no configuration yet.
+# Retry-After, in seconds, of a router that has no configuration yet, or may be behind the newest one.
 RETRY_AFTER_UNCONFIGURED = "0.2"
 # The same, of a router whose kind of deployment this program doesn't know.
 RETRY_AFTER_UNKNOWN_DEPLOYMENT = "1"
 READY_PATH = "/-/ready"
 BELIEFS_PATH = "/-/beliefs"
 NOT_FOUND = 404
+UNAUTHORIZED = 401
 HEADERS_TOO_LARGE = 431
 # Bytes that a header line has beside its name and its value: ": " and the line's end.
 HEADER_LINE_OVERHEAD = 4
@@ -195,10 +198,13 @@
         route = state.configuration.match(http_request.headers.get("Host", ""), path)
         if route is None:
             return web.Response(status=NOT_FOUND)
+        access = authorize(state, route, http_request.headers.get(AUTHORIZATION), monotonic())
+        if isinstance(access, Denial):
+            return _denial_response(access)
         if self.jobs is not None:
             return await self.jobs.answer(http_request, body, route)
         member, isolation = self.node.queues.member(route), self.settings.isolation
-        request = parse_request(http_request, body, route, received_at, member, isolation)
+        request = parse_request(http_request, body, route, received_at, member, isolation, access)
         services = self.node.forwarding_services()
         return await self._forward(RequestForwarder(services, http_request, request, lambda: self.stopping))
 
@@ -256,6 +262,12 @@
                 return
 
 
+def _denial_response(denial: Denial) -> web.Response:
+    if denial is Denial.UNKNOWN_KEY:
+        return web.Response(status=UNAUTHORIZED, headers={"WWW-Authenticate": AUTHORIZATION_SCHEME})
+    return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNCONFIGURED})
+
+
 def _size_of_headers(http_request: web.BaseRequest) -> int:
     """Return the bytes that the headers took on the wire."""
     return sum(len(name) + len(value) + HEADER_LINE_OVERHEAD for name, value in http_request.raw_headers)
--- a/sparloom/router/headers.py
+++ b/sparloom/router/headers.py
@@ -11,12 +11,14 @@
     from collections.abc import Iterable, Mapping
 
 ATTEMPT_ID = "X-Sparloom-Attempt-Id"
+AUTHORIZATION = "Authorization"
 DEADLINE_REMAINING = "X-Sparloom-Deadline-Remaining"
 EXPECTED_INSTANCE = "X-Sparloom-Expected-Instance"
 NOT_RUN = "X-Sparloom-Not-Run"
 PROMPT_PREFIX = "X-Sparloom-Prompt-Prefix"
 REQUEST_URGENCY = "X-Sparloom-Request-Urgency"
 RUNNER_SEAL = "X-Sparloom-Runner-Seal"
+TENANT = "X-Sparloom-Tenant"
 LAST_EVENT_ID = "Last-Event-Id"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the HTTP library sets itself.
--- a/sparloom/router/request.py
+++ b/sparloom/router/request.py
@@ -13,6 +13,7 @@
 from sparloom.retry.verdict import ResponseHead
 
 from . import headers as names
+from .access import OPEN_ACCESS
 from .headers import MILLISECOND, end_to_end, time_remaining
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from sparloom.configuration import RequestLimits, Route
     from sparloom.isolation import Isolation
 
+    from .access import Access
     from .backends import Backend
 
 # Urgency counts from 0, the most urgent, to 9.
@@ -51,6 +53,8 @@
     parts: the prompt's prefixes, as (hash of the prefix, tokens of its last part).
     member: the name of the member whose share it counts against.
     part_ids: the ids of the prompt's parts; empty without isolation.
+    priority: the lowest number goes first; that of the tenant, or else of the route.
+    tenant: the name of the tenant whose key the client holds; "" without one.
     """
 
     attempt_id: str
@@ -63,6 +67,8 @@
     parts: tuple[tuple[int, int], ...]
     member: str = ""
     part_ids: tuple[str, ...] = ()
+    priority: int = 0
+    tenant: str = ""
 
     @property
     def shared_parts(self) -> tuple[tuple[int, int], ...]:
@@ -125,6 +131,7 @@
     now: timedelta,
     member: str = "",
     isolation: Isolation | None = None,
+    access: Access = OPEN_ACCESS,
 ) -> Request:
     """Build a request from what the server has read.
 
@@ -132,6 +139,7 @@
     so that equal prompts of two members have nothing in common.
     """
     headers = end_to_end(http_request.raw_headers)
+    access.edit(headers)
     prompt = headers.get(names.PROMPT_PREFIX)
     return Request(
         attempt_id=headers.get(names.ATTEMPT_ID, ""),
@@ -144,6 +152,8 @@
         parts=parse_parts(prompt, isolation.newest.part_key(member) if isolation else b""),
         member=member,
         part_ids=part_ids(prompt) if isolation else (),
+        priority=access.priority(route),
+        tenant=access.tenant.name if access.tenant else "",
     )
 
 
@@ -164,7 +174,7 @@
     headers = request.headers.copy()
     headers[names.DEADLINE_REMAINING] = str(max(1, int((request.deadline - now) / MILLISECOND)))
     headers[names.EXPECTED_INSTANCE] = backend.id
-    headers[names.REQUEST_URGENCY] = str(min(LEAST_URGENT, request.route.priority + yields))
+    headers[names.REQUEST_URGENCY] = str(min(LEAST_URGENT, request.priority + yields))
     if last_event_id is not None:
         headers[names.LAST_EVENT_ID] = last_event_id
     return headers
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -18,8 +19,6 @@
 from .backends import BackendTable
 
 if TYPE_CHECKING:
-    from datetime import timedelta
-
     from sparloom.configuration import Configuration
     from sparloom.discovery import EndpointList
     from sparloom.isolation import Isolation
@@ -56,6 +55,8 @@
     backends: the runners of that list, with what traffic has shown of them.
     confirmed: whether a primary has confirmed what this router holds.
     primary_confirmed_at: when the primary was confirmed last, as far as this router was told; None before the first.
+    configuration_confirmed_at: when the configuration that this router has was last known to be the newest; None if
+        it never was.
     started_at: when this process started, on the monotonic clock.
     in_flight: requests in flight per backend, own and of the other routers.
     fleet_size: among how many routers budgets and capacity are divided.
@@ -72,6 +73,7 @@
         self.backends = BackendTable()
         self.confirmed = False
         self.primary_confirmed_at: timedelta | None = None
+        self.configuration_confirmed_at: timedelta | None = None
         self.started_at = monotonic()
         self.in_flight = InFlightCounts(settings.bounds.contact)
         self.fleet_size = FleetSize(settings.bounds.contact)
@@ -98,6 +100,16 @@
         known = self.primary_confirmed_at
         self.primary_confirmed_at = at if known is None else max(known, at)
 
+    def note_configuration(self, at: timedelta) -> None:
+        """Notes that the configuration that this router has was the newest one at a moment."""
+        known = self.configuration_confirmed_at
+        self.configuration_confirmed_at = at if known is None else max(known, at)
+
+    def configuration_age(self, now: timedelta) -> timedelta:
+        """For how long the configuration that this router has may have been out of date."""
+        confirmed_at = self.configuration_confirmed_at
+        return timedelta.max if confirmed_at is None else max(timedelta(0), now - confirmed_at)
+
     def doubts_endpoints(self, now: timedelta) -> bool:
         """Whether a runner may have left for longer than the drain bound without this router having been told.
 
--- a/sparloom/settings/checks.py
+++ b/sparloom/settings/checks.py
@@ -17,13 +17,17 @@
 from .model import (
     MODEL_DEPLOYMENT,
     ORDERS_BY_CALL,
+    SCALING_DUTY,
+    USAGE_DUTY,
     Address,
     Bounds,
     CloudApi,
     ColdBounds,
+    DutySettings,
     JobBounds,
     Limits,
     ListenAddresses,
+    RevocationBounds,
     Settings,
     ToleratedLosses,
 )
@@ -190,6 +194,36 @@
     )
 
 
+def _revocation_bounds(table: Table) -> RevocationBounds:
+    default = RevocationBounds()
+    return RevocationBounds(
+        closed=_get(table, "bounds.revocationClosed", bool, default.closed),
+        within=_milliseconds(table, "bounds.revokeMs", default.within),
+    )
+
+
+def _duties(table: Table) -> DutySettings:
+    default = DutySettings()
+    names = _get(table, "cloudApi.duties", list, [])
+    window = _seconds(table, "bounds.usageWindowS", default.usage_window)
+    if not window:
+        raise SettingsError("bounds.usageWindowS must be above 0.")
+    rate = _number(table, "cloudApi.dutyPerS", default.rate)
+    if not rate:
+        raise SettingsError("cloudApi.dutyPerS must be above 0.")
+    return DutySettings(
+        reports_usage=USAGE_DUTY in names,
+        scales=SCALING_DUTY in names,
+        rate=rate,
+        fencing_checked=_get(table, "bounds.fencingChecked", bool, default.fencing_checked),
+        lease=_milliseconds(table, "bounds.leaseMs", default.lease),
+        thaw_slack=_milliseconds(table, "bounds.thawSlackMs", default.thaw_slack),
+        usage_window=window,
+        usage_error=_number(table, "bounds.usageError", default.usage_error),
+        usage_lateness=_seconds(table, "bounds.usageLatenessS", default.usage_lateness),
+    )
+
+
 def _job_bounds(table: Table) -> JobBounds:
     default = JobBounds()
     return JobBounds(
@@ -255,6 +289,8 @@
         orders=_get(table, "orders", str, ORDERS_BY_CALL),
         jobs=_job_bounds(table),
         cold=_cold_bounds(table),
+        revocation=_revocation_bounds(table),
+        duties=_duties(table),
     )
 
 
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -17,6 +17,9 @@
 JOB_DEPLOYMENT = "sched"
 # The way of telling runners what to do that the programs know: one call for each order.
 ORDERS_BY_CALL = "call"
+# The duties at the platform that the programs know.
+USAGE_DUTY = "usage_reporting"
+SCALING_DUTY = "scaling"
 
 
 @define(frozen=True, slots=True)
@@ -106,7 +109,7 @@
     grace
         From SIGTERM to the end of the process.
     config_apply
-        When a committed configuration must be in force everywhere; kept, not read.
+        When a committed configuration must be in force everywhere.
     budget_window
         The period over which retries are counted.
     budget_ratio
@@ -166,6 +169,59 @@
     slack: float = 0
 
 
+@define(frozen=True, slots=True)
+class RevocationBounds:
+    """What holds for tenants' keys that are withdrawn.
+
+    Attributes
+    ----------
+    closed
+        Whether a router that can't know of withdrawn keys lets no key in once ``within`` is over.
+    within
+        After the acknowledgement, when a withdrawn key must be out of force everywhere.
+    """
+
+    closed: bool = False
+    within: timedelta = timedelta(seconds=5)
+
+
+@define(frozen=True, slots=True)
+class DutySettings:
+    """The calls to the platform that one node at a time makes, and their bounds.
+
+    Attributes
+    ----------
+    reports_usage
+        Whether the platform expects reports of usage.
+    scales
+        Whether the numbers of runners are ordered at the platform.
+    rate
+        Calls of duties that the platform allows each second, of all nodes together.
+    fencing_checked
+        Whether the platform rejects calls whose fence is below one that it has seen.
+    lease
+        Two holders must not take turns within this.
+    thaw_slack
+        How late a holder that stood still may act after its lease.
+    usage_window
+        The length of the windows of usage.
+    usage_error
+        How far a tenant's count may be from the truth, as a part of it.
+    usage_lateness
+        After the end of a window, when its report is due.
+    """
+
+    reports_usage: bool = False
+    scales: bool = False
+    rate: float = 1.0
+    fencing_checked: bool = True
+    lease: timedelta = timedelta(seconds=3)
+    thaw_slack: timedelta = timedelta(milliseconds=300)
+    usage_window: timedelta = timedelta(seconds=5)
+    usage_error: float = 0.05
+    usage_lateness: timedelta = timedelta(seconds=10)
+
+
 @define(frozen=True, slots=True)
 class CloudApi:
     """Where the platform lists its runners.
@@ -227,8 +283,8 @@
         How runners of tasks are told what to do; only ``ORDERS_BY_CALL`` is served.
     jobs
         See ``JobBounds``.
-    cold
-        See ``ColdBounds``.
+    cold, revocation, duties
+        See ``ColdBounds``, ``RevocationBounds`` and ``DutySettings``.
     """
 
     node: str
@@ -252,6 +308,8 @@
     orders: str = ORDERS_BY_CALL
     jobs: JobBounds = field(factory=JobBounds)
     cold: ColdBounds = field(factory=ColdBounds)
+    revocation: RevocationBounds = field(factory=RevocationBounds)
+    duties: DutySettings = field(factory=DutySettings)
 
     @property
     def controller_port(self) -> int:
