Usage is reported by one holder: counted by routers, decided in the control state, then sent

Change: routers count the requests of tenants by windows of the true time (median of the fleet's wall clocks) and report them to the primary by datagram, each count once. The primary claims the duties with a fence that is committed before use, waits for the lease of an earlier holder, commits what a window's report says, and sends it after a majority has confirmed it. Commits of duties give the configuration no new version in the feed.

--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -1,4 +1,4 @@
-"""Reads and changes the control state, configuration and evacuations: one write at a time, and what became of it.
+"""Reads and changes the control state: one write at a time, and what became of it.
 
 Every answer rests on committed state that a majority confirmed after the
 request came. That assumes what the consensus assumes: a primary serves only
@@ -16,12 +16,14 @@
 from attrs import define
 
 from sparloom.configuration import with_evacuated_zones
+from sparloom.duties import DutyUpdate
 from sparloom.feed import CONFIGURATION
 from sparloom.membership import ROUTER
 from sparloom.transport import monotonic
 
-from .change_requests import Verdict, judge
+from .change_requests import ChangeRequest, Verdict, judge
 from .control_state import State
+from .duty_updates import judge_duties
 from .evacuation_orders import EvacuationOrder, judge_evacuation
 from .offload import is_large, run
 
@@ -30,12 +32,13 @@
 
     from sparloom.consensus import Data
 
-    from .change_requests import ChangeRequest, Judgement
+    from .change_requests import Judgement
     from .consensus_service import ConsensusService
+    from .control_state import ConfigurationDict
     from .feed_server import FeedServer
 
     Version = tuple[int, int]
-    Order = ChangeRequest | EvacuationOrder
+    Order = ChangeRequest | EvacuationOrder | DutyUpdate
 
 # Callers move on after a second of silence; a large body is given more.
 ANSWER_WITHIN = timedelta(milliseconds=800)
@@ -91,7 +94,7 @@
 
     Attributes
     ----------
-    request : ChangeRequest or EvacuationOrder
+    request : ChangeRequest, EvacuationOrder or DutyUpdate
         The change.
     blob : bytes
         The packed state that is being written.
@@ -167,6 +170,8 @@
         self.consensus, self.feed_server, self.write_timeout = consensus, feed_server, write_timeout
         self.committed: Snapshot | None = None
         self.pending: PendingWrite | None = None
+        # What was published last, and in which epoch.
+        self._published: tuple[int, ConfigurationDict] | None = None
 
     def cancel(self) -> None:
         """Waits no longer for the write under way, whose outcome stays unknown."""
@@ -175,11 +180,18 @@
 
     # -- what the consensus tells -----------------------------------------------
     def on_committed(self, data: Data) -> None:
-        """Takes committed data, and publishes the configuration in it."""
+        """Takes committed data, and publishes the configuration in it.
+
+        What routers are told nothing of, as the state of the duties, gives the
+        configuration no new version within an epoch.
+        """
         self.committed = self._snapshot(data)
-        state = self.committed.state
-        if state.revision:
-            document = with_evacuated_zones(state.configuration, state.evacuated)
+        state, (epoch, _) = self.committed.state, data.version
+        if not state.revision:
+            return
+        document = with_evacuated_zones(state.configuration, state.evacuated)
+        if self._published != (epoch, document):
+            self._published = (epoch, document)
             self.feed_server.publish(CONFIGURATION, data.version, document)
 
     def _snapshot(self, data: Data) -> Snapshot:
@@ -260,6 +272,8 @@
     async def _judgement(self, request: Order, state: State) -> Judgement:
         if isinstance(request, EvacuationOrder):
             return judge_evacuation(state, request)
+        if isinstance(request, DutyUpdate):
+            return judge_duties(state, request)
         is_long = is_large(state.configuration) or is_large(request.change)
         return await run(is_long, judge, state, request, self._visible_routers())
 
@@ -267,7 +281,7 @@
         """The outcome of a change; None when its write has begun, or the state has changed meanwhile."""
         judgement = await self._judgement(request, snapshot.state)
         if judgement.verdict is Verdict.ALREADY_COMMITTED:
-            return Acknowledged(snapshot.state.revision if isinstance(request, EvacuationOrder) else request.revision)
+            return Acknowledged(request.revision if isinstance(request, ChangeRequest) else snapshot.state.revision)
         if judgement.verdict is Verdict.FORGOTTEN:
             return OutcomeUnknown()
         if judgement.verdict is Verdict.STALE:
@@ -291,10 +305,22 @@
             data = await self.consensus.write(state.revision, blob, self.write_timeout())
             if data is None or data.revision != state.revision:
                 return False
-            if isinstance(request, EvacuationOrder):
-                logging.info("control: evacuation committed zone=%s evacuated=%s", request.zone, request.evacuate)
-            else:
-                logging.info("control: revision committed revision=%d", state.revision)
+            _log_committed(request, state)
             return True
         finally:
             self.pending = None
+
+
+def _log_committed(request: Order, state: State) -> None:
+    if isinstance(request, EvacuationOrder):
+        logging.info("control: evacuation committed zone=%s evacuated=%s", request.zone, request.evacuate)
+    elif isinstance(request, DutyUpdate):
+        duties = state.duties
+        logging.debug(
+            "control: duties committed holder=%s fence=%d next_window=%d",
+            duties.holder,
+            duties.fence,
+            duties.next_window,
+        )
+    else:
+        logging.info("control: revision committed revision=%d", state.revision)
--- a/sparloom/controller/consensus_service.py
+++ b/sparloom/controller/consensus_service.py
@@ -85,6 +85,8 @@
         Serves a connection that does not begin with a copy; it is given the first record.
     on_committed
         Called with data that every holder has on disk.
+    receive_other
+        Given the sender and the record of each datagram that is none of the membership; tells whether it took it.
     """
 
     # Made by on_start, since a member begins with what its disk holds.
@@ -100,8 +102,10 @@
         settings: Settings,
         serve_connection: Callable[[Frames, Record], Awaitable[None]],
         on_committed: Callable[[Data], None],
+        receive_other: Callable[[str, Record], bool] = lambda sender, record: False,
     ) -> None:
         super().__init__()
+        self.receive_other = receive_other
         self.settings, self.serve_connection, self.on_committed = settings, serve_connection, on_committed
         self.port = settings.controller_port
         self.key = f"{settings.ip}:{self.port}"
@@ -161,14 +165,15 @@
     async def _open_sockets(self) -> None:
         settings = self.settings
         save_interval_s = settings.bounds.contact.total_seconds() / 2
-        self.prefixes = PrefixSnapshots(self._data_directory, self._send_datagram, save_interval_s)
+        self.prefixes = PrefixSnapshots(self._data_directory, self.send_datagram, save_interval_s)
         self.prefixes.load()
         self.datagrams = await Datagrams.open(settings.ip, self.port, self._receive)
         await self.add_runtime_dependency(self.prefixes)
         address = Address(settings.ip, self.port)
         self.server = await asyncio.start_server(self._serve_connection, sock=bind(address))
 
-    def _send_datagram(self, to: str, record: Record) -> None:
+    def send_datagram(self, to: str, record: Record) -> None:
+        """Sends a record to an internal address, HOST:PORT, without knowing whether it arrives."""
         self.datagrams.send(to, record)
 
     def _new_member_id(self, genesis: set[HostPort]) -> int:
@@ -212,7 +217,9 @@
         if isinstance(record, (Ping, Ack, PingRequest, TableComparison)):
             for message in self.swim.receive(monotonic(), sender, record):
                 self.datagrams.send(message.to, message.record)
-        elif not self.prefixes.receive(sender, record) and not isinstance(record, Copy):
+        elif self.receive_other(sender, record) or self.prefixes.receive(sender, record):
+            return
+        elif not isinstance(record, Copy):
             self._carry_out(self.member.receive(monotonic(), record))
 
     async def _serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/sparloom/controller/control_state.py
+++ b/sparloom/controller/control_state.py
@@ -1,4 +1,4 @@
-"""The control state as bytes: the newest configuration, which changes led to it, and which zones are evacuated.
+"""The control state as bytes: the newest configuration, which changes led to it, evacuated zones, and duties.
 
 Layout of version 2: a header (version, newest revision that is forgotten - of
 it and all below nothing is known -, number of routers, number of records), one
@@ -6,8 +6,9 @@
 configuration as compressed JSON. Version 3 has the evacuated zones besides, as
 JSON behind its length, before the configuration; it is written only while there
 are any, so that programs that know version 2 alone are not kept from what is in
-it for nothing. Version 1 was one compressed JSON list, whose first byte is
-that of a zlib stream.
+it for nothing. Version 4 has in the same place a compressed JSON object of the
+zones and the duties' state; it is written once there is a holder of duties.
+Version 1 was one compressed JSON list, whose first byte is that of a zlib stream.
 """
 
 from __future__ import annotations
@@ -21,10 +22,12 @@
 
 from attrs import define, evolve, field
 
+from sparloom.duties import DutyState
 from sparloom.errors import SparloomError
 
 VERSION = 2
 VERSION_WITH_EVACUATIONS = 3
+VERSION_WITH_DUTIES = 4
 REMEMBERED = 2048
 FINGERPRINT_BYTES = 12
 _HEADER = struct.Struct(">BQII")
@@ -37,6 +40,7 @@
 _SORTED = json.JSONEncoder(separators=(",", ":"), sort_keys=True)
 
 ConfigurationDict = dict[str, Any]
+NO_DUTIES = DutyState()
 
 
 class ControlStateError(SparloomError, ValueError):
@@ -146,12 +150,15 @@
         The number of routers that were known when it was committed.
     evacuated : frozenset of str
         The zones whose runners are to be sent nothing.
+    duties : DutyState
+        What is decided about the duties at the platform.
     """
 
     configuration: ConfigurationDict
     history: History = field(factory=History)
     router_count: int = 0
     evacuated: frozenset[str] = frozenset()
+    duties: DutyState = NO_DUTIES
 
     @property
     def revision(self) -> int:
@@ -170,7 +177,7 @@
         b'mmmmmmmmmmmm'
         """
         history = self.history.add(configuration["revision"], change_fingerprint)
-        return State(configuration, history, router_count, self.evacuated)
+        return State(configuration, history, router_count, self.evacuated, self.duties)
 
     def evacuate(self, zone: str) -> State:
         """The state after the order to evacuate a zone.
@@ -188,6 +195,14 @@
         """
         return evolve(self, evacuated=self.evacuated - {zone})
 
+    def with_duties(self, duties: DutyState) -> State:
+        """The state with another state of the duties.
+
+        >>> State({}).with_duties(DutyState("core-1")).duties.holder
+        'core-1'
+        """
+        return evolve(self, duties=duties)
+
     def pack(self) -> bytes:
         """The bytes to store.
 
@@ -197,15 +212,19 @@
         """
         text = json_text(self.configuration)
         history = self.history
-        version = VERSION_WITH_EVACUATIONS if self.evacuated else VERSION
+        version, section = self._section()
         header = _HEADER.pack(version, history.forgotten_through, self.router_count, len(history))
-        return header + history.records + self._pack_evacuated() + zlib.compress(text.encode(), _FASTEST)
-
-    def _pack_evacuated(self) -> bytes:
-        if not self.evacuated:
-            return b""
-        text = _COMPACT.encode(sorted(self.evacuated)).encode()
-        return _LENGTH.pack(len(text)) + text
+        return header + history.records + section + zlib.compress(text.encode(), _FASTEST)
+
+    def _section(self) -> tuple[int, bytes]:
+        """The version that the state needs, and what stands between the records and the configuration."""
+        zones = sorted(self.evacuated)
+        if self.duties != NO_DUTIES:
+            text = _COMPACT.encode({"evacuated": zones, "duties": self.duties.to_json()})
+            return VERSION_WITH_DUTIES, _with_length(zlib.compress(text.encode(), _FASTEST))
+        if zones:
+            return VERSION_WITH_EVACUATIONS, _with_length(_COMPACT.encode(zones).encode())
+        return VERSION, b""
 
     @staticmethod
     def unpack(raw: bytes) -> State:
@@ -224,17 +243,32 @@
         if raw[0] == _ZLIB_FIRST_BYTE:
             return _unpack_first_version(raw)
         version, forgotten_through, router_count, length = _HEADER.unpack_from(raw)
-        if version not in (VERSION, VERSION_WITH_EVACUATIONS):
-            expected = f"expected a control state of version 1 to {VERSION_WITH_EVACUATIONS}"
+        if not VERSION <= version <= VERSION_WITH_DUTIES:
+            expected = f"expected a control state of version 1 to {VERSION_WITH_DUTIES}"
             raise ControlStateError(f"{expected}, found version {version}")
         end = _HEADER.size + length * _RECORD.size
         history = History(raw[_HEADER.size : end], forgotten_through)
-        evacuated: frozenset[str] = frozenset()
-        if version == VERSION_WITH_EVACUATIONS:
+        section = b""
+        if version != VERSION:
             start = end + _LENGTH.size
             end = start + _LENGTH.unpack_from(raw, end)[0]
-            evacuated = frozenset(json.loads(raw[start:end]))
-        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated)
+            section = raw[start:end]
+        evacuated, duties = _read_section(version, section)
+        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated, duties)
+
+
+def _with_length(section: bytes) -> bytes:
+    return _LENGTH.pack(len(section)) + section
+
+
+def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState]:
+    """The evacuated zones and the duties in what stands between the records and the configuration."""
+    if version == VERSION:
+        return frozenset(), NO_DUTIES
+    if version == VERSION_WITH_EVACUATIONS:
+        return frozenset(json.loads(section)), NO_DUTIES
+    item = json.loads(zlib.decompress(section))
+    return frozenset(item["evacuated"]), DutyState.from_json(item["duties"])
 
 
 def _unpack_first_version(raw: bytes) -> State:
--- /dev/null
+++ b/sparloom/controller/platform_calls.py
@@ -0,0 +1,110 @@
+"""Calls of duties to the platform: each with the holder's name and a fence, within the platform's rate."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from enum import Enum
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from absl import logging
+
+from sparloom.transport import monotonic
+from sparloom.transport.http_client import Connector, open_session
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from sparloom.duties import DecidedWindow, ScaleOrder
+    from sparloom.settings import Settings
+
+HOLDER = "X-Sparloom-Duty-Holder"
+FENCE = "X-Sparloom-Fence-Number"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
+# Calls are made at most at this part of the rate that the platform allows to all nodes together.
+RATE_PART = 0.5
+CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+
+
+class CallResult(Enum):
+    """What became of a call."""
+
+    ACCEPTED = "the platform has it"
+    FENCED = "the platform has seen a higher fence"
+    FAILED = "it is not known whether the platform has it"
+    REFUSED = "the platform does not take it now, or ever"
+
+
+def result_of(status: int) -> CallResult:
+    """Return what the status of an answer says.
+
+    >>> result_of(200).name, result_of(409).name, result_of(429).name
+    ('ACCEPTED', 'FENCED', 'REFUSED')
+    """
+    if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
+        return CallResult.ACCEPTED
+    if status == HTTPStatus.CONFLICT:
+        return CallResult.FENCED
+    return CallResult.FAILED if status >= HTTPStatus.INTERNAL_SERVER_ERROR else CallResult.REFUSED
+
+
+class PlatformCalls:
+    """Makes the calls; a call that fails takes its connection with it.
+
+    Parameters
+    ----------
+    timeout
+        How long an answer may take.
+    """
+
+    def __init__(self, settings: Settings, timeout: timedelta) -> None:
+        self._settings = settings
+        self._timeout = timeout
+        self._session: aiohttp.ClientSession | None = None
+        self._next_at = monotonic()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def wait_for_rate(self) -> None:
+        """Wait until a call may be made without passing the platform's rate."""
+        now = monotonic()
+        at = max(now, self._next_at)
+        interval_s = 1 / (self._settings.duties.rate * RATE_PART)
+        self._next_at = at + type(at)(seconds=interval_s)
+        await asyncio.sleep((at - now).total_seconds())
+
+    async def report_usage(self, window: DecidedWindow, fence: int) -> CallResult:
+        """Send the report of a window."""
+        return await self._post(USAGE_PATH, fence, {"windowNumber": window.number, "counts": window.counts})
+
+    async def scale(self, order: ScaleOrder) -> CallResult:
+        """Send an order about the number of runners."""
+        body = {"service": order.service, "zone": order.zone, "desiredCount": order.desired}
+        return await self._post(SCALE_PATH, order.fence, body)
+
+    async def _post(self, path: str, fence: int, body: dict[str, Any]) -> CallResult:
+        platform = self._settings.cloud
+        if platform is None:
+            return CallResult.REFUSED
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=self._timeout.total_seconds())
+            self._session = open_session(Connector(), timeout=timeout)
+        headers = {HOLDER: self._settings.node, FENCE: str(fence), "Content-Type": "application/json"}
+        data = json.dumps(body, separators=(",", ":")).encode()
+        url = f"http://{platform.address}{path}"
+        try:
+            async with self._session.post(url, data=data, headers=headers, allow_redirects=False) as response:
+                await response.read()
+                result = result_of(response.status)
+        except CALL_ERRORS as error:
+            logging.info("duties: call failed path=%s fence=%d error=%s", path, fence, type(error).__name__)
+            return CallResult.FAILED
+        if result is not CallResult.ACCEPTED:
+            logging.info("duties: call not accepted path=%s fence=%d status=%d", path, fence, response.status)
+        return result
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -12,10 +12,12 @@
 
 from .consensus_service import ConsensusService
 from .control_api import ControlApi
+from .duty_service import DutyService
 from .endpoint_poller import EndpointPoller
 from .feed_server import FeedServer
 
 if TYPE_CHECKING:
+    from sparloom.codec import Record
     from sparloom.consensus import Data
     from sparloom.settings import Settings
 
@@ -38,6 +40,8 @@
         Publishes the configuration and the endpoint list to the routers.
     poller : EndpointPoller
         Keeps the endpoint list up to date while this controller is the primary.
+    duties : DutyService
+        Carries out the duties at the platform while this controller is the primary.
     jobs : JobService or None
         Keeps and runs jobs, on deployments that have them.
     """
@@ -46,8 +50,9 @@
         super().__init__(settings, path)
         self.feed_server = FeedServer(settings)
         self.add_dependency(self.feed_server)
-        self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed)
+        self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed, self._receive)
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
+        self.duties = DutyService(settings, self.consensus, self.control_api.writer)
         self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
@@ -62,12 +67,15 @@
 
         return JobService(settings, feed_server.evacuated_zones)
 
+    def _receive(self, sender: str, record: Record) -> bool:
+        return self.duties.receive(sender, record)
+
     def _on_committed(self, data: Data) -> None:
         self.control_api.on_committed(data)
 
     async def on_start(self) -> None:
         """Starts the services in the order in which they need each other."""
-        for service in (self.consensus, self.control_api, self.poller):
+        for service in (self.consensus, self.control_api, self.poller, self.duties):
             await self.add_runtime_dependency(service)
         if self.jobs is not None:
             await self.add_runtime_dependency(self.jobs)
--- a/sparloom/router/admission_queues.py
+++ b/sparloom/router/admission_queues.py
@@ -9,6 +9,7 @@
 
 from sparloom.admission import AdmissionController, Admitted, Capacity, Demand, Queued, Rejected, members_of
 from sparloom.transport import monotonic
+from sparloom.usage import ServiceLoad
 
 from .timeout_buckets import maximum_in_flight
 
@@ -212,6 +213,15 @@
             self._peers_in_flight[service_name] = (now, peers)
         return own + peers
 
+    def load(self, service_name: str) -> ServiceLoad:
+        """What this router has in hand for a service, as controllers are told."""
+        own = self.state.in_flight.own
+        in_flight = sum(own.get(backend.id, 0) for backend in self.state.backends.of(service_name))
+        controller = self.controllers.get(service_name)
+        waiting = sum(map(len, controller.queues.values())) if controller else 0
+        rejected = sum(controller.rejections.values()) if controller else 0
+        return ServiceLoad(service_name, in_flight, waiting, rejected)
+
     def _notify(self, decisions: Iterable[Admitted | Rejected]) -> None:
         """Wakes the requests that were decided on."""
         for decision in decisions:
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -74,6 +74,7 @@
         self._worst_verdict: Verdict = NOT_RUN
         self._wait: asyncio.Timeout | None = None
         self._expired = False
+        self._began = False
 
     async def forward(self) -> web.StreamResponse:
         """Return the response, a backend's or the router's own, once it has been sent as far as it can be.
@@ -218,6 +219,9 @@
     def _on_progress(self, attempt: Attempt) -> None:
         """The backend has sent something: it keeps the request."""
         attempt.inactivity.progressed()
+        if not self._began and attempt.response.status == OK:
+            self._began = True
+            self._services.usage.on_began(self.request.tenant)
         if self._hedging.active:
             self._hedging.drop()
             # The hedged attempt may already have ended this wait; it goes on to the deadline.
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -12,6 +12,7 @@
 from sparloom.prefix_cache import PrefixPlacements
 from sparloom.relay import plan_tier
 from sparloom.transport import monotonic
+from sparloom.usage import UsageReply
 
 from .admission_queues import AdmissionQueues
 from .feed_client import FeedClient
@@ -20,6 +21,7 @@
 from .prefix_recall import PrefixRecall
 from .relay_server import RelayServer
 from .router_state import ForwardingServices, RetryBudgets, RouterState
+from .usage_reporter import UsageReporter
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -54,6 +56,7 @@
     feed_client: follows the feed.
     gossip: exchanges in-flight counts with the other routers.
     prefix_recall: exchanges long prefixes with controllers.
+    usage: counts what begins, and reports it to the primary.
     relay_server: passes the feed on.
     """
 
@@ -89,6 +92,7 @@
         )
         self.gossip = InFlightGossip(state, self.membership, self.feed_client.upstream)
         self.prefix_recall = PrefixRecall(state, self.membership)
+        self.usage = UsageReporter(state, self.membership, self.queues)
         self.relay_server = RelayServer(state, self.feed_client)
         # The routers, with their zones, for which the tier was planned.
         self.tier_members: frozenset[tuple[str, str]] | None = None
@@ -102,7 +106,7 @@
         """What the forwarding of requests needs of this router."""
         state = self.snapshots
         return ForwardingServices(
-            state, state.in_flight, self.budgets, self.queues, self.gossip, self.prefix_recall, state.random
+            state, state.in_flight, self.budgets, self.queues, self.gossip, self.prefix_recall, self.usage, state.random
         )
 
     def nodes(self) -> int:
@@ -127,6 +131,8 @@
 
     async def on_stop(self) -> None:
         """Leaves the fleet before anything else ends, then closes the connections to the backends."""
+        if self.membership.is_open and self.usage.enabled:
+            self.usage.send(monotonic())
         self.membership.close()
         for backend in self.snapshots.backends.by_id.values():
             if backend.client_session:
@@ -141,6 +147,8 @@
             self.gossip.on_message(message, source)
         elif isinstance(message, PrefixPlacements):
             self.prefix_recall.on_message(source, message)
+        elif isinstance(message, UsageReply):
+            self.usage.on_reply(source, message)
 
     def _on_departed(self, key: str, instance: int | None) -> None:
         self.gossip.on_departed(key, instance)
@@ -152,6 +160,7 @@
             self.update_relay_tier()
         self.gossip.tick(turn)
         self.prefix_recall.tick(turn)
+        self.usage.tick()
 
     def update_fleet_size(self) -> None:
         """Notes among how many routers capacity is divided."""
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -27,6 +27,7 @@
     from .admission_queues import AdmissionQueues
     from .in_flight_gossip import InFlightGossip
     from .prefix_recall import PrefixRecall
+    from .usage_reporter import UsageReporter
 
 # Without confirmation, a router counts as ready after so many contact bounds.
 UNCONFIRMED_READY_BOUNDS = 2
@@ -163,6 +164,7 @@
     queues: admission queues by service.
     gossip: tells the other routers of prompts that went out.
     prefix_recall: tells controllers of long prefixes.
+    usage: counts what begins.
     random: source of random draws.
     """
 
@@ -172,4 +174,5 @@
     queues: AdmissionQueues
     gossip: InFlightGossip
     prefix_recall: PrefixRecall
+    usage: UsageReporter
     random: random.Random
--- /dev/null
+++ b/sparloom/router/usage_reporter.py
@@ -0,0 +1,123 @@
+"""Counts the requests of tenants as they begin, and reports them to the primary controller by datagram."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from sparloom.membership import CONTROLLER
+from sparloom.transport import monotonic, wall_clock_us
+from sparloom.usage import RouterClock, ServiceLoad, UsageCounter, UsageReport, window_number
+from sparloom.usage.clock import MICROSECOND, microseconds
+
+if TYPE_CHECKING:
+    from sparloom.usage import UsageReply
+
+    from .admission_queues import AdmissionQueues
+    from .membership_service import MembershipService
+    from .router_state import RouterState
+
+# Between two reports: so much for each router, so that the primary hears the same number whatever the fleet's size.
+INTERVAL_PER_ROUTER = timedelta(milliseconds=4)
+MINIMUM_INTERVAL = timedelta(milliseconds=200)
+MAXIMUM_INTERVAL = timedelta(seconds=4)
+# A controller that has not replied for so many intervals is left for the next one.
+UNANSWERED_INTERVALS = 3
+
+
+class UsageReporter:
+    """This router's part of the duties: what it counts, and what it has in hand.
+
+    Attributes
+    ----------
+    counter: what began, by window and tenant.
+    clock: the true time.
+    """
+
+    def __init__(self, state: RouterState, membership: MembershipService, queues: AdmissionQueues) -> None:
+        self._state, self._membership, self._queues = state, membership, queues
+        self.counter = UsageCounter()
+        self.clock = RouterClock(monotonic(), wall_clock_us())
+        self._target: str | None = None
+        self._turn = 0
+        self._sent_at = timedelta(0)
+        self._replied_at = timedelta(0)
+
+    @property
+    def enabled(self) -> bool:
+        """Whether the platform expects anything that rests on these reports."""
+        duties = self._state.settings.duties
+        return bool(duties.reports_usage or duties.scales)
+
+    def on_began(self, tenant: str) -> None:
+        """A request of a tenant has begun to run: its first part has come."""
+        if tenant and self._state.settings.duties.reports_usage:
+            self.counter.add(self._window(), tenant)
+
+    def _window(self) -> int:
+        return window_number(self.clock.true_us(monotonic()), self._state.settings.duties.usage_window)
+
+    # -- reports ------------------------------------------------------------------
+    def _interval(self) -> timedelta:
+        wanted = INTERVAL_PER_ROUTER * self._state.fleet_size.divisor
+        return min(max(wanted, MINIMUM_INTERVAL), MAXIMUM_INTERVAL)
+
+    def tick(self) -> None:
+        """Send a report if one is due."""
+        now = monotonic()
+        if self.enabled and now - self._sent_at >= self._interval():
+            self.send(now)
+
+    def send(self, now: timedelta) -> None:
+        """Send a report now."""
+        if now - self._replied_at > self._interval() * UNANSWERED_INTERVALS:
+            self._target, self._replied_at = self._next_controller(), now
+        if self._target is None:
+            return
+        self._sent_at = now
+        sequence, entries = self.counter.next_report()
+        report = UsageReport(
+            self._state.key,
+            self._state.instance_id,
+            self.counter.collector_id,
+            sequence,
+            self.counter.base,
+            microseconds(now),
+            wall_clock_us(),
+            self.clock.round_trip_us,
+            self.clock.true_us(now),
+            entries,
+            self._loads(),
+        )
+        self._membership.datagrams.send(self._target, report)
+
+    def _next_controller(self) -> str | None:
+        """The controllers in turn; each router begins with another one."""
+        alive = sorted(peer.key for peer in self._membership.swim.alive() if peer.role == CONTROLLER)
+        known = alive or sorted(self._state.seeds)
+        if not known:
+            return None
+        self._turn += 1
+        return known[(self._turn + self._state.instance_id) % len(known)]
+
+    def _loads(self) -> list[ServiceLoad]:
+        configuration = self._state.configuration
+        if configuration is None or not self._state.settings.duties.scales:
+            return []
+        scaled = sorted(name for name, service in configuration.services.items() if service.scaling is not None)
+        return [self._queues.load(name) for name in scaled]
+
+    def on_reply(self, source: str, reply: UsageReply) -> None:
+        """Take a controller's reply to the newest report; replies to earlier ones tell nothing more."""
+        now = monotonic()
+        if reply.sent_at_us != microseconds(self._sent_at):
+            return
+        self._replied_at = now
+        if not reply.collector_id:
+            self._target = reply.primary or self._next_controller()
+            return
+        self._target = source
+        if reply.collector_id != self.counter.collector_id:
+            self.clock.forget_exchanges()
+        self.clock.on_exchange(reply.sent_at_us * MICROSECOND, now, reply.true_us)
+        self.counter.on_reply(reply.collector_id, reply.sequence, reply.decided_through)
--- a/sparloom/transport/clock.py
+++ b/sparloom/transport/clock.py
@@ -1,4 +1,4 @@
-"""The monotonic clock, as a timedelta."""
+"""The monotonic clock, as a timedelta, and the wall clock."""
 
 from __future__ import annotations
 
@@ -17,3 +17,14 @@
     True
     """
     return timedelta(seconds=time.monotonic())
+
+
+def wall_clock_us() -> int:
+    """The machine's time of day in microseconds since 1970; it may jump, and no decision rests on it alone.
+
+    Examples
+    --------
+    >>> wall_clock_us() > 1_600_000_000_000_000
+    True
+    """
+    return time.time_ns() // 1000
--- /dev/null
+++ b/sparloom/usage/__init__.py
@@ -0,0 +1,18 @@
+"""Usage: the requests of each tenant that began in each window of true time, summed over all routers."""
+
+from .clock import FleetClock, RouterClock, window_number
+from .collector import UsageCollector
+from .counter import UsageCounter
+from .records import ServiceLoad, UsageEntry, UsageReply, UsageReport
+
+__all__ = [
+    "FleetClock",
+    "RouterClock",
+    "ServiceLoad",
+    "UsageCollector",
+    "UsageCounter",
+    "UsageEntry",
+    "UsageReply",
+    "UsageReport",
+    "window_number",
+]
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -12,7 +12,17 @@
 LAYERS = (
     ("errors", "launch.early_listen", "launch.bytecode_archive"),
     ("codec", "metrics"),
-    ("admission", "isolation", "configuration", "event_stream", "retry", "load_balancing", "scheduler"),
+    (
+        "admission",
+        "isolation",
+        "configuration",
+        "event_stream",
+        "retry",
+        "load_balancing",
+        "scheduler",
+        "duties",
+        "usage",
+    ),
     ("settings", "discovery", "dynamic_timeout", "membership", "consensus", "transport"),
     ("prefix_cache", "aggregation", "feed"),
     ("relay", "compare", "serving_program"),
