Runners are ordered by the holder: target tracking on what the fleet has in hand

Change: the holder asks, once a second, how many runners each zone needs for what all routers have in hand (slots in use at 45 in 100), within the service's limits; commits the orders, each with a fence of its own, and sends the newest one of each service and zone after a majority has confirmed it. A new holder gives the orders that it inherits fences of its own.

--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -20,7 +20,8 @@
 from attrs import define, field
 from mode import Service
 
-from sparloom.duties import DecidedWindow, DutyUpdate
+from sparloom.duties import DecidedWindow, DutyUpdate, ScaleOrder
+from sparloom.duties.scaling import ScalePolicy, demand_of
 from sparloom.duties.state import MAXIMUM_WINDOWS
 from sparloom.membership import ROUTER
 from sparloom.transport import monotonic, wall_clock_us
@@ -31,8 +32,11 @@
 from .platform_calls import CallResult, PlatformCalls
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sparloom.codec import Record
     from sparloom.duties import DutyState
+    from sparloom.duties.scaling import ScaledService
     from sparloom.settings import Settings
 
     from .configuration_writer import ConfigurationWriter
@@ -40,6 +44,8 @@
 
 COLLECTOR_ID_BYTES = 7
 STEP = timedelta(milliseconds=100)
+# Between two looks at what is needed.
+SCALE_STEP = timedelta(seconds=1)
 NOT_HOLDER_PAUSE = timedelta(milliseconds=100)
 # After a call that was not accepted.
 RETRY_PAUSE = timedelta(milliseconds=300)
@@ -75,6 +81,10 @@
         The platform has the windows up to this number.
     fenced
         Whether the platform has seen a higher fence: nothing more is sent in this epoch.
+    accepted
+        The fence of the newest order that the platform has, by service and zone.
+    policies
+        The needs of each service that is scaled.
     """
 
     epoch: int
@@ -84,7 +94,8 @@
     acts_from: timedelta | None = None
     delivered_through: int = 0
     fenced: bool = False
-    fenced_subjects: set[tuple[str, str]] = field(factory=set)
+    accepted: dict[tuple[str, str], int] = field(factory=dict)
+    policies: dict[str, ScalePolicy] = field(factory=dict)
 
     def may_act(self, now: timedelta) -> bool:
         """Whether the wait for the lease of an earlier holder is over."""
@@ -98,15 +109,27 @@
     ----------
     term : DutyTerm or None
         The present epoch; None while this controller is not the primary.
+
+    Parameters
+    ----------
+    scaled_services
+        Gives the services whose runners are ordered, as they are configured and listed now.
     """
 
-    def __init__(self, settings: Settings, consensus: ConsensusService, writer: ConfigurationWriter) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        consensus: ConsensusService,
+        writer: ConfigurationWriter,
+        scaled_services: Callable[[], list[ScaledService]] = list,
+    ) -> None:
         super().__init__()
         self.settings, self.consensus, self.writer = settings, consensus, writer
+        self.scaled_services = scaled_services
         self.term: DutyTerm | None = None
         self.calls = PlatformCalls(settings, settings.bounds.contact * CALL_TIMEOUT_PART)
         self._started_at, self._started_wall_us = monotonic(), wall_clock_us()
-        self._retry_at = timedelta(0)
+        self._acts_from: timedelta | None = None
 
     @property
     def enabled(self) -> bool:
@@ -204,7 +227,7 @@
     def _windows_to_decide(self, term: DutyTerm, state: DutyState) -> tuple[DecidedWindow, ...]:
         collector, now = term.collector, monotonic()
         true_us = collector.clock.true_us(now)
-        alive = {(peer.key, peer.instance_id) for peer in self.consensus.swim.alive() if peer.role == ROUTER}
+        alive = self._routers()
         collector.keep_only(alive, now)
         undelivered = sum(window.number > term.delivered_through for window in state.windows)
         windows: list[DecidedWindow] = []
@@ -214,6 +237,10 @@
             number += 1
         return tuple(windows)
 
+    def _routers(self) -> set[tuple[str, int]]:
+        """The runs of routers that are believed up."""
+        return {(peer.key, peer.instance_id) for peer in self.consensus.swim.alive() if peer.role == ROUTER}
+
     def _is_due(self, term: DutyTerm, number: int, true_us: int, alive: set[tuple[str, int]], now: timedelta) -> bool:
         """Whether a window is over, and told by all routers or waited for long enough."""
         duties = self.settings.duties
@@ -244,9 +271,10 @@
 
     def _next_window(self) -> DecidedWindow | None:
         """The oldest decided window that the platform isn't known to have, where it may be sent now."""
-        term, state = self._present_term(), self._state()
-        if term is None or state is None or not term.may_act(monotonic()) or state.usage_fence != term.usage_fence:
+        held = self._held()
+        if held is None:
             return None
+        term, state = held
         return next((window for window in state.windows if window.number > term.delivered_through), None)
 
     async def _send_window(self, window: DecidedWindow) -> CallResult:
@@ -261,6 +289,74 @@
             logging.warning("duties: fenced off fence=%d window=%d", term.usage_fence, window.number)
         return result
 
+    # -- scaling ------------------------------------------------------------------------
+    @Service.task
+    async def _scale(self) -> None:
+        while not self.should_stop and self.enabled and self.settings.duties.scales:
+            await asyncio.sleep(SCALE_STEP.total_seconds())
+            held = self._held()
+            if held is None:
+                continue
+            term, state = held
+            orders = self._wanted_orders(term, state)
+            if orders:
+                await self._commit_orders(term, orders)
+
+    def _held(self) -> tuple[DutyTerm, DutyState] | None:
+        """The present term and the committed state, where this controller holds the duties and may act."""
+        term, state = self._present_term(), self._state()
+        if term is None or state is None or not term.may_act(monotonic()) or state.usage_fence != term.usage_fence:
+            return None
+        return term, state
+
+    def _wanted_orders(self, term: DutyTerm, state: DutyState) -> tuple[ScaleOrder, ...]:
+        """Orders that differ from those before; none while routers are missing whose load isn't known."""
+        now = monotonic()
+        if not term.collector.has_heard(now, self._routers()):
+            return ()
+        loads, orders = term.collector.loads(now), []
+        for service in self.scaled_services():
+            ordered = {order.zone: order.desired for order in state.orders if order.service == service.name}
+            policy = term.policies.setdefault(service.name, ScalePolicy())
+            changes = policy.wanted(service, demand_of(loads.get(service.name, ())), now, ordered)
+            orders += [ScaleOrder(service.name, zone, desired) for zone, desired in changes.items()]
+        return tuple(orders)
+
+    async def _commit_orders(self, term: DutyTerm, orders: tuple[ScaleOrder, ...]) -> None:
+        if await self._commit(DutyUpdate(self.settings.node, usage_fence=term.usage_fence, orders=orders)):
+            for order in orders:
+                logging.info("duties: ordered service=%s zone=%s desired=%d", order.service, order.zone, order.desired)
+
+    @Service.task
+    async def _send_orders(self) -> None:
+        while not self.should_stop and self.enabled and self.settings.duties.scales:
+            order = self._next_order()
+            if order is None:
+                await asyncio.sleep(NOT_HOLDER_PAUSE.total_seconds())
+            elif not await self._send_order(order):
+                await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+    def _next_order(self) -> ScaleOrder | None:
+        """The first of the newest orders that the platform isn't known to have."""
+        held = self._held()
+        if held is None:
+            return None
+        term, state = held
+        return next((order for order in state.orders if term.accepted.get(order.subject) != order.fence), None)
+
+    async def _send_order(self, order: ScaleOrder) -> bool:
+        """Send an order; return whether the platform has it."""
+        term = self.term
+        if term is None or not await self._is_confirmed(term):
+            return False
+        result = await self.calls.scale(order)
+        if result is CallResult.ACCEPTED:
+            term.accepted[order.subject] = order.fence
+        elif result is CallResult.FENCED:
+            term.fenced = True
+            logging.warning("duties: fenced off fence=%d zone=%s", order.fence, order.zone)
+        return result is CallResult.ACCEPTED
+
     async def _is_confirmed(self, term: DutyTerm) -> bool:
         """Whether a majority has just confirmed this primary and its term, so that a call may be made at once."""
         await self.calls.wait_for_rate()
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -15,10 +15,12 @@
 from .duty_service import DutyService
 from .endpoint_poller import EndpointPoller
 from .feed_server import FeedServer
+from .scaled_services import scaled_services
 
 if TYPE_CHECKING:
     from sparloom.codec import Record
     from sparloom.consensus import Data
+    from sparloom.duties.scaling import ScaledService
     from sparloom.settings import Settings
 
     from .job_service import JobService
@@ -52,7 +54,7 @@
         self.add_dependency(self.feed_server)
         self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed, self._receive)
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
-        self.duties = DutyService(settings, self.consensus, self.control_api.writer)
+        self.duties = DutyService(settings, self.consensus, self.control_api.writer, self._scaled_services)
         self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
@@ -67,6 +69,13 @@
 
         return JobService(settings, feed_server.evacuated_zones)
 
+    def _scaled_services(self) -> list[ScaledService]:
+        """The services whose runners are ordered, as the newest configuration and list have them."""
+        committed, listed = self.control_api.writer.committed, self.poller.last
+        if committed is None or listed is None:
+            return []
+        return scaled_services(committed.state.configuration.get("services", []), listed.runners)
+
     def _receive(self, sender: str, record: Record) -> bool:
         return self.duties.receive(sender, record)
 
--- a/sparloom/duties/state.py
+++ b/sparloom/duties/state.py
@@ -88,10 +88,11 @@
     orders: tuple[ScaleOrder, ...] = ()
 
     def claim(self, holder: str, first_window: int) -> DutyState:
-        """Return the state once a node has taken the duties over, with a fence of its own."""
+        """Return the state once a node has taken the duties over, with fences of its own for reports and orders."""
         fence = self.fence + 1
         next_window = self.next_window or first_window
-        return evolve(self, holder=holder, fence=fence, usage_fence=fence, next_window=next_window)
+        claimed = evolve(self, holder=holder, fence=fence, usage_fence=fence, next_window=next_window)
+        return claimed.order(self.orders)
 
     def decide(self, windows: tuple[DecidedWindow, ...]) -> DutyState:
         """Return the state once further windows are decided, which follow on those before."""
--- a/sparloom/usage/collector.py
+++ b/sparloom/usage/collector.py
@@ -134,6 +134,11 @@
         for key in gone:
             del self._reporters[key]
 
+    def has_heard(self, now: timedelta, alive: Collection[tuple[str, int]]) -> bool:
+        """Return whether there are routers, and each of them was heard of lately."""
+        heard = {key for key, reporter in self._reporters.items() if now - reporter.heard_at <= LOAD_VALID}
+        return bool(alive) and heard.issuperset(alive)
+
     def loads(self, now: timedelta) -> dict[str, list[ServiceLoad]]:
         """Return what the routers that were heard of lately have in hand, by service."""
         by_service: dict[str, list[ServiceLoad]] = {}
