Duties: who held them before is committed with the claim; an unconfirmed primary takes in no reports

Change: reports are taken in only while the last confirmation is recent; the previous holder stands in the committed state, and a process that doesn't know when its wait ends waits anew.

--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -52,9 +52,11 @@
 # A window is decided no earlier than this after its end.
 SETTLE_TIME = timedelta(milliseconds=300)
 # It is decided without the routers that have not told all after this part of the time in which its report is due,
-DECIDE_PART = 0.55
+DECIDE_PART = 0.7
 # but not before a new primary has given them so long to find it.
 COLLECT_TIME = timedelta(seconds=2)
+# A primary takes reports in while its last confirmation is no older than this part of the lease.
+COLLECT_PART = 0.5
 # A call may take this part of the contact bound.
 CALL_TIMEOUT_PART = 0.5
 # The confirmation before a call may take, and be as old as, this part of the lease.
@@ -162,15 +164,26 @@
         """Take a router's report; return whether the record was one."""
         if not isinstance(record, UsageReport):
             return False
-        term = self._present_term()
-        if term is not None:
-            self.consensus.send_datagram(sender, term.collector.on_report(monotonic(), record))
-        else:
-            primary = self.consensus.member.primary()
-            key = f"{primary.host}:{primary.port}" if primary is not None else ""
-            self.consensus.send_datagram(sender, UsageReply(0, key, 0, record.sent_at_us, 0, 0))
+        self.consensus.send_datagram(sender, self._reply_to(record))
         return True
 
+    def _reply_to(self, report: UsageReport) -> UsageReply:
+        """The reply of the primary's collector, or where the primary is.
+
+        One that was not confirmed lately, as after a pause, may have a
+        successor: it must not keep routers from finding that.
+        """
+        now, term, member = monotonic(), self._present_term(), self.consensus.member
+        if term is None:
+            primary = member.primary()
+            key = f"{primary.host}:{primary.port}" if primary is not None else ""
+            return UsageReply(0, key, 0, report.sent_at_us, 0, 0)
+        age = member.confirmation_age(now)
+        if age is None or age > self.settings.duties.lease * COLLECT_PART:
+            return UsageReply(0, "", 0, report.sent_at_us, 0, 0)
+        reply: UsageReply = term.collector.on_report(now, report)
+        return reply
+
     # -- what is decided --------------------------------------------------------------
     @Service.task
     async def _decide(self) -> None:
@@ -189,17 +202,31 @@
         now, node = monotonic(), self.settings.node
         first_window = self._window(term.collector.clock.true_us(now))
         if not await self._commit(DutyUpdate(node, claim=True, first_window=first_window)):
+            # The claim may have been committed: who held the duties before is not known any more.
+            self._acts_from = None
             return
         claimed = self._state()
         if claimed is None or claimed.holder != node or self.consensus.leading_epoch() != term.epoch:
+            self._acts_from = None
             return
-        duties = self.settings.duties
-        wait = timedelta(0) if state.holder in ("", node) else duties.lease + duties.thaw_slack
         term.collector.decide(claimed.next_window - 1)
-        term.usage_fence, term.acts_from = claimed.usage_fence, monotonic() + wait
-        logging.info(
-            "duties: claimed fence=%d before=%r wait_ms=%d", claimed.fence, state.holder, wait.total_seconds() * 1000
-        )
+        term.acts_from = self._acts_from = self._first_act_after(claimed.previous_holder)
+        term.usage_fence = claimed.usage_fence
+        wait_ms = max(0.0, (term.acts_from - monotonic()).total_seconds()) * 1000
+        logging.info("duties: claimed fence=%d before=%r wait_ms=%d", claimed.fence, claimed.previous_holder, wait_ms)
+
+    def _first_act_after(self, previous_holder: str) -> timedelta:
+        """From when on this holder may act: past the lease of the previous one, which may have acted until now.
+
+        One that held the duties itself goes on, but not before the wait of its
+        earlier claim is over. A process that doesn't know of that waits anew.
+        """
+        now, duties = monotonic(), self.settings.duties
+        if not previous_holder:
+            return now
+        if previous_holder == self.settings.node and self._acts_from is not None:
+            return max(now, self._acts_from)
+        return now + duties.lease + duties.thaw_slack
 
     def _window(self, true_us: int) -> int:
         return window_number(true_us, self.settings.duties.usage_window)
--- a/sparloom/duties/state.py
+++ b/sparloom/duties/state.py
@@ -68,6 +68,8 @@
         The highest fence that was given out.
     usage_fence
         The fence of the present holder's reports of usage.
+    previous_holder
+        The node whose claim came before the present one, or the same node; "" if there was none.
     next_window
         The first window that is not decided; 0 before the first holder.
     windows
@@ -86,12 +88,20 @@
     next_window: int = 0
     windows: tuple[DecidedWindow, ...] = ()
     orders: tuple[ScaleOrder, ...] = ()
+    previous_holder: str = ""
 
     def claim(self, holder: str, first_window: int) -> DutyState:
         """Return the state once a node has taken the duties over, with fences of its own for reports and orders."""
         fence = self.fence + 1
         next_window = self.next_window or first_window
-        claimed = evolve(self, holder=holder, fence=fence, usage_fence=fence, next_window=next_window)
+        claimed = evolve(
+            self,
+            holder=holder,
+            previous_holder=self.holder,
+            fence=fence,
+            usage_fence=fence,
+            next_window=next_window,
+        )
         return claimed.order(self.orders)
 
     def decide(self, windows: tuple[DecidedWindow, ...]) -> DutyState:
@@ -119,6 +129,7 @@
             "nextWindow": self.next_window,
             "windows": [[window.number, window.counts] for window in self.windows],
             "orders": [[order.service, order.zone, order.desired, order.fence] for order in self.orders],
+            "previousHolder": self.previous_holder,
         }
 
     @classmethod
@@ -131,6 +142,7 @@
             item["nextWindow"],
             tuple(DecidedWindow(number, counts) for number, counts in item["windows"]),
             tuple(ScaleOrder(*fields) for fields in item["orders"]),
+            item["previousHolder"],
         )
 
 
--- /dev/null
+++ b/tests/support/duty_group.py
@@ -0,0 +1,379 @@
+"""Several duty services over one agreed store, with one simulated platform: kills, freezes, cuts, late calls.
+
+The store stands for the consensus: one node at a time leads, by epoch; a
+write is committed only if its node still leads when it ends, and its outcome
+may stay unknown; a confirmation comes only to the node that leads. Nodes may go
+on believing that they lead. A frozen node stands still at the next step of
+whatever it was doing, also between a confirmation and the call that it was for.
+"""
+
+import asyncio
+import random
+from datetime import timedelta
+from types import SimpleNamespace
+from unittest import mock
+
+from attrs import evolve
+
+from fakes.duty_log import DutyLog
+from sparloom.consensus.records import Data
+from sparloom.controller.configuration_writer import ConfigurationWriter
+from sparloom.controller.control_state import State
+from sparloom.controller.duty_service import DutyService
+from sparloom.controller.platform_calls import PlatformCalls, result_of
+from sparloom.duties.scaling import ScaledService
+from sparloom.membership import ROUTER
+from sparloom.settings import from_dict
+from sparloom.transport import monotonic
+from sparloom.usage import ServiceLoad, UsageCounter, UsageReport, window_number
+from sparloom.usage.clock import microseconds
+from tests.support.router_fixture import POLICY, STARTUP
+
+START_US = 1_700_000_000_000_000
+WINDOW = timedelta(seconds=5)
+SETTINGS = {
+    **STARTUP,
+    "bounds": {"contactMs": 4000, "leaseMs": 3000, "thawSlackMs": 300, "usageWindowS": 5, "usageLatenessS": 10},
+    "cloudApi": {
+        "address": "127.0.0.1:1",
+        "ratePerS": 240,
+        "dutyPerS": 50,
+        "duties": ["usage_reporting", "scaling"],
+    },
+}
+
+
+class Platform:
+    """Carries calls out late, answers late or not at all, or is down."""
+
+    def __init__(self, luck):
+        self.luck = luck
+        self.log = DutyLog(lambda: monotonic().total_seconds())
+        self.late_s = self.down_until = 0.0
+        self.lost = 0.0
+
+    async def post(self, holder, path, fence, body):
+        """The status; 0 where no answer comes within two seconds."""
+        await asyncio.sleep(self.luck.uniform(0.001, 0.03))
+        if monotonic().total_seconds() < self.down_until:
+            return 503 if self.luck.random() < 0.5 else await self._silence()
+        carried_out = asyncio.ensure_future(self._carry_out(holder, path, fence, body))
+        if self.luck.random() < self.lost:
+            return await self._silence()
+        done, _ = await asyncio.wait({carried_out}, timeout=2.0)
+        return carried_out.result() if done else 0
+
+    async def _carry_out(self, holder, path, fence, body):
+        await asyncio.sleep(self.luck.uniform(0, self.late_s))
+        return self.log.take(path.removeprefix("/"), holder, fence, body)
+
+    @staticmethod
+    async def _silence():
+        await asyncio.sleep(2.0)
+        return 0
+
+
+class Store:
+    """The agreed data, and who leads."""
+
+    def __init__(self):
+        self.data, self.epoch, self.leader = Data(0, 0, 0, b""), 0, None
+        self.number = 0
+
+    def commit(self, node, epoch, revision, blob):
+        """Commits for the node that leads in this epoch; gives the data, or None."""
+        if (self.leader, self.epoch) != (node, epoch):
+            return None
+        self.number += 1
+        self.data = Data(epoch, self.number, revision, blob)
+        return self.data
+
+
+class Consensus:
+    """One node's part of the store, as ``ConfigurationWriter`` and ``DutyService`` use it."""
+
+    def __init__(self, node):
+        self.node, self.believed = node, None
+        self.confirmed_at = monotonic()
+        self.member = SimpleNamespace(
+            leading=lambda: self.believed is not None,
+            primary=lambda: None,
+            confirmation_age=lambda now: now - self.confirmed_at,
+        )
+        self.swim = SimpleNamespace(table={}, alive=node.group.alive_routers)
+        self.sent = []
+
+    def heartbeat(self):
+        """A majority answers a heartbeat of the node that leads."""
+        if self.believed == self.node.group.store.epoch and not self.node.cut and self.node.thawed.is_set():
+            self.confirmed_at = monotonic()
+
+    def leading_epoch(self):
+        return self.believed
+
+    def send_datagram(self, to, record):
+        self.node.group.replies.append((to, record))
+
+    async def _round_trip(self, timeout):
+        """Whether the node reaches a majority that takes it for the primary."""
+        await self.node.step()
+        await asyncio.sleep(self.node.luck.uniform(0.001, 0.02))
+        if self.node.cut:
+            await asyncio.sleep(timeout.total_seconds())
+            return False
+        return self.believed is not None and self.node.group.store.epoch == self.believed
+
+    async def confirm(self, timeout):
+        sure = await self._round_trip(timeout)
+        await self.node.step()
+        return self.node.group.store.data if sure else None
+
+    async def write(self, revision, blob, timeout):
+        epoch = self.believed
+        sure = await self._round_trip(timeout)
+        data = self.node.group.store.commit(self.node.name, epoch, revision, blob) if sure else None
+        if data is not None and self.node.luck.random() < 0.05:
+            # Committed, and the node doesn't learn of it: it is deposed at once.
+            self.believed = None
+            return None
+        await self.node.step()
+        if data is not None and self.believed == epoch:
+            self.node.writer.on_committed(data)
+        return data
+
+
+class Calls(PlatformCalls):
+    """Calls to the simulated platform; a frozen node stands still before and after each."""
+
+    def __init__(self, node):
+        super().__init__(node.settings, timedelta(seconds=2))
+        self.node = node
+
+    async def _post(self, path, fence, body):
+        await self.node.step()
+        status = await self.node.group.platform.post(self.node.name, path, fence, body)
+        await self.node.step()
+        return result_of(status or 500)
+
+
+class Node:
+    """One controller."""
+
+    def __init__(self, group, name):
+        self.group, self.name, self.luck = group, name, group.luck
+        self.settings = evolve(group.settings, node=name)
+        self.cut, self.thawed = False, asyncio.Event()
+        self.thawed.set()
+        self.service = None
+
+    async def step(self):
+        """Stands still while the node is frozen."""
+        await self.thawed.wait()
+
+    async def start(self):
+        """Starts the process, which knows nothing of an earlier one."""
+        self.consensus = Consensus(self)
+        feed = SimpleNamespace(publish=lambda *change: None)
+        self.writer = ConfigurationWriter(self.consensus, feed, lambda: timedelta(seconds=2))
+        self.service = DutyService(self.settings, self.consensus, self.writer, self.group.scaled_services)
+        await self.service.calls.close()
+        self.service.calls = Calls(self)
+        await self.service.start()
+
+    async def kill(self):
+        """Ends the process."""
+        service, self.service = self.service, None
+        self.consensus.believed = None
+        if service is not None:
+            await service.stop()
+
+    def lead(self, epoch):
+        """Wins an election: it has the committed data, and commits it again in its epoch."""
+        store = self.group.store
+        store.epoch, store.leader = epoch, self.name
+        data = store.commit(self.name, epoch, store.data.revision, store.data.blob)
+        self.consensus.believed = epoch
+        self.writer.on_committed(data)
+
+
+class Router:
+    """Counts requests and reports them as a router does; ``truth`` is what really began."""
+
+    def __init__(self, group, number):
+        self.group, self.key, self.instance = group, f"r:{number}", number
+        self.counter, self.target = UsageCounter(), number
+
+    def begin(self, tenant):
+        window = self.group.window()
+        self.counter.add(window, tenant)
+        counts = self.group.truth.setdefault(window, {})
+        counts[tenant] = counts.get(tenant, 0) + 1
+
+    def report(self):
+        """Sends a report to the node that is taken for the primary, and takes the reply in."""
+        sequence, entries = self.counter.next_report()
+        now = monotonic()
+        record = UsageReport(
+            self.key,
+            self.instance,
+            self.counter.collector_id,
+            sequence,
+            self.counter.base,
+            microseconds(now),
+            self.group.true_us(),
+            0,
+            self.group.true_us(),
+            entries,
+            [ServiceLoad("s", self.group.in_flight, 0, 0)],
+        )
+        node = self.group.nodes[self.target % len(self.group.nodes)]
+        self.target += 1
+        if node.service is None or not node.thawed.is_set():
+            return
+        self.group.replies.clear()
+        node.service.receive(self.key, record)
+        for _, reply in self.group.replies:
+            if reply.collector_id:
+                self.target -= 1
+                self.counter.on_reply(reply.collector_id, reply.sequence, reply.decided_through)
+
+
+class DutyGroup:
+    """Three nodes, three routers and a platform, under faults that a seed draws."""
+
+    def __init__(self, seed, nodes=3, routers=3):
+        self.luck = random.Random(f"duties {seed}")
+        self.settings = from_dict(SETTINGS).unwrap()
+        self.store, self.platform = Store(), Platform(self.luck)
+        self.replies, self.truth, self.in_flight = [], {}, 0
+        self.routers = [Router(self, number) for number in range(routers)]
+        self.nodes = [Node(self, f"core-{number}") for number in range(nodes)]
+        self.stopping = False
+
+    def true_us(self):
+        return START_US + microseconds(monotonic())
+
+    def window(self):
+        return window_number(self.true_us(), WINDOW)
+
+    def alive_routers(self):
+        return tuple(
+            SimpleNamespace(key=router.key, instance_id=router.instance, role=ROUTER) for router in self.routers
+        )
+
+    def scaled_services(self):
+        return [ScaledService("s", 1, 6, 10, {"z1": 3, "z2": 3})]
+
+    async def run(self, seconds, faults=()):
+        """Plays faults, each a (pause before it, name); then all is well, until all is reported."""
+        wall = mock.patch("sparloom.controller.duty_service.wall_clock_us", self.true_us)
+        with wall:
+            for node in self.nodes:
+                await node.start()
+            state = State({**POLICY, "revision": 1})
+            self.store.data = Data(0, 0, 1, state.pack())
+            self.elect(self.nodes[0])
+            background = [asyncio.ensure_future(self._traffic()), asyncio.ensure_future(self._elections())]
+            ends = asyncio.get_running_loop().time() + seconds
+            for pause, fault in faults:
+                await asyncio.sleep(pause)
+                if asyncio.get_running_loop().time() > ends:
+                    break
+                asyncio.ensure_future(getattr(self, fault)())
+            await asyncio.sleep(max(0.0, ends - asyncio.get_running_loop().time()))
+            last = self.window()
+            self.stopping = True
+            self.platform.late_s = self.platform.lost = 0.0
+            await self._until_reported(last)
+            for task in background:
+                task.cancel()
+            for node in self.nodes:
+                await node.kill()
+
+    async def _until_reported(self, last):
+        async with asyncio.timeout(90):
+            while any(window not in self.platform.log.usage for window in self.truth if window <= last):
+                await asyncio.sleep(0.2)
+
+    async def _traffic(self):
+        turn = 0
+        while True:
+            await asyncio.sleep(0.1)
+            turn += 1
+            for node in self.nodes:
+                node.consensus.heartbeat()
+            if not self.stopping:
+                self.luck.choice(self.routers).begin(self.luck.choice(("a", "b", "c")))
+            for router in self.routers:
+                router.report()
+
+    async def _elections(self):
+        """A node that can lead takes over some time after the leader is gone, frozen or cut."""
+        while True:
+            await asyncio.sleep(self.luck.uniform(0.5, 2.0))
+            leader = next((node for node in self.nodes if node.name == self.store.leader), None)
+            if leader is None or leader.service is None or leader.cut or not leader.thawed.is_set():
+                self.elect_other()
+            elif leader.consensus.believed is None:
+                self.elect(leader)
+
+    def elect(self, node):
+        node.lead(self.store.epoch + 1)
+
+    def elect_other(self):
+        able = [n for n in self.nodes if n.service is not None and not n.cut and n.thawed.is_set()]
+        if able:
+            self.elect(self.luck.choice(able))
+
+    def leader(self):
+        return next(node for node in self.nodes if node.name == self.store.leader)
+
+    async def _notice(self, node):
+        """A deposed primary notices after a while; until then it believes that it leads."""
+        await asyncio.sleep(self.luck.uniform(0.0, 4.0))
+        if self.store.leader != node.name and node.service is not None:
+            node.consensus.believed = None
+
+    # -- faults -----------------------------------------------------------------------
+    async def kill(self):
+        node = self.leader()
+        if node.service is None:
+            return
+        await node.kill()
+        await asyncio.sleep(self.luck.uniform(0.2, 4.0))
+        if node.service is None:
+            await node.start()
+
+    async def freeze(self):
+        node = self.leader()
+        node.thawed.clear()
+        await asyncio.sleep(self.luck.uniform(0.2, 6.0))
+        node.thawed.set()
+        await self._notice(node)
+
+    async def cut(self):
+        node = self.leader()
+        node.cut = True
+        await asyncio.sleep(self.luck.uniform(0.2, 6.0))
+        node.cut = False
+        await self._notice(node)
+
+    async def transfer(self):
+        """The lead goes to another node and soon back: what leases are for."""
+        node = self.leader()
+        self.elect_other()
+        asyncio.ensure_future(self._notice(node))
+        await asyncio.sleep(self.luck.uniform(0.05, 1.5))
+        if node.service is not None and node.thawed.is_set() and not node.cut:
+            self.elect(node)
+
+    async def down(self):
+        self.platform.down_until = monotonic().total_seconds() + self.luck.uniform(0.5, 12.0)
+
+    async def late(self):
+        self.platform.late_s, self.platform.lost = 6.0, 0.4
+        await asyncio.sleep(self.luck.uniform(1.0, 8.0))
+        self.platform.late_s = self.platform.lost = 0.0
+
+    async def load(self):
+        self.in_flight = self.luck.choice((0, 2, 10, 40))
