Tests of duties: storms over an agreed store, state, scaling, keys; the platform's stand-in takes calls

Storms play real duty services, counters and collectors in simulated time with kills, freezes at every step, cuts, changes of the lead there and back, and a platform that is late, silent or down; a judge keeps what the platform saw (one holder per fence, no A-B-A within the lease, one count a window, one number a fence). Over loopback a controller and a router report usage, order runners and turn unknown keys away.

--- a/fakes/duty_log.py
+++ b/fakes/duty_log.py
@@ -76,6 +76,7 @@
     faults: list[str] = field(factory=list)
     _highest: dict[str, int] = field(factory=dict)
     _holders: dict[tuple[str, str, int], str] = field(factory=dict)
+    _orders: dict[tuple[str, int], int] = field(factory=dict)
 
     def take(self, duty: str, holder: str, fence: int, body: dict[str, Any]) -> int:
         """Take a call; return the status of its answer."""
@@ -93,9 +94,14 @@
         if duty == "usage":
             self._note_usage(body)
         else:
-            self.desired[subject] = body["desiredCount"]
+            self._note_order(subject, fence, body["desiredCount"])
         return OK
 
+    def _note_order(self, subject: str, fence: int, desired: int) -> None:
+        if self._orders.setdefault((subject, fence), desired) != desired:
+            self.faults.append(f"ONE fence {fence} of {subject} orders {desired} and another number")
+        self.desired[subject] = desired
+
     def _note_usage(self, body: dict[str, Any]) -> None:
         window, counts = body["windowNumber"], body["counts"]
         if self.usage.setdefault(window, counts) != counts:
--- /dev/null
+++ b/tests/configuration/test_tenants.py
@@ -0,0 +1,76 @@
+"""Tenants in the configuration: what is refused, and what patches and deltas make of them."""
+
+import unittest
+
+from sparloom.configuration import apply_patch, build, check, delta
+from sparloom.configuration.check import TENANT, _passes_quick_checks
+from tests.support.router_fixture import POLICY
+
+FIRST = {"name": "a", "apiKeys": ["secret-1", "secret-2"], "priority": 1}
+SECOND = {"name": "b", "apiKeys": ["secret-3"]}
+DOCUMENT = {**POLICY, "tenants": [FIRST, SECOND]}
+
+
+class Faults(unittest.TestCase):
+    def fault(self, *tenants):
+        return check({**POLICY, "tenants": list(tenants)}).failure()
+
+    def test_each_fault_is_named_and_no_key_is_shown(self):
+        cases = (
+            (({**SECOND, "apiKeys": ["secret-1"]}, FIRST), "the tenants b and a share a key"),
+            ((FIRST, {**SECOND, "name": "a"}), "two tenants are named a"),
+            (({"name": "a"},), "tenant a: Missing key"),
+            (({**FIRST, "apiKeys": "secret-1"},), "tenant a:"),
+            (({**FIRST, "priority": -1},), "tenant a:"),
+        )
+        for tenants, sentence in cases:
+            with self.subTest(sentence):
+                self.assertIn(sentence, self.fault(*tenants))
+        self.assertNotIn("secret", self.fault(FIRST, {**SECOND, "apiKeys": ["secret-2"]}))
+
+    def test_tenants_must_be_a_list(self):
+        self.assertEqual(check({**POLICY, "tenants": {}}).failure(), "tenants must be a list")
+
+    def test_sound_tenants_pass_with_and_without_their_schema(self):
+        self.assertEqual(check(DOCUMENT).unwrap(), DOCUMENT)
+        for tenant in (FIRST, SECOND, {"name": "c", "apiKeys": []}, {**FIRST, "ratePerS": 3}):
+            self.assertTrue(_passes_quick_checks(tenant, "tenant"))
+            self.assertEqual(TENANT.validate(tenant), tenant)
+
+    def test_limits_of_scaling_are_checked(self):
+        def scaled(scaling):
+            return check({**POLICY, "services": [{**POLICY["services"][0], "scaling": scaling}]})
+
+        self.assertTrue(scaled({"minimum": 1, "maximum": 1, "bootTimeS": 2.5}).value_or(None))
+        for scaling in ({"minimum": 2, "maximum": 1}, {"minimum": 1}, {"minimum": True, "maximum": 2}, 3):
+            self.assertIn("scaling must name minimum and maximum", scaled(scaling).failure())
+
+
+class Patches(unittest.TestCase):
+    def patched(self, base, **patch):
+        return apply_patch(base, {"revision": 2, **patch}).unwrap()
+
+    def test_a_tenant_is_changed_added_and_removed_by_its_name(self):
+        changed = {**FIRST, "apiKeys": ["secret-9"]}
+        new = self.patched(
+            DOCUMENT, upsert={"tenants": [changed, {"name": "c", "apiKeys": []}]}, remove={"tenants": ["b"]}
+        )
+        self.assertEqual(new["tenants"], [changed, {"name": "c", "apiKeys": []}])
+
+    def test_a_patch_of_something_else_makes_no_list_of_tenants(self):
+        """An empty list would keep everybody out."""
+        self.assertNotIn("tenants", self.patched(POLICY, remove={"routes": ["once"]}))
+        self.assertNotIn("tenants", self.patched(POLICY, remove={"tenants": ["a"]}))
+        self.assertEqual(self.patched(DOCUMENT, remove={"tenants": ["a", "b"]})["tenants"], [])
+
+    def test_a_delta_leads_from_any_tenants_to_any_others(self):
+        for old in (POLICY, DOCUMENT, {**POLICY, "tenants": []}):
+            for new in (POLICY, DOCUMENT, {**POLICY, "tenants": [SECOND]}, {**POLICY, "tenants": []}):
+                found = delta(old, {**new, "revision": 2})
+                if found is not None:
+                    self.assertEqual(apply_patch(old, found).unwrap(), {**new, "revision": 2})
+
+    def test_a_key_that_passes_to_another_tenant_in_one_patch_has_one_holder(self):
+        moved = [{**FIRST, "apiKeys": ["secret-1"]}, {**SECOND, "apiKeys": ["secret-2", "secret-3"]}]
+        new = check(self.patched(DOCUMENT, upsert={"tenants": moved})).unwrap()
+        self.assertEqual(build(new).tenants.find("Token secret-2").name, "b")
--- a/tests/controller/test_program.py
+++ b/tests/controller/test_program.py
@@ -35,6 +35,10 @@
 
 
 class ControllerCase(unittest.IsolatedAsyncioTestCase):
+    # What a test needs beside the usual bounds, and of the platform.
+    bounds = {}
+    cloud = {}
+
     async def asyncSetUp(self):
         self.dir = tempfile.TemporaryDirectory()
         self.addCleanup(self.dir.cleanup)
@@ -45,8 +49,8 @@
             **STARTUP,
             "internalPortRange": [inner, inner + 9],
             "seedNodes": [f"127.0.0.1:{control}"],
-            "bounds": {"contactMs": 600},
-            "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100},
+            "bounds": {"contactMs": 600, **self.bounds},
+            "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100, **self.cloud},
         }
         self.controller_settings = from_dict(
             {
--- /dev/null
+++ b/tests/duties/test_duties_on_loopback.py
@@ -0,0 +1,60 @@
+"""A controller and a router on loopback beside a platform that takes the calls of duties."""
+
+import asyncio
+import time
+import unittest
+from http import HTTPStatus
+
+from sparloom.router.program import Router
+from tests.controller import test_program
+from tests.support.router_fixture import POLICY
+
+KEY = "a-key-of-the-first-tenant"
+DOCUMENT = {
+    **POLICY,
+    "services": [{**POLICY["services"][0], "scaling": {"minimum": 2, "maximum": 4, "bootTimeS": 1}}],
+    "tenants": [{"name": "first", "apiKeys": [KEY]}, {"name": "second", "apiKeys": ["another"]}],
+}
+
+
+class DutiesOnLoopback(test_program.ControllerCase):
+    bounds = {"usageWindowS": 1, "usageLatenessS": 2, "leaseMs": 300, "thawSlackMs": 50}
+    cloud = {"dutyPerS": 50, "duties": ["usage_reporting", "scaling"]}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.router = Router(self.edge, "/nowhere")
+        await self.router.start()
+        self.addAsyncCleanup(self.router.stop)
+
+    async def within(self, condition):
+        """Wait for what windows of a second bring about."""
+        async with asyncio.timeout(30):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def send(self, key):
+        headers = {"Host": "h.example", "X-Sparloom-Attempt-Id": f"a-{time.monotonic_ns()}"}
+        if key:
+            headers["Authorization"] = f"Token {key}"
+        async with self.http.post(f"http://{self.front}/once/x", data=b"hello", headers=headers) as response:
+            await response.read()
+            return response.status
+
+    async def test_keys_usage_and_orders(self):
+        self.assertEqual((await self.call("PUT", DOCUMENT, 0))[0], HTTPStatus.OK)
+        await self.within(self.router.node.ready)
+        self.assertEqual([await self.send(KEY) for _ in range(5)], [HTTPStatus.OK] * 5)
+        await self.within(lambda: self.router.node.snapshots.configuration_confirmed_at is not None)
+        self.assertEqual(await self.send("no-key"), HTTPStatus.UNAUTHORIZED)
+        self.assertEqual(await self.send(None), HTTPStatus.UNAUTHORIZED)
+        self.assertEqual({got.head("X-Sparloom-Tenant") for got in self.runner.got}, {"first"})
+        self.assertEqual({got.head("Authorization") for got in self.runner.got}, {None})
+        log = self.platform.duties
+        await self.within(lambda: sum(counts.get("first", 0) for counts in log.usage.values()) == 5)
+        await self.within(lambda: log.desired == {"s z1": 2})
+        self.assertEqual((log.faults, {call.holder for call in log.accepted}), ([], {"core-1"}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/duties/test_duty_storms.py
+++ b/tests/duties/test_duty_storms.py
@@ -27,6 +27,7 @@
     def hold(self, group):
         log = group.platform.log
         self.assertEqual(log.faults, [])
+        self.assertEqual(group.unconfirmed_calls, [])
         for window, counts in group.truth.items():
             self.assertEqual(log.usage[window], counts, f"window {window}")
 
--- a/tests/support/duty_group.py
+++ b/tests/support/duty_group.py
@@ -29,6 +29,8 @@
 from sparloom.usage.clock import microseconds
 from tests.support.router_fixture import POLICY, STARTUP
 
+# Between the last answer of a majority and the call for which it was asked.
+LONGEST_CONFIRMATION = timedelta(seconds=1)
 START_US = 1_700_000_000_000_000
 WINDOW = timedelta(seconds=5)
 SETTINGS = {
@@ -150,6 +152,9 @@
         self.node = node
 
     async def _post(self, path, fence, body):
+        cut_for = monotonic() - self.node.cut_at if self.node.cut else timedelta(0)
+        if cut_for > LONGEST_CONFIRMATION:
+            self.node.group.unconfirmed_calls.append((self.node.name, fence))
         await self.node.step()
         status = await self.node.group.platform.post(self.node.name, path, fence, body)
         await self.node.step()
@@ -162,7 +167,7 @@
     def __init__(self, group, name):
         self.group, self.name, self.luck = group, name, group.luck
         self.settings = evolve(group.settings, node=name)
-        self.cut, self.thawed = False, asyncio.Event()
+        self.cut, self.cut_at, self.thawed = False, timedelta(0), asyncio.Event()
         self.thawed.set()
         self.service = None
 
@@ -249,6 +254,8 @@
         self.routers = [Router(self, number) for number in range(routers)]
         self.nodes = [Node(self, f"core-{number}") for number in range(nodes)]
         self.stopping = False
+        # (node, fence) of calls by a node that no majority could have confirmed.
+        self.unconfirmed_calls = []
 
     def true_us(self):
         return START_US + microseconds(monotonic())
@@ -353,7 +360,7 @@
 
     async def cut(self):
         node = self.leader()
-        node.cut = True
+        node.cut, node.cut_at = True, monotonic()
         await asyncio.sleep(self.luck.uniform(0.2, 6.0))
         node.cut = False
         await self._notice(node)
