Soak of duties: tenants' clients while holders end and pause and the platform is slow or refuses

Real processes on loopback; the platform's stand-in judges fences, turns and counts; withdrawn keys must be out of force at each router; what is reported is compared with what ran.

--- a/simulator/soak/command.py
+++ b/simulator/soak/command.py
@@ -1,23 +1,26 @@
-"""The command of the soak: seeds of both plays, some at the same time."""
+"""The command of the soak: seeds of each play, some at the same time."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 
+from .duties import DutyPlay
 from .jobs import JobPlay
 from .processes import ROOT
 from .requests import RequestPlay
 
-PLAYS = ("requests", "jobs")
+PLAYS = ("requests", "jobs", "duties")
 
 
 async def _play(kind: str, seed: int, routers: int, clients: int, seconds: float, root: str) -> bool:
-    play: RequestPlay | JobPlay
+    play: RequestPlay | JobPlay | DutyPlay
     if kind == "requests":
         play = RequestPlay(seed, routers or 3, clients, seconds, root or ROOT)
-    else:
+    elif kind == "jobs":
         play = JobPlay(seed, routers or 2, seconds=seconds)
+    else:
+        play = DutyPlay(seed, routers or 3, seconds)
     started = time.monotonic()
     try:
         faults = await play.run()
@@ -44,7 +47,7 @@
 ) -> int:
     """Play seeds with real processes on loopback.
 
-    :param play: requests or jobs; both in turn without it
+    :param play: requests, jobs or duties; each in turn without it
     :param seed: the first seed
     :param runs: how many seeds of each play
     :param parallel: how many plays run at the same time
--- a/tests/duties/test_duty_storms.py
+++ b/tests/duties/test_duty_storms.py
@@ -42,6 +42,11 @@
                 with self.subTest(fault=fault, step=step):
                     self.hold(play(f"{fault} {step}", [(6.0 + 0.37 * step, fault)], seconds=22))
 
+    def test_a_node_that_wins_twice_in_a_row_waits_for_the_lease_of_the_other_all_the_same(self):
+        """Regression: a second claim of the same node skipped the wait that its first one had begun."""
+        group = play("twice", [(8.0, "double_elections")], seconds=25)
+        self.hold(group)
+
     def test_on_a_calm_day_one_holder_acts_with_one_fence(self):
         group = play("calm", [])
         self.hold(group)
--- a/tests/simulator/test_soak.py
+++ b/tests/simulator/test_soak.py
@@ -15,6 +15,9 @@
     def test_jobs_while_controllers_are_killed_and_orders_are_carried_out_late(self):
         self.assertEqual(soak(play="jobs", runs=2, parallel=2, seconds=12.0), 0)
 
+    def test_duties_while_their_holder_is_killed_and_pauses_and_the_platform_is_late(self):
+        self.assertEqual(soak(play="duties", runs=2, parallel=2, seconds=12.0), 0)
+
     def test_an_unknown_play_is_refused(self):
         self.assertEqual(soak(play="nothing"), 2)
 
--- a/tests/support/duty_group.py
+++ b/tests/support/duty_group.py
@@ -374,6 +374,15 @@
         if node.service is not None and node.thawed.is_set() and not node.cut:
             self.elect(node)
 
+    async def double_elections(self):
+        """Each of two nodes wins twice in a row, again and again: a second claim of a node follows on its own first."""
+        first, second = self.nodes[:2]
+        for node in (first, first, second, second, first, first):
+            for other in self.nodes:
+                other.consensus.believed = None
+            self.elect(node)
+            await asyncio.sleep(0.6)
+
     async def down(self):
         self.platform.down_until = monotonic().total_seconds() + self.luck.uniform(0.5, 12.0)
 
