--- a/simulator/virtual.py
+++ b/simulator/virtual.py
@@ -26,6 +26,8 @@
 
 HOST = ContextVar("host", default="127.0.0.1")
 START = 1000.0
+# The wall clock, in nanoseconds since 1970, as the simulated clock begins at 0.
+WALL_CLOCK_NS = 1_700_000_000 * 10**9
 MOST = 65507
 GIVE_UP = 2.0
 
@@ -359,7 +361,11 @@
     Disk.held = {}
     with ExitStack() as stack:
         for obj, name, val in (
-            (clock, "time", SimpleNamespace(monotonic=loop.time)),
+            (
+                clock,
+                "time",
+                SimpleNamespace(monotonic=loop.time, time_ns=lambda: WALL_CLOCK_NS + int(loop.time() * 1e9)),
+            ),
             (random, "Random", Seeded),
             (os, "urandom", luck.randbytes),
             (sockets, "take", _Socket),
--- a/sparloom/configuration/__init__.py
+++ b/sparloom/configuration/__init__.py
@@ -4,7 +4,6 @@
 from .evacuation import EVACUATED_ZONES, evacuated_zones, with_evacuated_zones, without_evacuated_zones
 from .patch import apply_patch, delta
 from .table import Configuration, RequestLimits, Route, Scaling, Service, build
-from .tenants import Tenant, TenantKeys
 
 __all__ = [
     "EVACUATED_ZONES",
@@ -15,8 +14,6 @@
     "Route",
     "Scaling",
     "Service",
-    "Tenant",
-    "TenantKeys",
     "apply_patch",
     "build",
     "check",
--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -8,10 +8,10 @@
 from attrs import define, field
 
 from .evacuation import evacuated_zones
-from .tenants import TenantKeys
 
 if TYPE_CHECKING:
     from .check import ConfigurationDocument
+    from .tenants import TenantKeys
 
 DEFAULT_TIMEOUT_MS = 30000
 DEFAULT_PRIORITY = 5
@@ -264,6 +264,15 @@
     )
 
 
+def _tenant_keys(document: ConfigurationDocument) -> TenantKeys | None:
+    if "tenants" not in document:
+        return None
+    # Routers without tenants don't spend time and memory of a start on it.
+    from .tenants import TenantKeys
+
+    return TenantKeys.of(document["tenants"])
+
+
 def _by_host(routes: tuple[Route, ...]) -> dict[str, tuple[Route, ...]]:
     """The routes of each host, the longest prefix first."""
     hosts: dict[str, list[Route]] = {}
@@ -288,5 +297,5 @@
         limits=_request_limits(document.get("limits", {})),
         hosts=_by_host(routes),
         evacuated_zones=evacuated_zones(document),
-        tenants=TenantKeys.of(document["tenants"]) if "tenants" in document else None,
+        tenants=_tenant_keys(document),
     )
--- a/sparloom/configuration/tenants.py
+++ b/sparloom/configuration/tenants.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-AUTHORIZATION_SCHEME = "Token"
+# Of the ``Authorization`` header.
+SCHEME = "token"
 DIGEST_BYTES = 16
 _SECRET = os.urandom(32)
 
@@ -32,7 +33,7 @@
     ('abc', 'abc', None, None)
     """
     scheme, _, key = (authorization or "").strip().partition(" ")
-    return key.strip() or None if scheme.lower() == AUTHORIZATION_SCHEME.lower() else None
+    return key.strip() or None if scheme.lower() == SCHEME else None
 
 
 @define(frozen=True, slots=True)
--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -23,7 +23,6 @@
 
 from .change_requests import ChangeRequest, Verdict, judge
 from .control_state import State
-from .duty_updates import judge_duties
 from .evacuation_orders import EvacuationOrder, judge_evacuation
 from .offload import is_large, run
 
@@ -273,6 +272,9 @@
         if isinstance(request, EvacuationOrder):
             return judge_evacuation(state, request)
         if isinstance(request, DutyUpdate):
+            # Deployments without duties don't spend time and memory of a start on it.
+            from .duty_updates import judge_duties
+
             return judge_duties(state, request)
         is_long = is_large(state.configuration) or is_large(request.change)
         return await run(is_long, judge, state, request, self._visible_routers())
--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -136,8 +136,7 @@
     @property
     def enabled(self) -> bool:
         """Whether the platform expects any duty."""
-        duties = self.settings.duties
-        return self.settings.cloud is not None and (duties.reports_usage or duties.scales)
+        return self.settings.cloud is not None and self.settings.duties.expected
 
     async def on_stop(self) -> None:
         """Close the connections to the platform."""
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -12,10 +12,8 @@
 
 from .consensus_service import ConsensusService
 from .control_api import ControlApi
-from .duty_service import DutyService
 from .endpoint_poller import EndpointPoller
 from .feed_server import FeedServer
-from .scaled_services import scaled_services
 
 if TYPE_CHECKING:
     from sparloom.codec import Record
@@ -23,6 +21,7 @@
     from sparloom.duties.scaling import ScaledService
     from sparloom.settings import Settings
 
+    from .duty_service import DutyService
     from .job_service import JobService
 
 # The part of the grace period that a planned leave may take.
@@ -42,8 +41,8 @@
         Publishes the configuration and the endpoint list to the routers.
     poller : EndpointPoller
         Keeps the endpoint list up to date while this controller is the primary.
-    duties : DutyService
-        Carries out the duties at the platform while this controller is the primary.
+    duties : DutyService or None
+        Carries out the duties at the platform while this controller is the primary, where any are expected.
     jobs : JobService or None
         Keeps and runs jobs, on deployments that have them.
     """
@@ -54,7 +53,7 @@
         self.add_dependency(self.feed_server)
         self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed, self._receive)
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
-        self.duties = DutyService(settings, self.consensus, self.control_api.writer, self._scaled_services)
+        self.duties = self._duty_service(settings)
         self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
@@ -69,23 +68,35 @@
 
         return JobService(settings, feed_server.evacuated_zones)
 
+    def _duty_service(self, settings: Settings) -> DutyService | None:
+        if not settings.duties.expected:
+            return None
+        # Other deployments don't spend time and memory of a start on it.
+        from .duty_service import DutyService
+
+        return DutyService(settings, self.consensus, self.control_api.writer, self._scaled_services)
+
     def _scaled_services(self) -> list[ScaledService]:
         """The services whose runners are ordered, as the newest configuration and list have them."""
+        from .scaled_services import scaled_services
+
         committed, listed = self.control_api.writer.committed, self.poller.last
         if committed is None or listed is None:
             return []
         return scaled_services(committed.state.configuration.get("services", []), listed.runners)
 
     def _receive(self, sender: str, record: Record) -> bool:
-        return self.duties.receive(sender, record)
+        return self.duties is not None and self.duties.receive(sender, record)
 
     def _on_committed(self, data: Data) -> None:
         self.control_api.on_committed(data)
 
     async def on_start(self) -> None:
         """Starts the services in the order in which they need each other."""
-        for service in (self.consensus, self.control_api, self.poller, self.duties):
+        for service in (self.consensus, self.control_api, self.poller):
             await self.add_runtime_dependency(service)
+        if self.duties is not None:
+            await self.add_runtime_dependency(self.duties)
         if self.jobs is not None:
             await self.add_runtime_dependency(self.jobs)
         await self.start_metrics_reporter()
--- a/sparloom/launch/build_archive.py
+++ b/sparloom/launch/build_archive.py
@@ -26,7 +26,17 @@
     from types import CodeType, ModuleType
 
 COMPILE_PATTERN = pattern_compiler.compile
-PROGRAMS = ("sparloom.cli", "sparloom.router.program", "sparloom.controller.program")
+PROGRAMS = (
+    "sparloom.cli",
+    "sparloom.router.program",
+    "sparloom.controller.program",
+    # Loaded only where there are tenants, or the platform expects duties.
+    "sparloom.configuration.tenants",
+    "sparloom.controller.duty_updates",
+    "sparloom.router.usage_reporter",
+    "sparloom.controller.duty_service",
+    "sparloom.controller.scaled_services",
+)
 LOADED_BEFORE = frozenset(
     (
         "__main__",
--- a/sparloom/router/access.py
+++ b/sparloom/router/access.py
@@ -24,7 +24,8 @@
 
     from multidict import CIMultiDict
 
-    from sparloom.configuration import Route, Tenant
+    from sparloom.configuration import Route
+    from sparloom.configuration.tenants import Tenant
 
     from .router_state import RouterState
 
--- a/sparloom/router/admission_queues.py
+++ b/sparloom/router/admission_queues.py
@@ -9,7 +9,6 @@
 
 from sparloom.admission import AdmissionController, Admitted, Capacity, Demand, Queued, Rejected, members_of
 from sparloom.transport import monotonic
-from sparloom.usage import ServiceLoad
 
 from .timeout_buckets import maximum_in_flight
 
@@ -29,6 +28,14 @@
 DEFAULT_CONNECTION_LIMIT = 64
 
 
+class InHand(NamedTuple):
+    """Requests of a service: at runners, waiting to be admitted, and rejected since the process started."""
+
+    in_flight: int
+    waiting: int
+    rejected: int
+
+
 class _MembersCache(NamedTuple):
     """Members, and from which configuration and declaration they were derived."""
 
@@ -213,14 +220,14 @@
             self._peers_in_flight[service_name] = (now, peers)
         return own + peers
 
-    def load(self, service_name: str) -> ServiceLoad:
-        """What this router has in hand for a service, as controllers are told."""
+    def load(self, service_name: str) -> InHand:
+        """What this router has in hand for a service."""
         own = self.state.in_flight.own
         in_flight = sum(own.get(backend.id, 0) for backend in self.state.backends.of(service_name))
         controller = self.controllers.get(service_name)
         waiting = sum(map(len, controller.queues.values())) if controller else 0
         rejected = sum(controller.rejections.values()) if controller else 0
-        return ServiceLoad(service_name, in_flight, waiting, rejected)
+        return InHand(in_flight, waiting, rejected)
 
     def _notify(self, decisions: Iterable[Admitted | Rejected]) -> None:
         """Wakes the requests that were decided on."""
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -221,7 +221,8 @@
         attempt.inactivity.progressed()
         if not self._began and attempt.response.status == OK:
             self._began = True
-            self._services.usage.on_began(self.request.tenant)
+            if self._services.usage is not None:
+                self._services.usage.on_began(self.request.tenant)
         if self._hedging.active:
             self._hedging.drop()
             # The hedged attempt may already have ended this wait; it goes on to the deadline.
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 from mode import Service
 
-from sparloom.configuration.tenants import AUTHORIZATION_SCHEME
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
@@ -20,7 +19,7 @@
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
 from .forwarding import RequestForwarder
 from .graceful_shutdown import GracefulShutdown
-from .headers import AUTHORIZATION, time_remaining
+from .headers import AUTHORIZATION, AUTHORIZATION_SCHEME, time_remaining
 from .outcomes import Outcome, Outcomes
 from .refusal import UNAVAILABLE, closing_response
 from .request import RequestBodyError, parse_request, read_body
--- a/sparloom/router/headers.py
+++ b/sparloom/router/headers.py
@@ -12,6 +12,8 @@
 
 ATTEMPT_ID = "X-Sparloom-Attempt-Id"
 AUTHORIZATION = "Authorization"
+# Of the keys of tenants.
+AUTHORIZATION_SCHEME = "Token"
 DEADLINE_REMAINING = "X-Sparloom-Deadline-Remaining"
 EXPECTED_INSTANCE = "X-Sparloom-Expected-Instance"
 NOT_RUN = "X-Sparloom-Not-Run"
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -12,7 +12,6 @@
 from sparloom.prefix_cache import PrefixPlacements
 from sparloom.relay import plan_tier
 from sparloom.transport import monotonic
-from sparloom.usage import UsageReply
 
 from .admission_queues import AdmissionQueues
 from .feed_client import FeedClient
@@ -21,7 +20,6 @@
 from .prefix_recall import PrefixRecall
 from .relay_server import RelayServer
 from .router_state import ForwardingServices, RetryBudgets, RouterState
-from .usage_reporter import UsageReporter
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -31,6 +29,8 @@
     from sparloom.retry import RetryBudget
     from sparloom.settings import Settings
 
+    from .usage_reporter import UsageReporter
+
 DEFAULT_CACHE_TOKENS = 1 << 18
 # Membership is looked at in each fourth tick, beginning with the first.
 MEMBERSHIP_TICKS = 4
@@ -56,7 +56,7 @@
     feed_client: follows the feed.
     gossip: exchanges in-flight counts with the other routers.
     prefix_recall: exchanges long prefixes with controllers.
-    usage: counts what begins, and reports it to the primary.
+    usage: counts what begins, and reports it to the primary; None where the platform expects no duties.
     relay_server: passes the feed on.
     """
 
@@ -92,11 +92,19 @@
         )
         self.gossip = InFlightGossip(state, self.membership, self.feed_client.upstream)
         self.prefix_recall = PrefixRecall(state, self.membership)
-        self.usage = UsageReporter(state, self.membership, self.queues)
+        self.usage = self._usage_reporter(settings)
         self.relay_server = RelayServer(state, self.feed_client)
         # The routers, with their zones, for which the tier was planned.
         self.tier_members: frozenset[tuple[str, str]] | None = None
 
+    def _usage_reporter(self, settings: Settings) -> UsageReporter | None:
+        if not settings.duties.expected:
+            return None
+        # Other deployments don't spend time and memory of a start on it.
+        from .usage_reporter import UsageReporter
+
+        return UsageReporter(self.snapshots, self.membership, self.queues)
+
     @property
     def shelf(self) -> VersionedStore:
         """The versions of what this router has."""
@@ -131,7 +139,7 @@
 
     async def on_stop(self) -> None:
         """Leaves the fleet before anything else ends, then closes the connections to the backends."""
-        if self.membership.is_open and self.usage.enabled:
+        if self.membership.is_open and self.usage is not None:
             self.usage.send(monotonic())
         self.membership.close()
         for backend in self.snapshots.backends.by_id.values():
@@ -147,8 +155,8 @@
             self.gossip.on_message(message, source)
         elif isinstance(message, PrefixPlacements):
             self.prefix_recall.on_message(source, message)
-        elif isinstance(message, UsageReply):
-            self.usage.on_reply(source, message)
+        elif self.usage is not None:
+            self.usage.on_message(source, message)
 
     def _on_departed(self, key: str, instance: int | None) -> None:
         self.gossip.on_departed(key, instance)
@@ -160,7 +168,8 @@
             self.update_relay_tier()
         self.gossip.tick(turn)
         self.prefix_recall.tick(turn)
-        self.usage.tick()
+        if self.usage is not None:
+            self.usage.tick()
 
     def update_fleet_size(self) -> None:
         """Notes among how many routers capacity is divided."""
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -164,7 +164,7 @@
     queues: admission queues by service.
     gossip: tells the other routers of prompts that went out.
     prefix_recall: tells controllers of long prefixes.
-    usage: counts what begins.
+    usage: counts what begins; None where nobody asks.
     random: source of random draws.
     """
 
@@ -174,5 +174,5 @@
     queues: AdmissionQueues
     gossip: InFlightGossip
     prefix_recall: PrefixRecall
-    usage: UsageReporter
+    usage: UsageReporter | None
     random: random.Random
--- a/sparloom/router/usage_reporter.py
+++ b/sparloom/router/usage_reporter.py
@@ -7,11 +7,11 @@
 
 from sparloom.membership import CONTROLLER
 from sparloom.transport import monotonic, wall_clock_us
-from sparloom.usage import RouterClock, ServiceLoad, UsageCounter, UsageReport, window_number
+from sparloom.usage import RouterClock, ServiceLoad, UsageCounter, UsageReply, UsageReport, window_number
 from sparloom.usage.clock import MICROSECOND, microseconds
 
 if TYPE_CHECKING:
-    from sparloom.usage import UsageReply
+    from sparloom.codec import Record
 
     from .admission_queues import AdmissionQueues
     from .membership_service import MembershipService
@@ -43,12 +43,6 @@
         self._sent_at = timedelta(0)
         self._replied_at = timedelta(0)
 
-    @property
-    def enabled(self) -> bool:
-        """Whether the platform expects anything that rests on these reports."""
-        duties = self._state.settings.duties
-        return bool(duties.reports_usage or duties.scales)
-
     def on_began(self, tenant: str) -> None:
         """A request of a tenant has begun to run: its first part has come."""
         if tenant and self._state.settings.duties.reports_usage:
@@ -65,7 +59,7 @@
     def tick(self) -> None:
         """Send a report if one is due."""
         now = monotonic()
-        if self.enabled and now - self._sent_at >= self._interval():
+        if now - self._sent_at >= self._interval():
             self.send(now)
 
     def send(self, now: timedelta) -> None:
@@ -105,10 +99,14 @@
         if configuration is None or not self._state.settings.duties.scales:
             return []
         scaled = sorted(name for name, service in configuration.services.items() if service.scaling is not None)
-        return [self._queues.load(name) for name in scaled]
+        return [ServiceLoad(name, *self._queues.load(name)) for name in scaled]
+
+    def on_message(self, source: str, message: Record) -> None:
+        """Take a message, if it is a controller's reply to the newest report; earlier ones tell nothing more."""
+        if isinstance(message, UsageReply):
+            self._on_reply(source, message)
 
-    def on_reply(self, source: str, reply: UsageReply) -> None:
-        """Take a controller's reply to the newest report; replies to earlier ones tell nothing more."""
+    def _on_reply(self, source: str, reply: UsageReply) -> None:
         now = monotonic()
         if reply.sent_at_us != microseconds(self._sent_at):
             return
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -221,6 +221,17 @@
     usage_error: float = 0.05
     usage_lateness: timedelta = timedelta(seconds=10)
 
+    @property
+    def expected(self) -> bool:
+        """Whether the platform expects any duty.
+
+        Examples
+        --------
+        >>> DutySettings().expected, DutySettings(scales=True).expected
+        (False, True)
+        """
+        return self.reports_usage or self.scales
+
 
 @define(frozen=True, slots=True)
 class CloudApi:
--- a/sparloom/usage/clock.py
+++ b/sparloom/usage/clock.py
@@ -10,7 +10,6 @@
 
 from collections import deque
 from datetime import timedelta
-from statistics import median_low
 
 from attrs import define, field
 
@@ -124,5 +123,6 @@
 
     def _median(self, now: timedelta) -> int:
         self._offsets = {node: told for node, told in self._offsets.items() if now - told[1] <= OFFSET_VALID}
-        offset: int = median_low([self._own_offset_us, *(offset for offset, _ in self._offsets.values())])
-        return offset
+        offsets = sorted([self._own_offset_us, *(offset for offset, _ in self._offsets.values())])
+        # The lower of two in the middle; the library's median would load much else at each start.
+        return offsets[(len(offsets) - 1) // 2]
--- a/tests/router/test_access.py
+++ b/tests/router/test_access.py
@@ -86,6 +86,11 @@
         outcome("/once/", "Token k1").edit(headers)
         self.assertEqual(dict(headers), {"X-Sparloom-Tenant": "first", "A": "b"})
 
+    def test_on_a_public_route_without_a_key_no_tenant_is_named(self):
+        headers = CIMultiDict({"X-Sparloom-Tenant": "second"})
+        outcome("/open/", None).edit(headers)
+        self.assertEqual(len(headers), 0)
+
     def test_without_tenants_headers_go_on_as_they_are(self):
         headers = CIMultiDict({"Authorization": "Basic x", "X-Sparloom-Tenant": "t"})
         OPEN_ACCESS.edit(headers)
