--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -16,7 +16,6 @@
 from attrs import define
 
 from sparloom.configuration import with_evacuated_zones
-from sparloom.duties import DutyUpdate
 from sparloom.feed import CONFIGURATION
 from sparloom.membership import ROUTER
 from sparloom.transport import monotonic
@@ -30,6 +29,7 @@
     from collections.abc import Callable
 
     from sparloom.consensus import Data
+    from sparloom.duties import DutyUpdate
 
     from .change_requests import Judgement
     from .consensus_service import ConsensusService
@@ -271,7 +271,7 @@
     async def _judgement(self, request: Order, state: State) -> Judgement:
         if isinstance(request, EvacuationOrder):
             return judge_evacuation(state, request)
-        if isinstance(request, DutyUpdate):
+        if not isinstance(request, ChangeRequest):
             # Deployments without duties don't spend time and memory of a start on it.
             from .duty_updates import judge_duties
 
@@ -316,8 +316,9 @@
 def _log_committed(request: Order, state: State) -> None:
     if isinstance(request, EvacuationOrder):
         logging.info("control: evacuation committed zone=%s evacuated=%s", request.zone, request.evacuate)
-    elif isinstance(request, DutyUpdate):
+    elif not isinstance(request, ChangeRequest):
         duties = state.duties
+        assert duties is not None, "an update of the duties leaves none"
         logging.debug(
             "control: duties committed holder=%s fence=%d next_window=%d",
             duties.holder,
--- a/sparloom/controller/control_state.py
+++ b/sparloom/controller/control_state.py
@@ -18,13 +18,15 @@
 import json
 import struct
 import zlib
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, evolve, field
 
-from sparloom.duties import DutyState
 from sparloom.errors import SparloomError
 
+if TYPE_CHECKING:
+    from sparloom.duties import DutyState
+
 VERSION = 2
 VERSION_WITH_EVACUATIONS = 3
 VERSION_WITH_DUTIES = 4
@@ -40,7 +42,6 @@
 _SORTED = json.JSONEncoder(separators=(",", ":"), sort_keys=True)
 
 ConfigurationDict = dict[str, Any]
-NO_DUTIES = DutyState()
 
 
 class ControlStateError(SparloomError, ValueError):
@@ -150,15 +151,15 @@
         The number of routers that were known when it was committed.
     evacuated : frozenset of str
         The zones whose runners are to be sent nothing.
-    duties : DutyState
-        What is decided about the duties at the platform.
+    duties : DutyState or None
+        What is decided about the duties at the platform; None before the first holder.
     """
 
     configuration: ConfigurationDict
     history: History = field(factory=History)
     router_count: int = 0
     evacuated: frozenset[str] = frozenset()
-    duties: DutyState = NO_DUTIES
+    duties: DutyState | None = None
 
     @property
     def revision(self) -> int:
@@ -198,6 +199,7 @@
     def with_duties(self, duties: DutyState) -> State:
         """The state with another state of the duties.
 
+        >>> from sparloom.duties import DutyState
         >>> State({}).with_duties(DutyState("core-1")).duties.holder
         'core-1'
         """
@@ -219,7 +221,7 @@
     def _section(self) -> tuple[int, bytes]:
         """The version that the state needs, and what stands between the records and the configuration."""
         zones = sorted(self.evacuated)
-        if self.duties != NO_DUTIES:
+        if self.duties is not None:
             text = _COMPACT.encode({"evacuated": zones, "duties": self.duties.to_json()})
             return VERSION_WITH_DUTIES, _with_length(zlib.compress(text.encode(), _FASTEST))
         if zones:
@@ -261,12 +263,15 @@
     return _LENGTH.pack(len(section)) + section
 
 
-def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState]:
+def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState | None]:
     """The evacuated zones and the duties in what stands between the records and the configuration."""
     if version == VERSION:
-        return frozenset(), NO_DUTIES
+        return frozenset(), None
     if version == VERSION_WITH_EVACUATIONS:
-        return frozenset(json.loads(section)), NO_DUTIES
+        return frozenset(json.loads(section)), None
+    # Controllers without duties don't spend time and memory of a start on it.
+    from sparloom.duties import DutyState
+
     item = json.loads(zlib.decompress(section))
     return frozenset(item["evacuated"]), DutyState.from_json(item["duties"])
 
--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -20,7 +20,7 @@
 from attrs import define, field
 from mode import Service
 
-from sparloom.duties import DecidedWindow, DutyUpdate, ScaleOrder
+from sparloom.duties import DecidedWindow, DutyState, DutyUpdate, ScaleOrder
 from sparloom.duties.scaling import ScalePolicy, demand_of
 from sparloom.duties.state import MAXIMUM_WINDOWS
 from sparloom.membership import ROUTER
@@ -35,7 +35,6 @@
     from collections.abc import Callable
 
     from sparloom.codec import Record
-    from sparloom.duties import DutyState
     from sparloom.duties.scaling import ScaledService
     from sparloom.settings import Settings
 
@@ -157,7 +156,9 @@
     def _state(self) -> DutyState | None:
         """The committed state of the duties; None before there is a configuration."""
         committed = self.writer.committed
-        return committed.state.duties if committed is not None and committed.state.revision else None
+        if committed is None or not committed.state.revision:
+            return None
+        return committed.state.duties or DutyState()
 
     def receive(self, sender: str, record: Record) -> bool:
         """Take a router's report; return whether the record was one."""
--- a/sparloom/controller/duty_updates.py
+++ b/sparloom/controller/duty_updates.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from sparloom.duties import DutyState
+
 from .change_requests import Judgement, Verdict
 
 if TYPE_CHECKING:
@@ -22,9 +24,10 @@
     >>> judge_duties(State({}), DutyUpdate("core-1")).verdict.name
     'STALE'
     """
-    duties = update.apply(state.duties)
+    before = state.duties or DutyState()
+    duties = update.apply(before)
     if duties is None:
         return Judgement(Verdict.STALE)
-    if duties == state.duties:
+    if duties == before:
         return Judgement(Verdict.ALREADY_COMMITTED)
     return Judgement(Verdict.NEW, state.with_duties(duties))
--- a/sparloom/launch/build_archive.py
+++ b/sparloom/launch/build_archive.py
@@ -32,6 +32,7 @@
     "sparloom.controller.program",
     # Loaded only where there are tenants, or the platform expects duties.
     "sparloom.configuration.tenants",
+    "sparloom.router.access",
     "sparloom.controller.duty_updates",
     "sparloom.router.usage_reporter",
     "sparloom.controller.duty_service",
--- a/sparloom/router/access.py
+++ b/sparloom/router/access.py
@@ -44,17 +44,14 @@
 
 @define(frozen=True, slots=True)
 class Access:
-    """What a request was let in with.
+    """What a request was let in with: keys stay here, and runners are told the tenant.
 
     Attributes
     ----------
-    has_tenants
-        Whether the configuration has tenants: then keys stay here, and runners are told the tenant.
     tenant
         The tenant whose key the request carries; None on public routes without one.
     """
 
-    has_tenants: bool = False
     tenant: Tenant | None = None
 
     def priority(self, route: Route) -> int:
@@ -65,28 +62,22 @@
 
     def edit(self, headers: CIMultiDict[str]) -> None:
         """Take the key out of the headers for the runner, and name the tenant, whatever the client has named."""
-        if not self.has_tenants:
-            return
         headers.popall(names.AUTHORIZATION, None)
         headers.popall(names.TENANT, None)
         if self.tenant is not None:
             headers[names.TENANT] = self.tenant.name
 
 
-OPEN_ACCESS = Access()
-
-
 def authorize(state: RouterState, route: Route, authorization: str | None, now: timedelta) -> Access | Denial:
-    """Return with what a request of a route is let in, or why it isn't."""
-    keys = state.configuration.tenants if state.configuration else None
-    if keys is None:
-        return OPEN_ACCESS
-    tenant = keys.find(authorization)
+    """Return with what a request of a route is let in, or why it isn't; the configuration has tenants."""
+    assert state.configuration is not None, "a route was matched without a configuration"
+    assert state.configuration.tenants is not None, "the configuration has no tenants"
+    tenant = state.configuration.tenants.find(authorization)
     if route.public:
-        return Access(True, tenant)
+        return Access(tenant)
     settings, age = state.settings, state.configuration_age(now)
     if tenant is None:
         return Denial.UNKNOWN_KEY if age < settings.bounds.config_apply * SURE_PART else Denial.NOT_SURE
     if settings.revocation.closed and age > settings.revocation.within * CLOSED_PART:
         return Denial.NOT_SURE
-    return Access(True, tenant)
+    return Access(tenant)
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -15,7 +15,6 @@
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
 
-from .access import Denial, authorize
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
 from .forwarding import RequestForwarder
 from .graceful_shutdown import GracefulShutdown
@@ -27,8 +26,10 @@
 if TYPE_CHECKING:
     import socket
 
+    from sparloom.configuration import Route
     from sparloom.settings import Address, Settings
 
+    from .access import Access
     from .client_connections import ClientConnection
     from .job_requests import JobRequests
     from .router_node import RouterNode
@@ -197,9 +198,9 @@
         route = state.configuration.match(http_request.headers.get("Host", ""), path)
         if route is None:
             return web.Response(status=NOT_FOUND)
-        access = authorize(state, route, http_request.headers.get(AUTHORIZATION), monotonic())
-        if isinstance(access, Denial):
-            return _denial_response(access)
+        access = self._authorize(route, http_request)
+        if isinstance(access, web.Response):
+            return access
         if self.jobs is not None:
             return await self.jobs.answer(http_request, body, route)
         member, isolation = self.node.queues.member(route), self.settings.isolation
@@ -207,6 +208,21 @@
         services = self.node.forwarding_services()
         return await self._forward(RequestForwarder(services, http_request, request, lambda: self.stopping))
 
+    def _authorize(self, route: Route, http_request: web.BaseRequest) -> Access | web.Response | None:
+        """Return with what a request is let in, None where there are no tenants, or the response that denies it."""
+        state = self.node.snapshots
+        if state.configuration is None or state.configuration.tenants is None:
+            return None
+        # Routers without tenants don't spend time and memory of a start on it.
+        from .access import Denial, authorize
+
+        access = authorize(state, route, http_request.headers.get(AUTHORIZATION), monotonic())
+        if access is Denial.UNKNOWN_KEY:
+            return web.Response(status=UNAUTHORIZED, headers={"WWW-Authenticate": AUTHORIZATION_SCHEME})
+        if access is Denial.NOT_SURE:
+            return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNCONFIGURED})
+        return access
+
     async def _forward(self, forwarder: RequestForwarder) -> web.StreamResponse:
         """Forward a request, or refuse it where this router may stop before it ends."""
         self.forwarders.add(forwarder)
@@ -261,12 +277,6 @@
                 return
 
 
-def _denial_response(denial: Denial) -> web.Response:
-    if denial is Denial.UNKNOWN_KEY:
-        return web.Response(status=UNAUTHORIZED, headers={"WWW-Authenticate": AUTHORIZATION_SCHEME})
-    return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNCONFIGURED})
-
-
 def _size_of_headers(http_request: web.BaseRequest) -> int:
     """Return the bytes that the headers took on the wire."""
     return sum(len(name) + len(value) + HEADER_LINE_OVERHEAD for name, value in http_request.raw_headers)
--- a/sparloom/router/request.py
+++ b/sparloom/router/request.py
@@ -13,7 +13,6 @@
 from sparloom.retry.verdict import ResponseHead
 
 from . import headers as names
-from .access import OPEN_ACCESS
 from .headers import MILLISECOND, end_to_end, time_remaining
 
 if TYPE_CHECKING:
@@ -131,7 +130,7 @@
     now: timedelta,
     member: str = "",
     isolation: Isolation | None = None,
-    access: Access = OPEN_ACCESS,
+    access: Access | None = None,
 ) -> Request:
     """Build a request from what the server has read.
 
@@ -139,7 +138,8 @@
     so that equal prompts of two members have nothing in common.
     """
     headers = end_to_end(http_request.raw_headers)
-    access.edit(headers)
+    if access is not None:
+        access.edit(headers)
     prompt = headers.get(names.PROMPT_PREFIX)
     return Request(
         attempt_id=headers.get(names.ATTEMPT_ID, ""),
@@ -152,8 +152,8 @@
         parts=parse_parts(prompt, isolation.newest.part_key(member) if isolation else b""),
         member=member,
         part_ids=part_ids(prompt) if isolation else (),
-        priority=access.priority(route),
-        tenant=access.tenant.name if access.tenant else "",
+        priority=access.priority(route) if access else route.priority,
+        tenant=access.tenant.name if access and access.tenant else "",
     )
 
 
