Model of the duties: every order of events of two holders and a platform, within a depth

The programs' own state machine (duties/state.py, duties/lease.py) under elections, late calls, restarts and time. Invariants: no fence from two holders, no window with two counts, no order with two numbers, no A-B-A within the lease. The platform's stand-in judges turns per subject, as the platform checks fences; the storms judge them by the moment of sending, over all duties.

--- a/fakes/duty_log.py
+++ b/fakes/duty_log.py
@@ -108,9 +108,14 @@
             self.faults.append(f"ONE window {window} has two counts")
 
     def _note_turns(self) -> None:
-        """Whether the newest call makes holders act in the order A, B, A within the lease."""
+        """Whether the newest call makes holders act in the order A, B, A within the lease, on one subject."""
         newest = self.accepted[-1]
-        recent = [call for call in self.accepted if newest.at - call.at < self.lease_s]
+        subject = (newest.duty, newest.subject)
+        recent = [
+            call
+            for call in self.accepted
+            if newest.at - call.at < self.lease_s and (call.duty, call.subject) == subject
+        ]
         others = [number for number, call in enumerate(recent) if call.holder != newest.holder]
         if others and any(call.holder == newest.holder for call in recent[: others[0]]):
             self.faults.append(f"ONE {newest.holder} acts before and after {recent[others[0]].holder}")
--- a/simulator/check/command.py
+++ b/simulator/check/command.py
@@ -1,5 +1,6 @@
 """The ``check`` command: searches from each start, then seeded walks; prints what was explored and what was found."""
 
+from .duties import search_duties
 from .history import Violation
 from .model_state import Scope
 from .search import Bounds, search, walk
@@ -10,6 +11,14 @@
 NAMES = "abcdefghi"
 
 
+def _check_duties(depth, most_states):
+    report = search_duties(depth, most_states or 100_000)
+    print(f"duties: {report.states} states, {report.found or 'nothing found'}")
+    for move in report.history:
+        print(f"    {move}")
+    return 1 if report.found else 0
+
+
 def check(
     *,
     members: int = 3,
@@ -22,6 +31,7 @@
     seed: int = 1,
     start: str = "",
     most_states: int = 0,
+    duties: bool = False,
 ):
     """Check the control state's machine: all deviations from a fair run within bounds, then long seeded walks.
 
@@ -35,7 +45,10 @@
     :param seed: the first seed
     :param start: begin from this state only
     :param most_states: states of each search at most (0: no limit)
+    :param duties: search the model of the duties instead, to the depth and the number of states
     """
+    if duties:
+        return _check_duties(depth, most_states)
     unknown = start and start not in STARTS
     if unknown or not 1 <= members <= len(NAMES):
         print(f"no start is named {start}; there are: {', '.join(STARTS)}" if unknown else "members: 1 to 9")
--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -21,6 +21,7 @@
 from mode import Service
 
 from sparloom.duties import DecidedWindow, DutyState, DutyUpdate, ScaleOrder
+from sparloom.duties.lease import first_act
 from sparloom.duties.scaling import ScalePolicy, demand_of
 from sparloom.duties.state import MAXIMUM_WINDOWS
 from sparloom.membership import ROUTER
@@ -210,24 +211,14 @@
             self._acts_from = None
             return
         term.collector.decide(claimed.next_window - 1)
-        term.acts_from = self._acts_from = self._first_act_after(claimed.previous_holder)
+        duties = self.settings.duties
+        wait = duties.lease + duties.thaw_slack
+        term.acts_from = first_act(node, claimed.previous_holder, self._acts_from, monotonic(), wait)
+        self._acts_from = term.acts_from
         term.usage_fence = claimed.usage_fence
         wait_ms = max(0.0, (term.acts_from - monotonic()).total_seconds()) * 1000
         logging.info("duties: claimed fence=%d before=%r wait_ms=%d", claimed.fence, claimed.previous_holder, wait_ms)
 
-    def _first_act_after(self, previous_holder: str) -> timedelta:
-        """From when on this holder may act: past the lease of the previous one, which may have acted until now.
-
-        One that held the duties itself goes on, but not before the wait of its
-        earlier claim is over. A process that doesn't know of that waits anew.
-        """
-        now, duties = monotonic(), self.settings.duties
-        if not previous_holder:
-            return now
-        if previous_holder == self.settings.node and self._acts_from is not None:
-            return max(now, self._acts_from)
-        return now + duties.lease + duties.thaw_slack
-
     def _window(self, true_us: int) -> int:
         return window_number(true_us, self.settings.duties.usage_window)
 
--- a/tests/support/duty_group.py
+++ b/tests/support/duty_group.py
@@ -155,6 +155,7 @@
         cut_for = monotonic() - self.node.cut_at if self.node.cut else timedelta(0)
         if cut_for > LONGEST_CONFIRMATION:
             self.node.group.unconfirmed_calls.append((self.node.name, fence))
+        self.node.group.note_turn(self.node.name)
         await self.node.step()
         status = await self.node.group.platform.post(self.node.name, path, fence, body)
         await self.node.step()
@@ -256,6 +257,17 @@
         self.stopping = False
         # (node, fence) of calls by a node that no majority could have confirmed.
         self.unconfirmed_calls = []
+        # When each of the last calls was sent, and by whom.
+        self.turns = []
+
+    def note_turn(self, name):
+        """Holders must not send in the order A, B, A within the lease, whatever the calls are about."""
+        now = monotonic()
+        self.turns = [(at, who) for at, who in self.turns if now - at < self.settings.duties.lease] + [(now, name)]
+        holders = [who for _, who in self.turns]
+        others = [number for number, who in enumerate(holders) if who != name]
+        if others and name in holders[: others[0]]:
+            self.platform.log.faults.append(f"ONE {name} sends before and after {holders[others[0]]}")
 
     def true_us(self):
         return START_US + microseconds(monotonic())
