--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -326,9 +326,26 @@
                 "leading": member.leading(),
                 "sureMs": feed.confirmation_age_ms(),
                 "meter": process_figures(),
+                **self._duties(),
             },
         )
 
+    def _duties(self) -> dict[str, Any]:
+        """What is committed of the duties, where they have a holder."""
+        committed = self.writer.committed
+        duties = committed.state.duties if committed is not None else None
+        if duties is None:
+            return {}
+        return {
+            "duties": {
+                "holder": duties.holder,
+                "fence": duties.fence,
+                "nextWindow": duties.next_window,
+                "undelivered": [window.number for window in duties.windows],
+                "orders": {f"{order.service} {order.zone}": order.desired for order in duties.orders},
+            }
+        }
+
     def _view(self) -> dict[str, Any] | None:
         view = self.consensus.member.view
         if view is None:
--- a/tests/duties/test_duties_on_loopback.py
+++ b/tests/duties/test_duties_on_loopback.py
@@ -54,6 +54,9 @@
         await self.within(lambda: sum(counts.get("first", 0) for counts in log.usage.values()) == 5)
         await self.within(lambda: log.desired == {"s z1": 2})
         self.assertEqual((log.faults, {call.holder for call in log.accepted}), ([], {"core-1"}))
+        async with self.http.get(self.url.replace("configuration", "beliefs")) as response:
+            duties = (await response.json())["duties"]
+        self.assertEqual((duties["holder"], duties["orders"]), ("core-1", {"s z1": 2}))
 
 
 if __name__ == "__main__":
--- a/tests/test_wire_table.py
+++ b/tests/test_wire_table.py
@@ -4,15 +4,50 @@
 import re
 import unittest
 
+from sparloom.controller import platform_calls
 from sparloom.controller.control_api import ControlApi
+from sparloom.settings import from_dict
+from sparloom.settings.model import SCALING_DUTY, USAGE_DUTY
 from tests.support.paths import ROOT
+from tests.support.router_fixture import STARTUP
 
 ROW = re.compile(r"^\| `(GET|PUT|PATCH|POST|DELETE) (/-/[^`]+)` \| controller[^|]* \| (served|refused) ", re.MULTILINE)
 
 
 class WireTable(unittest.TestCase):
+    def page(self):
+        return pathlib.Path(ROOT, "docs/operate/wire.md").read_text(encoding="utf-8")
+
     def rows(self):
-        return ROW.findall(pathlib.Path(ROOT, "docs/operate/wire.md").read_text(encoding="utf-8"))
+        return ROW.findall(self.page())
+
+    def test_calls_headers_and_kinds_of_duties_are_on_the_page_as_the_programs_have_them(self):
+        for path in (platform_calls.USAGE_PATH, platform_calls.SCALE_PATH):
+            self.assertRegex(self.page(), rf"\| `POST {path}` \| platform[^|]* \| served \|")
+        sent = next(line for line in self.page().splitlines() if line.endswith("| sent with calls of duties |"))
+        for header in (platform_calls.HOLDER, platform_calls.FENCE):
+            self.assertIn(f"`{header}`", sent)
+        self.assertIn(f"| duties `{USAGE_DUTY}`, `{SCALING_DUTY}` | served |", self.page())
+
+    def test_keys_that_are_served_change_what_the_settings_and_the_configuration_say(self):
+        """Each key of the section of duties and tenants that is called served."""
+        bounds = {"leaseMs": 1, "thawSlackMs": 2, "usageWindowS": 3, "usageLatenessS": 4, "revokeMs": 5}
+        bounds |= {"revocationClosed": True, "configApplyMs": 6, "fencingChecked": False, "usageError": 0.5}
+        cloud = {"address": "h:1", "duties": [USAGE_DUTY, SCALING_DUTY], "dutyPerS": 7}
+        plain = from_dict(STARTUP).unwrap()
+        for table in ({"bounds": {key: value}} for key, value in bounds.items()):
+            with self.subTest(table):
+                self.assertNotEqual(from_dict({**STARTUP, **table}).unwrap(), plain)
+        for key in ("duties", "dutyPerS"):
+            without = {name: value for name, value in cloud.items() if name != key}
+            with self.subTest(key):
+                self.assertNotEqual(
+                    from_dict({**STARTUP, "cloudApi": cloud}).unwrap(),
+                    from_dict({**STARTUP, "cloudApi": without}).unwrap(),
+                )
+        section = self.page().split("## Keys of duties and tenants")[1].split("## ")[0]
+        for key in (*bounds, "duties", "dutyPerS", "tenants", "apiKeys", "priority", "public", "scaling"):
+            self.assertIn(f"`{key}`", section)
 
     def test_each_call_is_served_or_refused_as_the_page_says(self):
         routes = ControlApi(None, None, None).routes
