--- a/simulator/simulated_router.py
+++ b/simulator/simulated_router.py
@@ -47,6 +47,11 @@
     route: object
     deadline: timedelta
 
+    @property
+    def priority(self):
+        """That of its route: made-up calls have no tenant."""
+        return self.route.priority
+
 
 class HollowRouter(RouterNode):
     """A router without a front."""
