--- a/sparloom/duties/scaling.py
+++ b/sparloom/duties/scaling.py
@@ -3,8 +3,10 @@
 The wanted number is that with which a part of all slots, ``TARGET_UTILISATION``,
 is in use. More runners are ordered once they were needed throughout
 ``SUSTAINED``: a shorter burst is over before a new runner serves. Fewer are
-ordered once the need has been lower throughout ``STABILISATION``. Orders name
-absolute numbers, so one that is repeated or lost and sent again changes nothing.
+ordered once the need has been lower throughout ``STABILISATION``, since the
+prompts that a runner has cached go with it; sooner where there was no request
+at all. Orders name absolute numbers, so one that is repeated or lost and sent
+again changes nothing.
 """
 
 from __future__ import annotations
@@ -25,8 +27,10 @@
 TARGET_UTILISATION = 0.45
 # More runners are ordered only after all observations in this time asked for more,
 SUSTAINED = timedelta(seconds=3)
-# and fewer only after none in this time did.
-STABILISATION = timedelta(seconds=6)
+# and fewer only after none in this time did,
+STABILISATION = timedelta(seconds=30)
+# or after a shorter time without any request.
+IDLE_STABILISATION = timedelta(seconds=6)
 
 
 @define(frozen=True, slots=True)
@@ -76,6 +80,15 @@
     return service.clamp(ceil(demand / slots))
 
 
+@define(frozen=True, slots=True)
+class _Observation:
+    """What was in hand at one moment, and how many runners each zone needed for it."""
+
+    at: timedelta
+    demand: int
+    needed: int
+
+
 @define(slots=True)
 class ScalePolicy:
     """The needs of one service over the last seconds.
@@ -88,7 +101,7 @@
     [{}, {}, {'a': 5}]
     """
 
-    _needs: deque[tuple[timedelta, int]] = field(factory=deque)
+    _seen: deque[_Observation] = field(factory=deque)
 
     def wanted(self, service: ScaledService, demand: int, now: timedelta, ordered: Mapping[str, int]) -> dict[str, int]:
         """Return the zones whose number is to change, with the new one.
@@ -104,9 +117,11 @@
         ordered
             What was ordered last for each zone; what is listed stands in for a zone without an order.
         """
-        self._observe(now, needed_per_zone(service, demand))
-        at_least = min(self._since(now - SUSTAINED), default=service.minimum)
-        at_most = max(self._since(now - STABILISATION), default=service.maximum)
+        self._observe(_Observation(now, demand, needed_per_zone(service, demand)))
+        at_least = min((seen.needed for seen in self._since(now - SUSTAINED)), default=service.minimum)
+        idle = [seen.demand == 0 for seen in self._since(now - IDLE_STABILISATION)]
+        quiet_since = now - (IDLE_STABILISATION if idle and all(idle) else STABILISATION)
+        at_most = max((seen.needed for seen in self._since(quiet_since)), default=service.maximum)
         changes = {}
         for zone in sorted({*service.runners, *ordered}):
             present = ordered.get(zone, service.runners.get(zone, 0))
@@ -115,15 +130,15 @@
                 changes[zone] = target
         return changes
 
-    def _observe(self, now: timedelta, needed: int) -> None:
-        self._needs.append((now, needed))
+    def _observe(self, observation: _Observation) -> None:
+        self._seen.append(observation)
         # The oldest one that is left covers the whole time.
-        while len(self._needs) > 1 and now - self._needs[1][0] >= STABILISATION:
-            self._needs.popleft()
+        while len(self._seen) > 1 and observation.at - self._seen[1].at >= STABILISATION:
+            self._seen.popleft()
 
-    def _since(self, start: timedelta) -> list[int]:
-        """The needs from a moment on, with the last one before it; none where they don't reach back so far."""
-        if self._needs[0][0] > start:
+    def _since(self, start: timedelta) -> list[_Observation]:
+        """The observations from a moment on, with the last one before it; none where they don't reach back so far."""
+        if self._seen[0].at > start:
             return []
-        earlier = [need for at, need in self._needs if at <= start]
-        return [earlier[-1], *(need for at, need in self._needs if at > start)]
+        earlier = [seen for seen in self._seen if seen.at <= start]
+        return [earlier[-1], *(seen for seen in self._seen if seen.at > start)]
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -23,7 +23,10 @@
             seen.append(ordered["a"])
         return seen
 
-    def test_fewer_are_ordered_after_a_time_in_which_they_sufficed(self):
+    def test_fewer_are_ordered_after_a_long_time_in_which_they_sufficed(self):
+        self.assertEqual(self.play([1] * 32), [3] * 30 + [2] * 2)
+
+    def test_fewer_are_ordered_sooner_where_there_is_no_request_at_all(self):
         self.assertEqual(self.play([0] * 8), [3] * 6 + [2] * 2)
 
     def test_a_burst_that_is_over_before_a_runner_would_serve_orders_none(self):
@@ -34,6 +37,7 @@
 
     def test_a_need_that_returns_within_the_time_takes_nothing_away(self):
         self.assertEqual(self.play([27, 0, 0, 0, 27, 0, 0, 0, 27]), [3] * 9)
+        self.assertEqual(self.play([27] + [9] * 20 + [27] + [9] * 20), [3] * 42)
 
     def test_numbers_stay_within_the_limits(self):
         self.assertEqual(self.play([9000] * 4)[-1], 9)
