--- a/simulator/check/adapter.py
+++ b/simulator/check/adapter.py
@@ -83,3 +83,8 @@
 def is_heartbeat(record):
     """Whether a newer record of this kind makes an older one on its way worthless."""
     return hasattr(record, "sequence")
+
+
+def view_on_disk(disk):
+    """The newest view that a disk holds, or None."""
+    return disk[0].view if disk else None
--- a/simulator/check/starts.py
+++ b/simulator/check/starts.py
@@ -1,10 +1,13 @@
 """States from which searches and walks begin: each is reached by the fair schedule and a few set moves."""
 
+from . import adapter
 from .history import Violation
 from .model_state import STEP, World
-from .transitions import At, run_fairly
+from .transitions import At, fair, run_fairly
 
 START_MS = 3000
+# A change of the roster takes fewer transitions of the fair schedule.
+CHANGE_TRANSITIONS = 3000
 
 
 def _acknowledge(world):
@@ -116,6 +119,45 @@
     return world
 
 
+def changing_roster(scope):
+    """The states on the way to a roster in which an empty machine has the seat of a lost witness.
+
+    Gives each state in which a disk, a view or a save under way has changed, with the name of the lost member.
+    """
+    world = ready(scope)
+    primary = world.primary()
+    view = world.nodes[primary].ledger.leadership.view
+    near = {primary, *(world.holder(identity).name for identity in view.backups)}
+    lost = next(name for name in world.nodes if name not in near)
+    At("join", "x").play(world)
+    run_fairly(world, 1000)
+    At("kill", lost).play(world)
+    last = None
+    for _ in range(CHANGE_TRANSITIONS):
+        fair(world).play(world)
+        state = [_progress(node) for node in world.nodes.values()]
+        if state != last:
+            last = state
+            yield world.copy(), lost
+        if _seated(world, "x"):
+            return
+
+
+def _progress(node):
+    """What a member has on disk of its view, how far it leads, and how many saves are under way."""
+    view = adapter.view_on_disk(node.disk)
+    leads = node.ledger is not None and node.ledger.leadership is not None
+    return (sorted(view.ids) if view else None, leads and node.ledger.leadership.phase, len(node.saves))
+
+
+def _seated(world, name):
+    """Whether a served view has a member on its roster."""
+    primary = world.primary()
+    if primary is None or not world.nodes[primary].ledger.leadership.serving:
+        return False
+    return world.nodes[name].member.id in world.nodes[primary].ledger.leadership.view.ids
+
+
 STARTS = {
     "first": first,
     "ready": ready,
--- a/simulator/check/transitions.py
+++ b/simulator/check/transitions.py
@@ -102,6 +102,12 @@
     world.flight = [message for message in world.flight if (message.source, message.target) not in world.cuts]
 
 
+def separate(world, half):
+    """Cuts some members off from all others, both ways."""
+    rest = [name for name in world.nodes if name not in half]
+    _cut_links(world, [link for one in half for other in rest for link in ((one, other), (other, one))])
+
+
 def _isolate(world, name, outwards=True, inwards=True):
     """Cuts one member off from all others, in one direction or both."""
     others = [other for other in world.nodes if other != name]
@@ -114,9 +120,7 @@
     """Parts the members into halves: this one and those behind it in order, and the rest."""
     names = list(world.nodes)
     start = names.index(name)
-    half = {names[(start + offset) % len(names)] for offset in range(len(names) // 2)}
-    rest = [other for other in names if other not in half]
-    _cut_links(world, [link for one in half for other in rest for link in ((one, other), (other, one))])
+    separate(world, {names[(start + offset) % len(names)] for offset in range(len(names) // 2)})
 
 
 def _wipe(world, name):
