--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -201,7 +201,8 @@
     async def _claim(self, term: DutyTerm, state: DutyState) -> None:
         """Take the duties over in this epoch, with a fence of its own."""
         now, node = monotonic(), self.settings.node
-        first_window = self._window(self.collector.clock.true_us(now))
+        # Requests may have begun before anyone could claim: the first holder of all reports a little back.
+        first_window = self._window(self.collector.clock.true_us(now - self.settings.duties.usage_lateness))
         if not await self._commit(DutyUpdate(node, claim=True, first_window=first_window)):
             # The claim may have been committed: who held the duties before is not known any more.
             self._acts_from = None
--- a/tests/duties/test_duty_storms.py
+++ b/tests/duties/test_duty_storms.py
@@ -53,6 +53,14 @@
             with self.subTest(step=step):
                 self.hold(play(f"both {step}", [(7.0 + 0.41 * step, "router_and_primary")], seconds=25))
 
+    def test_requests_that_begin_before_the_first_claim_are_reported(self):
+        """Regression: the first window was that of the claim, so a first holder that came late left some out."""
+        for late_s in (0.5, 4.0, 9.0):
+            with self.subTest(late_s=late_s), world(late_s) as loop:
+                group = DutyGroup(f"first {late_s}")
+                loop.run_until_complete(group.run(15, first_election_s=late_s))
+                self.hold(group)
+
     def test_on_a_calm_day_one_holder_acts_with_one_fence(self):
         group = play("calm", [])
         self.hold(group)
