--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -194,11 +194,11 @@
             if term is None or state is None:
                 continue
             if not term.usage_fence:
-                await self._claim(term, state)
+                await self._claim(term)
             elif state.usage_fence == term.usage_fence:
                 await self._decide_windows(term, state)
 
-    async def _claim(self, term: DutyTerm, state: DutyState) -> None:
+    async def _claim(self, term: DutyTerm) -> None:
         """Take the duties over in this epoch, with a fence of its own."""
         now, node = monotonic(), self.settings.node
         # Requests may have begun before anyone could claim: the first holder of all reports a little back.
