Simulator: a command that replaces one check at a time and runs the tests that bind it

Cause: mutations were tried by hand, and one that replaced a function in a whole module hid that one of its two callers was bound by no test.

--- a/simulator/__main__.py
+++ b/simulator/__main__.py
@@ -10,6 +10,7 @@
 
 from .check.command import check
 from .decisions import decisions
+from .mutations import mutate
 from .play import STORIES
 from .play import play as play_one
 from .soak.command import soak
@@ -224,6 +225,7 @@
         "isolation": isolation,
         "report": report,
         "check": check,
+        "mutate": mutate,
     }
     if sys.argv[1:2] in (["point"], ["history"], ["isolation"]) and "PYTHONHASHSEED" not in os.environ:
         os.execve(
