--- a/sparloom/cli.py
+++ b/sparloom/cli.py
@@ -151,14 +151,14 @@
     return [serve, check, beliefs, *(_controller_commands() if name == "controller" else ())]
 
 
-def _call_controllers(addresses: tuple[str, ...], method: str, path: str) -> Any:
+def _call_controllers(addresses: tuple[str, ...], method: str, path: str, body: Any = None) -> Any:
     """The body of controllers' answer; None, and a sentence on standard error, where there is none."""
     from sparloom.controller.operator_client import call_until_answered
 
     if not addresses:
         _print_error("name at least one control address, HOST:PORT.")
         return None
-    called = call_until_answered(addresses, method, path, ORDER_PATIENCE_S)
+    called = call_until_answered(addresses, method, path, ORDER_PATIENCE_S, body)
     if called.value_or(None) is None:
         _print_error(f"{called.failure()}.")
     return called.value_or(None)
@@ -205,7 +205,42 @@
             print(zone)
         return EXIT_OK
 
-    return [evacuate, restore, evacuated]
+    return [evacuate, restore, evacuated, *_rollout_commands()]
+
+
+def _rollout_commands() -> list[Callable[..., int]]:
+    from urllib.parse import quote
+
+    from sparloom.controller.operator_client import ROLLOUTS_PATH
+
+    def roll_out(service: str, version: str, seconds: float, *addresses: str) -> int:
+        """Move a service's requests to the runners of another version, if it proves good in time.
+
+        :param service: the service's name
+        :param version: the version, as the platform lists it
+        :param seconds: within this time it is to be done; a version that isn't shown good by then is rolled back
+        :param addresses: HOST:PORT of control addresses; the order is repeated until it is acknowledged
+        """
+        order = {"service": service, "targetVersion": version, "durationS": seconds}
+        if _call_controllers(addresses, "POST", ROLLOUTS_PATH, order) is None:
+            return EXIT_FAILED
+        print(f"{service} is rolled out to {version}")
+        return EXIT_OK
+
+    def rollout(service: str, *addresses: str) -> int:
+        """Print what has become of a service's newest roll-out.
+
+        :param service: the service's name
+        :param addresses: HOST:PORT of control addresses
+        """
+        answer = _call_controllers(addresses, "GET", f"{ROLLOUTS_PATH}/{quote(service, safe='')}")
+        if answer is None:
+            return EXIT_FAILED
+        reason = f": {answer['reason']}" if "reason" in answer else f" at step {answer['step']}"
+        print(f"{service} to {answer['targetVersion']}: {answer['state']}{reason}")
+        return EXIT_OK
+
+    return [roll_out, rollout]
 
 
 def main(name: str) -> None:
--- a/sparloom/configuration/__init__.py
+++ b/sparloom/configuration/__init__.py
@@ -1,13 +1,21 @@
 """The operator's configuration: checked, patched, compared and looked up."""
 
+from .additions import (
+    ROLLOUTS,
+    changed_additions,
+    evacuated_zones,
+    evacuated_zones_addition,
+    operators_part,
+    patched_additions,
+    with_additions,
+)
 from .check import MAXIMUM_REVISION, ConfigurationDocument, check, parse
-from .evacuation import EVACUATED_ZONES, evacuated_zones, with_evacuated_zones, without_evacuated_zones
 from .patch import apply_patch, delta
 from .table import Configuration, RequestLimits, Route, Scaling, Service, build
 
 __all__ = [
-    "EVACUATED_ZONES",
     "MAXIMUM_REVISION",
+    "ROLLOUTS",
     "Configuration",
     "ConfigurationDocument",
     "RequestLimits",
@@ -16,10 +24,13 @@
     "Service",
     "apply_patch",
     "build",
+    "changed_additions",
     "check",
     "delta",
     "evacuated_zones",
+    "evacuated_zones_addition",
+    "operators_part",
     "parse",
-    "with_evacuated_zones",
-    "without_evacuated_zones",
+    "patched_additions",
+    "with_additions",
 ]
--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -7,10 +7,11 @@
 
 from attrs import define, field
 
-from .evacuation import evacuated_zones
+from .additions import ROLLOUTS, evacuated_zones
 
 if TYPE_CHECKING:
     from .check import ConfigurationDocument
+    from .rollouts import ServiceVersions
     from .tenants import TenantKeys
 
 DEFAULT_TIMEOUT_MS = 30000
@@ -174,6 +175,8 @@
         Zones whose runners are to be sent nothing.
     tenants
         The tenants by their keys; None where requests need no key.
+    versions
+        The services that have had a roll-out, by name.
     """
 
     revision: int
@@ -183,6 +186,7 @@
     hosts: dict[str, tuple[Route, ...]] = field(repr=False, factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     tenants: TenantKeys | None = None
+    versions: dict[str, ServiceVersions] = field(factory=dict)
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a host with the longest prefix that begins the path; None where there is none.
@@ -273,6 +277,15 @@
     return TenantKeys.of(document["tenants"])
 
 
+def _versions(document: ConfigurationDocument) -> dict[str, ServiceVersions]:
+    if ROLLOUTS not in document:
+        return {}
+    # Routers without roll-outs don't spend time and memory of a start on it.
+    from .rollouts import service_versions
+
+    return service_versions(document)
+
+
 def _by_host(routes: tuple[Route, ...]) -> dict[str, tuple[Route, ...]]:
     """The routes of each host, the longest prefix first."""
     hosts: dict[str, list[Route]] = {}
@@ -298,4 +311,5 @@
         hosts=_by_host(routes),
         evacuated_zones=evacuated_zones(document),
         tenants=_tenant_keys(document),
+        versions=_versions(document),
     )
--- a/sparloom/controller/change_requests.py
+++ b/sparloom/controller/change_requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from attrs import define
 from returns.pipeline import is_successful
@@ -14,9 +14,12 @@
 from .control_state import State, fingerprint
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .control_state import ConfigurationDict
 
 MAXIMUM_DIGITS = len(str(MAXIMUM_REVISION))
+AnyUpdate = TypeVar("AnyUpdate", bound="Update")
 
 
 @define(frozen=True, slots=True)
@@ -68,6 +71,8 @@
     FORGOTTEN = "it may have been committed before"
     STALE = "another revision than its base is current"
     INVALID = "it is invalid on its base"
+    CONFLICT = "another one is under way"
+    UNKNOWN_NAME = "it names something that is not there"
 
 
 @define(frozen=True, slots=True)
@@ -81,7 +86,7 @@
     state : State or None
         The state to write, for a new change.
     fault : str
-        What is wrong, for an invalid change.
+        What is wrong, for a change that can't be made.
     """
 
     verdict: Verdict
@@ -89,6 +94,37 @@
     fault: str = ""
 
 
+class Update(Protocol):
+    """A change of a part of the control state that a controller makes, or takes from an operator."""
+
+    def is_retry_of(self, other: object) -> bool:
+        """Whether this is the other update, sent again."""
+
+
+@define(frozen=True, slots=True)
+class StateUpdate(Generic[AnyUpdate]):
+    """An update, and what judges it: each part of the control state has a judge of its own.
+
+    Attributes
+    ----------
+    content
+        The update.
+    judge_content
+        Gives what becomes of it upon a committed state.
+    """
+
+    content: AnyUpdate
+    judge_content: Callable[[State, AnyUpdate], Judgement]
+
+    def is_retry_of(self, other: object) -> bool:
+        """Whether this is the other update, sent again."""
+        return isinstance(other, StateUpdate) and self.content.is_retry_of(other.content)
+
+    def judge(self, state: State) -> Judgement:
+        """What becomes of the update upon a committed state."""
+        return self.judge_content(state, self.content)
+
+
 def _parse_base(if_match: str) -> int | None:
     """The revision that ``If-Match`` names, or None."""
     digits = if_match.strip().strip('"')
--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -10,17 +10,17 @@
 
 import asyncio
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from absl import logging
 from attrs import define
 
-from sparloom.configuration import with_evacuated_zones
+from sparloom.configuration import ROLLOUTS, evacuated_zones_addition, with_additions
 from sparloom.feed import CONFIGURATION
 from sparloom.membership import ROUTER
 from sparloom.transport import monotonic
 
-from .change_requests import ChangeRequest, Verdict, judge
+from .change_requests import ChangeRequest, StateUpdate, Verdict, judge
 from .control_state import State
 from .evacuation_orders import EvacuationOrder, judge_evacuation
 from .offload import is_large, run
@@ -29,7 +29,6 @@
     from collections.abc import Callable
 
     from sparloom.consensus import Data
-    from sparloom.duties import DutyUpdate
 
     from .change_requests import Judgement
     from .consensus_service import ConsensusService
@@ -37,7 +36,7 @@
     from .feed_server import FeedServer
 
     Version = tuple[int, int]
-    Order = ChangeRequest | EvacuationOrder | DutyUpdate
+    Order = ChangeRequest | EvacuationOrder | StateUpdate[Any]
 
 # Callers move on after a second of silence; a large body is given more.
 ANSWER_WITHIN = timedelta(milliseconds=800)
@@ -93,7 +92,7 @@
 
     Attributes
     ----------
-    request : ChangeRequest, EvacuationOrder or DutyUpdate
+    request : ChangeRequest, EvacuationOrder or StateUpdate
         The change.
     blob : bytes
         The packed state that is being written.
@@ -140,7 +139,21 @@
     fault: str
 
 
-ChangeOutcome = Acknowledged | OutcomeUnknown | NotConfirmed | Stale | Invalid
+@define(frozen=True, slots=True)
+class Conflict:
+    """Another change of the kind is under way."""
+
+    fault: str
+
+
+@define(frozen=True, slots=True)
+class UnknownName:
+    """The change names something that is not there."""
+
+    fault: str
+
+
+ChangeOutcome = Acknowledged | OutcomeUnknown | NotConfirmed | Stale | Invalid | Conflict | UnknownName
 
 
 class ConfigurationWriter:
@@ -188,7 +201,7 @@
         state, (epoch, _) = self.committed.state, data.version
         if not state.revision:
             return
-        document = with_evacuated_zones(state.configuration, state.evacuated)
+        document = published_document(state)
         if self._published != (epoch, document):
             self._published = (epoch, document)
             self.feed_server.publish(CONFIGURATION, data.version, document)
@@ -271,11 +284,8 @@
     async def _judgement(self, request: Order, state: State) -> Judgement:
         if isinstance(request, EvacuationOrder):
             return judge_evacuation(state, request)
-        if not isinstance(request, ChangeRequest):
-            # Deployments without duties don't spend time and memory of a start on it.
-            from .duty_updates import judge_duties
-
-            return judge_duties(state, request)
+        if isinstance(request, StateUpdate):
+            return request.judge(state)
         is_long = is_large(state.configuration) or is_large(request.change)
         return await run(is_long, judge, state, request, self._visible_routers())
 
@@ -288,6 +298,10 @@
             return OutcomeUnknown()
         if judgement.verdict is Verdict.STALE:
             return Stale(snapshot.state.revision)
+        if judgement.verdict is Verdict.CONFLICT:
+            return Conflict(judgement.fault)
+        if judgement.verdict is Verdict.UNKNOWN_NAME:
+            return UnknownName(judgement.fault)
         if judgement.state is None:
             return Invalid(judgement.fault)
         blob = await run(is_large(judgement.state.configuration), judgement.state.pack)
@@ -313,17 +327,26 @@
             self.pending = None
 
 
+def published_document(state: State) -> ConfigurationDict:
+    """What routers are told: the operators' configuration, evacuated zones, and services that have had a roll-out.
+
+    >>> published_document(State({"revision": 1})), published_document(State({"revision": 1}).evacuate("z"))
+    ({'revision': 1}, {'revision': 1, 'evacuatedZones': ['z']})
+    """
+    additions = evacuated_zones_addition(state.evacuated)
+    if state.rollouts is not None:
+        # Deployments without roll-outs don't spend time and memory of a start on it.
+        from .rollout_updates import rollouts_addition
+
+        additions[ROLLOUTS] = rollouts_addition(state.rollouts)
+    document: ConfigurationDict = with_additions(state.configuration, additions)
+    return document
+
+
 def _log_committed(request: Order, state: State) -> None:
-    if isinstance(request, EvacuationOrder):
+    if isinstance(request, ChangeRequest):
+        logging.info("control: revision committed revision=%d", state.revision)
+    elif isinstance(request, EvacuationOrder):
         logging.info("control: evacuation committed zone=%s evacuated=%s", request.zone, request.evacuate)
-    elif not isinstance(request, ChangeRequest):
-        duties = state.duties
-        assert duties is not None, "an update of the duties leaves none"
-        logging.debug(
-            "control: duties committed holder=%s fence=%d next_window=%d",
-            duties.holder,
-            duties.fence,
-            duties.next_window,
-        )
     else:
-        logging.info("control: revision committed revision=%d", state.revision)
+        logging.debug("control: update committed update=%s", request)
--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -1,4 +1,4 @@
-"""What operators call over HTTP: the configuration, the evacuation of zones, and the controller's beliefs.
+"""What operators call over HTTP: the configuration, evacuations, roll-outs, and the controller's beliefs.
 
 Any controller answers 400, 408 and 413 for faults of the request alone, and
 the beliefs. Whatever depends on the control state is answered by the primary
@@ -30,11 +30,13 @@
 from .configuration_writer import (
     Acknowledged,
     ConfigurationWriter,
+    Conflict,
     Deadline,
     Invalid,
     NotConfirmed,
     OutcomeUnknown,
     Stale,
+    UnknownName,
 )
 from .control_state import json_text
 from .evacuation_orders import EvacuationOrder, zone_fault
@@ -164,6 +166,16 @@
             return HTTPStatus.NOT_FOUND
         return methods.get(method, HTTPStatus.METHOD_NOT_ALLOWED)
 
+    def extended(
+        self, paths: Mapping[str, Mapping[str, Handler]], prefixes: Mapping[str, Mapping[str, Handler]]
+    ) -> RoutingTable:
+        """The table with further paths and prefixes.
+
+        >>> RoutingTable({}).extended({"/a": {"GET": print}}, {}).find("GET", "/a") is print
+        True
+        """
+        return RoutingTable({**self.paths, **paths}, {**self.prefixes, **prefixes})
+
 
 class ControlApi(Service):
     """The server of the control address.
@@ -189,6 +201,16 @@
             {EVACUATION_PREFIX: {"POST": self.evacuate, "DELETE": self.restore}},
         )
         self.runner: web.ServerRunner | None = None
+        self._rollout_votes: Callable[[], dict[str, Any]] = dict
+
+    def serve_rollouts(self, votes: Callable[[], dict[str, Any]]) -> None:
+        """Serves the calls about roll-outs; ``votes`` gives those that the beliefs are to show."""
+        # Deployments without roll-outs don't spend time and memory of a start on it.
+        from .rollout_api import ROLLOUT_PREFIX, ROLLOUTS_PATH
+
+        calls, of_service = {"POST": self.roll_out}, {"GET": self.rollout}
+        self.routes = self.routes.extended({ROLLOUTS_PATH: calls}, {ROLLOUT_PREFIX: of_service})
+        self._rollout_votes = votes
 
     def _write_timeout(self) -> timedelta:
         return self.settings.bounds.acknowledge
@@ -289,6 +311,30 @@
         outcome = await self.writer.change(order, Deadline.after_body(0), lambda: not client_left(request))
         return self._response_to(outcome, request.raw_path)
 
+    # -- roll-outs ----------------------------------------------------------------
+    async def roll_out(self, request: web.BaseRequest) -> web.Response:
+        """Answers POST: the requests of a service are to move to another version."""
+        from .rollout_api import parse_order
+
+        body_read = await read_body(request)
+        if not is_successful(body_read):
+            return body_read.failure()
+        parsed = parse_order(body_read.unwrap())
+        if not is_successful(parsed):
+            return error(HTTPStatus.BAD_REQUEST, parsed.failure())
+        outcome = await self.writer.change(parsed.unwrap(), Deadline.after_body(0), lambda: not client_left(request))
+        return self._response_to(outcome, request.raw_path)
+
+    async def rollout(self, request: web.BaseRequest) -> web.Response:
+        """Answers GET: what has become of a service's newest roll-out."""
+        from .rollout_api import NO_ROLLOUT, ROLLOUT_PREFIX, description, newest_rollout
+
+        snapshot = await self.writer.confirmed(Deadline.after_body(0))
+        if snapshot is None:
+            return self.redirect(request.raw_path)
+        rollout = newest_rollout(snapshot.state, request.path.removeprefix(ROLLOUT_PREFIX))
+        return error(*NO_ROLLOUT) if rollout is None else reply(HTTPStatus.OK, description(rollout))
+
     def _response_to(self, outcome: ChangeOutcome, path: str = CONFIGURATION_PATH) -> web.Response:
         match outcome:
             case Acknowledged(revision=revision):
@@ -302,6 +348,10 @@
                 return error(HTTPStatus.PRECONDITION_FAILED, text, revision=str(current))
             case Invalid(fault=fault):
                 return error(HTTPStatus.BAD_REQUEST, fault)
+            case Conflict(fault=fault):
+                return error(HTTPStatus.CONFLICT, fault)
+            case UnknownName(fault=fault):
+                return error(HTTPStatus.NOT_FOUND, fault)
 
     # -- beliefs ------------------------------------------------------------------
     async def beliefs(self, request: web.BaseRequest) -> web.Response:
@@ -327,9 +377,30 @@
                 "sureMs": feed.confirmation_age_ms(),
                 "meter": process_figures(),
                 **self._duties(),
+                **self._rollouts(),
             },
         )
 
+    def _rollouts(self) -> dict[str, Any]:
+        """What is committed of roll-outs, where versions are known, and the votes of those under way."""
+        committed = self.writer.committed
+        state = committed.state.rollouts if committed is not None else None
+        if state is None:
+            return {}
+        from .rollout_api import description
+
+        return {
+            "rollouts": {
+                "firstVersions": {service: list(names) for service, names in state.first_versions.items()},
+                "collector": state.collector,
+                "newest": {
+                    service: {"number": rollout.number, **description(rollout)}
+                    for service, rollout in state.newest.items()
+                },
+                "votes": self._rollout_votes(),
+            }
+        }
+
     def _duties(self) -> dict[str, Any]:
         """What is committed of the duties, where they have a holder."""
         committed = self.writer.committed
--- a/sparloom/controller/control_state.py
+++ b/sparloom/controller/control_state.py
@@ -8,7 +8,9 @@
 are any, so that programs that know version 2 alone are not kept from what is in
 it for nothing. Version 4 has in the same place a compressed JSON object of the
 zones and the duties' state; it is written once there is a holder of duties.
-Version 1 was one compressed JSON list, whose first byte is that of a zlib stream.
+Version 5 has the roll-outs in that object besides, and the duties only where
+there are any; it is written once versions of a service are known. Version 1 was
+one compressed JSON list, whose first byte is that of a zlib stream.
 """
 
 from __future__ import annotations
@@ -26,10 +28,12 @@
 
 if TYPE_CHECKING:
     from sparloom.duties import DutyState
+    from sparloom.rollouts import RolloutsState
 
 VERSION = 2
 VERSION_WITH_EVACUATIONS = 3
 VERSION_WITH_DUTIES = 4
+VERSION_WITH_ROLLOUTS = 5
 REMEMBERED = 2048
 FINGERPRINT_BYTES = 12
 _HEADER = struct.Struct(">BQII")
@@ -153,6 +157,8 @@
         The zones whose runners are to be sent nothing.
     duties : DutyState or None
         What is decided about the duties at the platform; None before the first holder.
+    rollouts : RolloutsState or None
+        What is decided about versions of services; None before any is known.
     """
 
     configuration: ConfigurationDict
@@ -160,6 +166,7 @@
     router_count: int = 0
     evacuated: frozenset[str] = frozenset()
     duties: DutyState | None = None
+    rollouts: RolloutsState | None = None
 
     @property
     def revision(self) -> int:
@@ -178,7 +185,7 @@
         b'mmmmmmmmmmmm'
         """
         history = self.history.add(configuration["revision"], change_fingerprint)
-        return State(configuration, history, router_count, self.evacuated, self.duties)
+        return evolve(self, configuration=configuration, history=history, router_count=router_count)
 
     def evacuate(self, zone: str) -> State:
         """The state after the order to evacuate a zone.
@@ -205,6 +212,15 @@
         """
         return evolve(self, duties=duties)
 
+    def with_rollouts(self, rollouts: RolloutsState) -> State:
+        """The state with another state of the roll-outs.
+
+        >>> from sparloom.rollouts import RolloutsState
+        >>> State({}).with_rollouts(RolloutsState(7)).rollouts.next_number
+        7
+        """
+        return evolve(self, rollouts=rollouts)
+
     def pack(self) -> bytes:
         """The bytes to store.
 
@@ -221,9 +237,12 @@
     def _section(self) -> tuple[int, bytes]:
         """The version that the state needs, and what stands between the records and the configuration."""
         zones = sorted(self.evacuated)
-        if self.duties is not None:
-            text = _COMPACT.encode({"evacuated": zones, "duties": self.duties.to_json()})
-            return VERSION_WITH_DUTIES, _with_length(zlib.compress(text.encode(), _FASTEST))
+        duties = {} if self.duties is None else {"duties": self.duties.to_json()}
+        rollouts = {} if self.rollouts is None else {"rollouts": self.rollouts.to_json()}
+        if duties or rollouts:
+            text = _COMPACT.encode({"evacuated": zones, **duties, **rollouts})
+            version = VERSION_WITH_ROLLOUTS if rollouts else VERSION_WITH_DUTIES
+            return version, _with_length(zlib.compress(text.encode(), _FASTEST))
         if zones:
             return VERSION_WITH_EVACUATIONS, _with_length(_COMPACT.encode(zones).encode())
         return VERSION, b""
@@ -245,8 +264,8 @@
         if raw[0] == _ZLIB_FIRST_BYTE:
             return _unpack_first_version(raw)
         version, forgotten_through, router_count, length = _HEADER.unpack_from(raw)
-        if not VERSION <= version <= VERSION_WITH_DUTIES:
-            expected = f"expected a control state of version 1 to {VERSION_WITH_DUTIES}"
+        if not VERSION <= version <= VERSION_WITH_ROLLOUTS:
+            expected = f"expected a control state of version 1 to {VERSION_WITH_ROLLOUTS}"
             raise ControlStateError(f"{expected}, found version {version}")
         end = _HEADER.size + length * _RECORD.size
         history = History(raw[_HEADER.size : end], forgotten_through)
@@ -255,25 +274,40 @@
             start = end + _LENGTH.size
             end = start + _LENGTH.unpack_from(raw, end)[0]
             section = raw[start:end]
-        evacuated, duties = _read_section(version, section)
-        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated, duties)
+        evacuated, duties, rollouts = _read_section(version, section)
+        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated, duties, rollouts)
 
 
 def _with_length(section: bytes) -> bytes:
     return _LENGTH.pack(len(section)) + section
 
 
-def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState | None]:
-    """The evacuated zones and the duties in what stands between the records and the configuration."""
+def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState | None, RolloutsState | None]:
+    """The evacuated zones, the duties and the roll-outs in what stands between the records and the configuration."""
     if version == VERSION:
-        return frozenset(), None
+        return frozenset(), None, None
     if version == VERSION_WITH_EVACUATIONS:
-        return frozenset(json.loads(section)), None
+        return frozenset(json.loads(section)), None, None
+    item = json.loads(zlib.decompress(section))
+    return frozenset(item["evacuated"]), _read_duties(item.get("duties")), _read_rollouts(item.get("rollouts"))
+
+
+def _read_duties(item: dict[str, Any] | None) -> DutyState | None:
+    if item is None:
+        return None
     # Controllers without duties don't spend time and memory of a start on it.
     from sparloom.duties import DutyState
 
-    item = json.loads(zlib.decompress(section))
-    return frozenset(item["evacuated"]), DutyState.from_json(item["duties"])
+    return DutyState.from_json(item)
+
+
+def _read_rollouts(item: dict[str, Any] | None) -> RolloutsState | None:
+    if item is None:
+        return None
+    # Nor do those without roll-outs.
+    from sparloom.rollouts import RolloutsState
+
+    return RolloutsState.from_json(item)
 
 
 def _unpack_first_version(raw: bytes) -> State:
--- a/sparloom/controller/duty_service.py
+++ b/sparloom/controller/duty_service.py
@@ -29,7 +29,9 @@
 from sparloom.usage import FleetClock, UsageCollector, UsageReply, UsageReport, window_number
 from sparloom.usage.clock import microseconds
 
+from .change_requests import StateUpdate
 from .configuration_writer import Acknowledged, Deadline
+from .duty_updates import judge_duties
 from .platform_calls import CallResult, PlatformCalls
 
 if TYPE_CHECKING:
@@ -274,7 +276,7 @@
 
     async def _commit(self, update: DutyUpdate) -> bool:
         """Commit an update; return whether it is known to be committed."""
-        outcome = await self.writer.change(update, Deadline.after_body(0))
+        outcome = await self.writer.change(StateUpdate(update, judge_duties), Deadline.after_body(0))
         return isinstance(outcome, Acknowledged)
 
     # -- what is sent -------------------------------------------------------------------
--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -10,7 +10,7 @@
 from absl import logging
 from mode import Service
 
-from sparloom.discovery import EndpointList, PageAssembler, PollSchedule, read_page
+from sparloom.discovery import EndpointList, PageAssembler, PollSchedule, read_page, versions_listed, with_pools
 from sparloom.feed import ENDPOINTS
 from sparloom.transport import monotonic
 from sparloom.transport.http_client import Connector, open_session
@@ -65,11 +65,15 @@
         The number of the last list within the epoch; both are its version.
     pages : PageAssembler
         The pages of a list that is not complete yet.
+    versions : dict
+        The versions of each service in the newest list of this epoch; empty where versions don't matter.
 
     Parameters
     ----------
     fleet_size
         Gives the number of routers that share the endpoints.
+    pool_of
+        Gives the pool in which a runner of a service and version is listed; None where versions don't matter.
     """
 
     def __init__(
@@ -78,8 +82,11 @@
         consensus: ConsensusService,
         feed_server: FeedServer,
         fleet_size: Callable[[], int] = lambda: 0,
+        pool_of: Callable[[str, str], str] | None = None,
     ) -> None:
         super().__init__()
+        self.pool_of = pool_of
+        self.versions: dict[str, set[str]] = {}
         self.settings, self.consensus, self.feed_server, self.fleet_size = settings, consensus, feed_server, fleet_size
         self.last: EndpointList | None = None
         self.epoch, self.number = 0, 0
@@ -125,9 +132,9 @@
         Numbers go on within an epoch and start anew with the next one.
         """
         if epoch is None:
-            self.last, self.pages = None, PageAssembler()
+            self.last, self.pages, self.versions = None, PageAssembler(), {}
         elif epoch != self.epoch:
-            self.epoch, self.number, self.last, self.pages = epoch, 0, None, PageAssembler()
+            self.epoch, self.number, self.last, self.pages, self.versions = epoch, 0, None, PageAssembler(), {}
 
     async def poll_page(self, platform: CloudApi, epoch: int) -> PollOutcome:
         """Requests one page, and publishes the list if it was the last one."""
@@ -137,7 +144,8 @@
             return PollOutcome(more_pages=False, rate_limited=False)
         if status == HTTPStatus.TOO_MANY_REQUESTS:
             return PollOutcome(more_pages=False, rate_limited=True)
-        page = read_page(document).value_or(None) if status == HTTPStatus.OK else None
+        by_version = self.pool_of is not None
+        page = read_page(document, by_version).value_or(None) if status == HTTPStatus.OK else None
         if page is None:
             self._restart(f"status {status}" if status != HTTPStatus.OK else "a page can't be read")
             return PollOutcome(more_pages=False, rate_limited=False)
@@ -174,10 +182,17 @@
         complete = self.pages.add(endpoints, token)
         if complete is None:
             return True
-        endpoint_list = EndpointList(complete.runners, self.fleet_size())
+        endpoint_list = EndpointList(self._in_pools(complete.runners), self.fleet_size())
         if endpoint_list.differs_from(self.last):
             self.last, self.number = endpoint_list, self.number + 1
             draining = [endpoint.id for endpoint in endpoint_list.runners if endpoint.draining]
             logging.info("platform: list published version=%d.%d draining=%s", *self.last_version, ",".join(draining))
             self.feed_server.publish(ENDPOINTS, self.last_version, endpoint_list)
         return False
+
+    def _in_pools(self, runners: list[Endpoint]) -> list[Endpoint]:
+        """The runners of a complete list as they are published; notes which versions there are."""
+        if self.pool_of is None:
+            return runners
+        self.versions = versions_listed(runners)
+        return with_pools(runners, self.pool_of)
--- a/sparloom/controller/operator_client.py
+++ b/sparloom/controller/operator_client.py
@@ -16,6 +16,7 @@
     from collections.abc import Sequence
 
 EVACUATIONS_PATH = "/-/evacuation"
+ROLLOUTS_PATH = "/-/rollouts"
 # Seconds for which one controller may be silent, and between two calls.
 CALL_TIMEOUT_S = 2.0
 PAUSE_S = 0.2
@@ -42,8 +43,8 @@
     location: str
 
 
-def _call_once(address: str, method: str, path: str) -> Answer:
-    """One call of one controller.
+def _call_once(address: str, method: str, path: str, body: Any = None) -> Answer:
+    """One call of one controller; a body is sent as JSON.
 
     Raises
     ------
@@ -52,7 +53,8 @@
     """
     connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_S)
     try:
-        connection.request(method, path)
+        content = None if body is None else json.dumps(body)
+        connection.request(method, path, content, {"Content-Type": "application/json"} if content else {})
         response = connection.getresponse()
         raw = response.read()
         location = response.headers.get("Location", "").removeprefix("http://").partition("/")[0]
@@ -61,17 +63,19 @@
         connection.close()
 
 
-def _call(address: str, method: str, path: str) -> Answer:
+def _call(address: str, method: str, path: str, body: Any) -> Answer:
     """One call, redirects followed; raises as ``_call_once`` does."""
-    answer = _call_once(address, method, path)
+    answer = _call_once(address, method, path, body)
     for _ in range(MAXIMUM_REDIRECTS):
         if answer.status != HTTPStatus.TEMPORARY_REDIRECT or not answer.location:
             break
-        answer = _call_once(answer.location, method, path)
+        answer = _call_once(answer.location, method, path, body)
     return answer
 
 
-def call_until_answered(addresses: Sequence[str], method: str, path: str, patience_s: float) -> Result[Any, str]:
+def call_until_answered(
+    addresses: Sequence[str], method: str, path: str, patience_s: float, body: Any = None
+) -> Result[Any, str]:
     """Call controllers in turn until one answers 200 or refuses.
 
     Parameters
@@ -80,6 +84,8 @@
         HOST:PORT of control addresses.
     patience_s
         After so many seconds it is given up.
+    body
+        What is sent as JSON; None for nothing.
 
     Returns
     -------
@@ -93,7 +99,7 @@
     last = ""
     for address in itertools.cycle(addresses):
         try:
-            answer = _call(address, method, path)
+            answer = _call(address, method, path, body)
         except CALL_ERRORS as error:
             last = f"the last one, {address}, can't be reached ({error})"
         else:
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -18,11 +18,14 @@
 if TYPE_CHECKING:
     from sparloom.codec import Record
     from sparloom.consensus import Data
+    from sparloom.discovery import Endpoint
     from sparloom.duties.scaling import ScaledService
     from sparloom.settings import Settings
 
+    from .control_state import State
     from .duty_service import DutyService
     from .job_service import JobService
+    from .rollout_service import RolloutService
 
 # The part of the grace period that a planned leave may take.
 LEAVE_PART_OF_GRACE = 0.5
@@ -43,6 +46,8 @@
         Keeps the endpoint list up to date while this controller is the primary.
     duties : DutyService or None
         Carries out the duties at the platform while this controller is the primary, where any are expected.
+    rollouts : RolloutService or None
+        Takes roll-outs from step to step while this controller is the primary, where versions come by them.
     jobs : JobService or None
         Keeps and runs jobs, on deployments that have them.
     """
@@ -54,7 +59,9 @@
         self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed, self._receive)
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
         self.duties = self._duty_service(settings)
-        self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count)
+        pool_of = self._pool_of if settings.rollouts.enabled else None
+        self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count, pool_of)
+        self.rollouts = self._rollout_service(settings)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
         self._leave_timeout = settings.bounds.grace * LEAVE_PART_OF_GRACE
@@ -76,6 +83,25 @@
 
         return DutyService(settings, self.consensus, self.control_api.writer, self._scaled_services)
 
+    def _rollout_service(self, settings: Settings) -> RolloutService | None:
+        if not settings.rollouts.enabled:
+            return None
+        from .rollout_service import RolloutService
+
+        service = RolloutService(settings, self.consensus, self.control_api.writer, self.poller)
+        self.control_api.serve_rollouts(service.votes)
+        return service
+
+    def _pool_of(self, service: str, version: str) -> str:
+        """The pool in which a runner is listed, by the newest committed state."""
+        from sparloom.rollouts import RolloutsState
+
+        from .rollout_updates import pool_of
+
+        committed = self.control_api.writer.committed
+        state = committed.state.rollouts if committed is not None else None
+        return pool_of(state or RolloutsState(), service, version)
+
     def _scaled_services(self) -> list[ScaledService]:
         """The services whose runners are ordered, as the newest configuration and list have them."""
         from .scaled_services import scaled_services
@@ -83,9 +109,21 @@
         committed, listed = self.control_api.writer.committed, self.poller.last
         if committed is None or listed is None:
             return []
-        return scaled_services(committed.state.configuration.get("services", []), listed.runners)
+        services = committed.state.configuration.get("services", [])
+        return scaled_services(services, self._serving_runners(committed.state, listed.runners))
+
+    @staticmethod
+    def _serving_runners(state: State, runners: list[Endpoint]) -> list[Endpoint]:
+        """The runners of versions that serve, each under its service's name; a version on trial is no room."""
+        if state.rollouts is None:
+            return runners
+        from .rollout_updates import serving_runners
+
+        return serving_runners(state.rollouts, runners)
 
     def _receive(self, sender: str, record: Record) -> bool:
+        if self.rollouts is not None and self.rollouts.receive(record):
+            return True
         return self.duties is not None and self.duties.receive(sender, record)
 
     def _on_committed(self, data: Data) -> None:
@@ -95,10 +133,9 @@
         """Starts the services in the order in which they need each other."""
         for service in (self.consensus, self.control_api, self.poller):
             await self.add_runtime_dependency(service)
-        if self.duties is not None:
-            await self.add_runtime_dependency(self.duties)
-        if self.jobs is not None:
-            await self.add_runtime_dependency(self.jobs)
+        for optional in (self.duties, self.rollouts, self.jobs):
+            if optional is not None:
+                await self.add_runtime_dependency(optional)
         await self.start_metrics_reporter()
 
     def apply_settings(self, settings: Settings) -> None:
--- /dev/null
+++ b/sparloom/controller/rollout_api.py
@@ -0,0 +1,97 @@
+"""The operators' calls about roll-outs: what is taken for an order, and how they are answered."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+from http import HTTPStatus
+from math import isfinite
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from sparloom.discovery import SEPARATOR
+from sparloom.rollouts.updates import OrderRollout
+from sparloom.transport import wall_clock_us
+
+from .change_requests import StateUpdate
+from .rollout_updates import judge_rollout
+
+if TYPE_CHECKING:
+    from sparloom.rollouts import Rollout
+
+    from .control_state import State
+
+ROLLOUTS_PATH = "/-/rollouts"
+ROLLOUT_PREFIX = ROLLOUTS_PATH + "/"
+MAXIMUM_NAME_LENGTH = 255
+MAXIMUM_DURATION = timedelta(days=30)
+MICROSECONDS_PER_MS = 1000
+MILLISECONDS_PER_S = 1000
+
+
+def parse_order(body: bytes) -> Result[StateUpdate[OrderRollout], str]:
+    """The order in a request's body; a failure is one sentence about its first fault.
+
+    >>> parse_order(b'{"service":"s","targetVersion":"v2","durationS":12}').unwrap().content.duration_ms
+    12000
+    >>> parse_order(b'{"service":"s","targetVersion":"v2","durationS":0}').failure()
+    'durationS must be a number of seconds above 0, and no more than 2592000'
+    """
+    try:
+        item = json.loads(body)
+    except (ValueError, RecursionError):
+        return Failure("the body is not JSON")
+    if not isinstance(item, dict):
+        return Failure("the body must be an object")
+    for key in ("service", "targetVersion"):
+        if not _is_name(item.get(key)):
+            return Failure(f"{key} must be a text of 1 to {MAXIMUM_NAME_LENGTH} characters, none of them a control one")
+    duration_ms = _duration_ms(item.get("durationS"))
+    if duration_ms is None:
+        longest = int(MAXIMUM_DURATION.total_seconds())
+        return Failure(f"durationS must be a number of seconds above 0, and no more than {longest}")
+    ordered_at_ms = wall_clock_us() // MICROSECONDS_PER_MS
+    order = OrderRollout(item["service"], item["targetVersion"], duration_ms, ordered_at_ms)
+    return Success(StateUpdate(order, judge_rollout))
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAXIMUM_NAME_LENGTH and min(value) > SEPARATOR
+
+
+def _duration_ms(value: Any) -> int | None:
+    """A number of seconds in milliseconds; None where it is none that an order may have."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return None
+    if not isfinite(value) or not 0 < value <= MAXIMUM_DURATION.total_seconds():
+        return None
+    return max(1, round(value * MILLISECONDS_PER_S))
+
+
+def newest_rollout(state: State, service: str) -> Rollout | None:
+    """The newest roll-out of a service in a committed state.
+
+    >>> from .control_state import State
+    >>> newest_rollout(State({}), "s")
+    """
+    return state.rollouts.newest.get(service) if state.rollouts else None
+
+
+def description(rollout: Rollout) -> dict[str, Any]:
+    """What operators are told of a roll-out.
+
+    >>> from sparloom.rollouts import Rollout
+    >>> description(Rollout(1, "s", "v2", 9000, 0, ("v1",)))["state"]
+    'serving'
+    """
+    told = {
+        "state": rollout.status.value,
+        "targetVersion": rollout.target,
+        "step": rollout.step.name.lower(),
+        "share": rollout.share,
+    }
+    return {**told, "reason": rollout.reason} if rollout.reason else told
+
+
+NO_ROLLOUT = (HTTPStatus.NOT_FOUND, "the service has had no roll-out")
--- /dev/null
+++ b/sparloom/controller/rollout_updates.py
@@ -0,0 +1,116 @@
+"""Changes of the roll-outs' state, judged against a committed control state; what routers are told of it. No I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from sparloom.configuration.rollouts import BASE, COLLECTOR, NUMBER, POOLS, SERVICE, SHARE, STEP, TRIAL
+from sparloom.discovery import pool_name, service_of
+from sparloom.rollouts import RolloutsState
+from sparloom.rollouts.updates import OrderRollout, Refusal
+
+from .change_requests import Judgement, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sparloom.discovery import Endpoint
+    from sparloom.rollouts.updates import RolloutUpdate
+
+    from .control_state import State
+
+
+def judge_rollout(state: State, update: RolloutUpdate) -> Judgement:
+    """What becomes of an update upon a committed state.
+
+    >>> from .control_state import State
+    >>> configured = State({"revision": 1, "services": [{"name": "s"}]})
+    >>> first = judge_rollout(configured, OrderRollout("s", "v2", 9000))
+    >>> first.verdict.name, judge_rollout(first.state, OrderRollout("s", "v2", 9000)).verdict.name
+    ('NEW', 'ALREADY_COMMITTED')
+    >>> judge_rollout(first.state, OrderRollout("s", "v3", 9000)).verdict.name
+    'CONFLICT'
+    >>> judge_rollout(configured, OrderRollout("t", "v2", 9000)).fault
+    'the configuration has no service t'
+    """
+    if isinstance(update, OrderRollout) and not state.revision:
+        # Before the first configuration nobody can tell which services there are to be.
+        return Judgement(Verdict.FORGOTTEN)
+    if isinstance(update, OrderRollout) and not _is_configured(state, update.service):
+        return Judgement(Verdict.UNKNOWN_NAME, fault=f"the configuration has no service {update.service}")
+    before = state.rollouts or RolloutsState()
+    after = update.apply(before)
+    if isinstance(after, Refusal):
+        verdict = Verdict.CONFLICT if after.in_the_way else Verdict.STALE
+        return Judgement(verdict, fault=after.text)
+    if after == before:
+        return Judgement(Verdict.ALREADY_COMMITTED)
+    return Judgement(Verdict.NEW, state.with_rollouts(after))
+
+
+def _is_configured(state: State, service: str) -> bool:
+    return any(item["name"] == service for item in state.configuration.get("services", ()))
+
+
+def pool_of(state: RolloutsState, service: str, version: str) -> str:
+    """The pool in which a runner is listed: that of the first version bears the service's own name.
+
+    >>> pool_of(RolloutsState(first_versions={"s": ("v1",)}), "s", "v1")
+    's'
+    """
+    return service if state.is_plain(service, version) else pool_name(service, version)
+
+
+def serving_runners(state: RolloutsState, runners: Iterable[Endpoint]) -> list[Endpoint]:
+    """The runners of versions that serve, each under its service's name.
+
+    >>> from sparloom.discovery import Endpoint
+    >>> state = RolloutsState().note_versions({"s": ("v1",)}).order("s", "v2", 9000, 0)
+    >>> listed = [Endpoint(pool, pool, "h:1", "z", 8, False, 0) for pool in ("s", pool_name("s", "v2"))]
+    >>> [runner.id for runner in serving_runners(state, listed)]
+    ['s']
+    """
+    serving = []
+    for runner in runners:
+        service = service_of(runner.service)
+        if runner.service in _pools(state, service, state.serving_versions(service)):
+            serving.append(runner.in_pool(service))
+    return serving
+
+
+def rollouts_addition(state: RolloutsState) -> list[dict[str, Any]]:
+    """What the feed's document tells of services whose versions matter.
+
+    >>> rollouts_addition(RolloutsState().note_versions({"s": ("v1",)}))
+    []
+    >>> rollouts_addition(RolloutsState().note_versions({"s": ("v1", "v2")}))[0]["pools"]
+    ['s', 's\\x1fv2']
+    >>> rollouts_addition(RolloutsState().note_versions({"s": ("v1",)}).order("s", "v2", 9000, 0))[0]["pools"]
+    ['s']
+    """
+    several = {service for service, versions in state.first_versions.items() if len(versions) > 1}
+    return [_entry(state, service) for service in sorted({*state.newest, *several})]
+
+
+def _entry(state: RolloutsState, service: str) -> dict[str, Any]:
+    rollout = state.newest.get(service)
+    entry: dict[str, Any] = {
+        SERVICE: service,
+        POOLS: _pools(state, service, state.serving_versions(service)),
+        BASE: _pools(state, service, rollout.base if rollout else ()),
+    }
+    if rollout is None or not rollout.is_serving:
+        return entry
+    return {
+        **entry,
+        NUMBER: rollout.number,
+        TRIAL: pool_of(state, service, rollout.target),
+        STEP: int(rollout.step),
+        SHARE: rollout.share,
+        COLLECTOR: state.collector,
+    }
+
+
+def _pools(state: RolloutsState, service: str, versions: Iterable[str]) -> list[str]:
+    # Before the first list the versions that serve aren't known: they are all in the plain pool.
+    return sorted({pool_of(state, service, version) for version in versions}) or [service]
--- a/sparloom/discovery/__init__.py
+++ b/sparloom/discovery/__init__.py
@@ -1,8 +1,23 @@
 """Service discovery: the platform's list of runners, polled by the primary controller."""
 
-from .endpoints import Endpoint, EndpointDelta, EndpointList, PageAssembler, PollSchedule, apply_delta, delta, read_page
+from .endpoints import (
+    SEPARATOR,
+    Endpoint,
+    EndpointDelta,
+    EndpointList,
+    PageAssembler,
+    PollSchedule,
+    apply_delta,
+    delta,
+    pool_name,
+    read_page,
+    service_of,
+    versions_listed,
+    with_pools,
+)
 
 __all__ = [
+    "SEPARATOR",
     "Endpoint",
     "EndpointDelta",
     "EndpointList",
@@ -10,5 +25,9 @@
     "PollSchedule",
     "apply_delta",
     "delta",
+    "pool_name",
     "read_page",
+    "service_of",
+    "versions_listed",
+    "with_pools",
 ]
--- a/sparloom/discovery/endpoints.py
+++ b/sparloom/discovery/endpoints.py
@@ -1,4 +1,9 @@
-"""Reads the platform's pages of runners and schedules the calls."""
+"""Reads the platform's pages of runners and schedules the calls.
+
+Where roll-outs are in force, a runner of another version than the service's
+first one is listed under the name of its pool in place of that of its service.
+Whoever doesn't know of pools finds no such service, and sends it nothing.
+"""
 
 from __future__ import annotations
 
@@ -11,11 +16,40 @@
 from sparloom.codec import Record, UInt16, UInt32, record
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 PERIODS_PER_DRAIN = 4
 # Calls are made at half the rate that the platform allows.
 RATE_MARGIN = 2
+# Stands between the names of a service and of a version; no name that an operator writes holds it.
+SEPARATOR = "\x1f"
+
+
+def pool_name(service: str, version: str) -> str:
+    """Return the name of the pool of a service's runners of one version.
+
+    >>> service_of(pool_name("s", "v2")), version_of(pool_name("s", "v2"))
+    ('s', 'v2')
+    """
+    return f"{service}{SEPARATOR}{version}"
+
+
+def service_of(pool: str) -> str:
+    """Return the service of a pool; the pool of the first version has the service's own name.
+
+    >>> service_of("s")
+    's'
+    """
+    return pool.partition(SEPARATOR)[0]
+
+
+def version_of(pool: str) -> str:
+    """Return the version that a pool names; "" for the pool of the first version.
+
+    >>> version_of("s")
+    ''
+    """
+    return pool.partition(SEPARATOR)[2]
 
 
 @record(70)
@@ -40,6 +74,14 @@
     draining: bool
     cold: UInt32
 
+    def in_pool(self, pool: str) -> Endpoint:
+        """The same runner, listed under the name of a pool.
+
+        >>> Endpoint("a", "s", "h:1", "z", 4, False, 0).in_pool("t").service
+        't'
+        """
+        return Endpoint(self.id, pool, self.address, self.zone, self.slots, self.draining, self.cold)
+
 
 @record(71)
 class EndpointList(Record):
@@ -103,6 +145,28 @@
     return EndpointList(_ordered(kept | _by_id(change.updated)), change.fleet_size)
 
 
+def versions_listed(runners: Iterable[Endpoint]) -> dict[str, set[str]]:
+    """The versions of each service in a list that was read by version.
+
+    >>> versions_listed([Endpoint("a", pool_name("s", "v1"), "h:1", "z", 4, False, 0)])
+    {'s': {'v1'}}
+    """
+    found: dict[str, set[str]] = {}
+    for runner in runners:
+        found.setdefault(service_of(runner.service), set()).add(version_of(runner.service))
+    return found
+
+
+def with_pools(runners: Iterable[Endpoint], pool_of: Callable[[str, str], str]) -> list[Endpoint]:
+    """The runners of a list that was read by version, each in the pool that is given for its service and version.
+
+    >>> runners = [Endpoint("a", pool_name("s", "v1"), "h:1", "z", 4, False, 0)]
+    >>> with_pools(runners, lambda service, version: service)[0].service
+    's'
+    """
+    return [runner.in_pool(pool_of(service_of(runner.service), version_of(runner.service))) for runner in runners]
+
+
 def _by_id(runners: Iterable[Endpoint]) -> dict[str, Endpoint]:
     return {runner.id: runner for runner in runners}
 
@@ -111,11 +175,12 @@
     return [runners[id] for id in sorted(runners)]
 
 
-def _endpoint(instance: dict[str, Any]) -> Endpoint:
+def _endpoint(instance: dict[str, Any], by_version: bool) -> Endpoint:
     """A runner from its JSON object; raises ``KeyError``, ``TypeError`` or ``ValueError``."""
+    service = instance["service"]
     return Endpoint(
         instance["runnerId"],
-        instance["service"],
+        pool_name(service, str(instance.get("revision", ""))) if by_version else service,
         instance["address"],
         instance.get("zone", ""),
         int(instance.get("slots", 0)),
@@ -124,9 +189,13 @@
     )
 
 
-def read_page(document: Any) -> Result[tuple[list[Endpoint], str | None], str]:
+def read_page(document: Any, by_version: bool = False) -> Result[tuple[list[Endpoint], str | None], str]:
     """Reads a page of the platform's list.
 
+    Args:
+        document: The page.
+        by_version: Whether each runner is given the pool of its service and version for its service.
+
     Returns:
         The runners and the token of the next page, None on the last one. The
         token must be present, so that a truncated list isn't taken for a
@@ -140,7 +209,8 @@
     "the platform's page can't be read: 'nextPageToken'"
     """
     try:
-        return Success(([_endpoint(instance) for instance in document["instances"]], document["nextPageToken"]))
+        endpoints = [_endpoint(instance, by_version) for instance in document["instances"]]
+        return Success((endpoints, document["nextPageToken"]))
     except (KeyError, TypeError, ValueError) as error:
         return Failure(f"the platform's page can't be read: {error}")
 
--- a/sparloom/feed/payload.py
+++ b/sparloom/feed/payload.py
@@ -74,13 +74,10 @@
 
 
 def _configuration_delta(old: ConfigurationDocument, new: ConfigurationDocument) -> ConfigurationDocument | None:
-    """A PATCH body as operators send it, and the evacuated zones beside it where they differ."""
-    before, after = configuration.without_evacuated_zones(old), configuration.without_evacuated_zones(new)
+    """A PATCH body as operators send it, and beside it the additions of the control state that differ."""
+    before, after = configuration.operators_part(old), configuration.operators_part(new)
     patch: ConfigurationDocument | None = configuration.delta(before, after)
-    zones = configuration.evacuated_zones(new)
-    if patch is None or zones == configuration.evacuated_zones(old):
-        return patch
-    return {**patch, configuration.EVACUATED_ZONES: sorted(zones)}
+    return None if patch is None else {**patch, **configuration.changed_additions(old, new)}
 
 
 def decode_payload(topic: int, payload: bytes) -> Any:
@@ -145,6 +142,6 @@
     new = configuration.apply_patch(old, patch).value_or(None)
     if new is None:
         raise PayloadError(f"the patch does not apply to revision {old.get('revision')}")
-    if isinstance(patch, dict) and configuration.EVACUATED_ZONES in patch:
-        return configuration.with_evacuated_zones(new, patch[configuration.EVACUATED_ZONES])
-    return new
+    if not isinstance(patch, dict):
+        return new
+    return configuration.with_additions(new, configuration.patched_additions(old, patch))
--- /dev/null
+++ b/sparloom/rollouts/verdict.py
@@ -0,0 +1,290 @@
+"""The verdict on a new version: a vote among watchers, each weighed by what it has seen. No I/O.
+
+The weight of a watcher's vote on a route is the logarithm of a likelihood
+ratio: how much better its answers fit a version of which a good part of the
+answers is bad than one that does as the old version does at the same time, on
+the same route. It is bounded, so that no single watcher decides. The old
+version's rate comes from all watchers together: a fleet in trouble is no
+fault of the version. ``docs/notes/verdict.md`` says what was weighed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from math import log
+from typing import TYPE_CHECKING, TypeAlias
+
+from attrs import define, field
+
+from .evidence import CellKey, Counts
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from .evidence import Cells, Evidence
+
+# Of a bad version at least this part of the answers is bad, on some route, beyond what is bad of the old one's.
+BAD_RATE = 0.3
+HIGHEST_BAD_RATE = 0.9
+# The old version's rate is never taken for less, nor for more.
+LEAST_BASE_RATE = 0.01
+HIGHEST_BASE_RATE = 0.5
+# So many good answers are reckoned to the old version's besides: few answers are no proof of a rate of none.
+BASE_PRIOR_ANSWERS = 50
+BASE_PRIOR_BAD = 1
+# Votes against a version must weigh so much together, so that chance brings it about once in some thousand roll-outs,
+REJECT_WEIGHT = 8.0
+# and this much without the runner that did worst: one sick runner is no bad version.
+REJECT_WEIGHT_OF_OTHERS = 2.0
+# No watcher counts for more than this part of it, where there are others.
+WATCHERS_TO_REJECT = 2
+# For a version they must weigh so much, on each route of which much is seen and on the others,
+ACCEPT_WEIGHT = 4.0
+ACCEPT_WEIGHT_OF_RARE = 1.5
+# and so much among answers of busy runners.
+ACCEPT_WEIGHT_LOADED = 3.0
+# Routes with less than this part of all answers are rare; those with fewer answers are not asked for.
+RARE_PART = 0.05
+LEAST_PART = 0.02
+LEAST_ANSWERS = 20
+
+Bad: TypeAlias = Callable[[Counts], tuple[int, int]]
+
+
+def failures(counts: Counts) -> tuple[int, int]:
+    """Return the answers that failed, and all.
+
+    >>> failures(Counts(5, 1, 4, 2))
+    (1, 5)
+    """
+    return counts.failed, counts.answers
+
+
+def delays(counts: Counts) -> tuple[int, int]:
+    """Return the answers that were slow, and all whose pace is known.
+
+    >>> delays(Counts(5, 1, 4, 2))
+    (2, 4)
+    """
+    return counts.slow, counts.paced
+
+
+FAULTS: dict[str, Bad] = {"answers fail": failures, "answers are slow": delays}
+
+
+@define(frozen=True, slots=True)
+class Rates:
+    """The part of bad answers of a version that does as the old one does, and of a bad one."""
+
+    sound: float
+    bad: float
+
+    @classmethod
+    def of(cls, bad: int, total: int) -> Rates:
+        """Return the rates for what the old version's answers were at the same time.
+
+        >>> Rates.of(0, 0), Rates.of(150, 250)
+        (Rates(sound=0.02, bad=0.32), Rates(sound=0.5, bad=0.8))
+        """
+        rate = (bad + BASE_PRIOR_BAD) / (total + BASE_PRIOR_ANSWERS)
+        sound = min(max(rate, LEAST_BASE_RATE), HIGHEST_BASE_RATE)
+        return cls(sound, min(sound + BAD_RATE, HIGHEST_BAD_RATE))
+
+    def weight(self, bad: int, total: int) -> float:
+        """Return the logarithm of the likelihood ratio of some answers; above 0 they speak against the version.
+
+        >>> Rates(0.02, 0.32).weight(0, 10) < 0 < Rates(0.02, 0.32).weight(2, 10)
+        True
+        """
+        return bad * log(self.bad / self.sound) + (total - bad) * log((1 - self.bad) / (1 - self.sound))
+
+
+def bounded_sum(weights: Iterable[float], others: bool) -> float:
+    """Return the sum of the watchers' weights, each bounded; ``others``: whether there is more than one watcher.
+
+    >>> bounded_sum([20.0, -1.0], others=True), bounded_sum([20.0], others=False)
+    (3.0, 20.0)
+    """
+    bound = REJECT_WEIGHT / WATCHERS_TO_REJECT
+    return sum(max(-bound, min(bound, weight)) for weight in weights) if others else sum(weights)
+
+
+class Ruling(Enum):
+    """What the votes say."""
+
+    UNDECIDED = "not enough has been seen"
+    REJECTED = "the version is bad"
+    ACCEPTED = "the version does as the old one does"
+
+
+@define(frozen=True, slots=True)
+class Judgement:
+    """The outcome of a vote.
+
+    Attributes
+    ----------
+    ruling
+        What the votes say of the answers under the present load.
+    accepted_under_load
+        Whether enough answers of busy runners were seen, and were good.
+    reason
+        For a rejection: what is wrong; while it is undecided: what is lacking.
+    """
+
+    ruling: Ruling
+    accepted_under_load: bool = False
+    reason: str = ""
+
+
+@define(slots=True)
+class Ballot:
+    """The votes on one kind of fault, counted over some cells.
+
+    Attributes
+    ----------
+    cells
+        By watcher.
+    bad
+        Gives the bad answers of some counts, and all.
+    base
+        The old version's bad answers and all of them, by route.
+    """
+
+    cells: Mapping[str, Cells]
+    bad: Bad
+    base: dict[str, tuple[int, int]] = field(factory=dict)
+
+    def weight(self, wanted: Callable[[CellKey], bool]) -> float:
+        """Return the bounded sum of all watchers' weights over the new version's cells that are wanted."""
+        weights = []
+        for cells in self.cells.values():
+            own = [(key, self.bad(counts)) for key, counts in cells.items() if key.trial and wanted(key)]
+            if own:
+                weights.append(sum(Rates.of(*self.base.get(key.route, (0, 0))).weight(*found) for key, found in own))
+        return bounded_sum(weights, others=len(self.cells) > 1)
+
+    def runners(self) -> set[int]:
+        """Return the runners of the new version that have answered."""
+        return {key.runner for cells in self.cells.values() for key in cells if key.trial}
+
+    def weight_of_others(self, wanted: Callable[[CellKey], bool]) -> float:
+        """Return the weight without the runner that did worst, where there is more than one."""
+        runners = self.runners()
+        if len(runners) < 2:
+            return self.weight(wanted)
+        return min(
+            self.weight(lambda key, worst=runner: key.runner != worst and wanted(key))  # type: ignore[misc]
+            for runner in runners
+        )
+
+
+def _base_of(cells_by_watcher: Iterable[Cells], bad: Bad) -> dict[str, tuple[int, int]]:
+    """The old version's bad answers and all of them, by route."""
+    found: dict[str, tuple[int, int]] = {}
+    for cells in cells_by_watcher:
+        for key, counts in cells.items():
+            if not key.trial:
+                known, more = found.get(key.route, (0, 0)), bad(counts)
+                found[key.route] = known[0] + more[0], known[1] + more[1]
+    return found
+
+
+def _worse(one: tuple[int, int], other: tuple[int, int]) -> tuple[int, int]:
+    return max(one, other, key=lambda found: Rates.of(*found).sound)
+
+
+def _base_rates(evidence: Evidence, bad: Bad) -> dict[str, tuple[int, int]]:
+    """For each route the old version's worse rate: of all time, or of the last seconds."""
+    total, recent = _base_of(evidence.total.values(), bad), _base_of(evidence.recent.values(), bad)
+    return {route: _worse(found, recent.get(route, (0, 0))) for route, found in total.items()}
+
+
+def _answers_by_route(evidence: Evidence, trial: bool | None = None) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for cells in evidence.total.values():
+        for key, counts in cells.items():
+            if trial is None or key.trial is trial:
+                found[key.route] = found.get(key.route, 0) + counts.answers
+    return found
+
+
+def judge(evidence: Evidence, runners: int) -> Judgement:
+    """Return the outcome of the vote.
+
+    Parameters
+    ----------
+    evidence
+        What the watchers have told.
+    runners
+        How many runners of the new version there are.
+    """
+    reason = _rejection(evidence, runners)
+    if reason:
+        return Judgement(Ruling.REJECTED, reason=reason)
+    under_load = _is_accepted_under_load(evidence)
+    lacking = _lacking(evidence)
+    if lacking:
+        return Judgement(Ruling.UNDECIDED, under_load, lacking)
+    return Judgement(Ruling.ACCEPTED, under_load)
+
+
+def _rejection(evidence: Evidence, runners: int) -> str:
+    """What is wrong with the version, by enough votes; "" where nothing is."""
+    for fault, bad in FAULTS.items():
+        base = _base_rates(evidence, bad)
+        for cells in (evidence.total, evidence.recent):
+            ballot = Ballot(cells, bad, base)
+            for route in _answers_by_route(evidence, trial=True):
+                if _is_rejected(ballot, route, runners):
+                    return f"{fault} on route {route}"
+    return ""
+
+
+def _is_rejected(ballot: Ballot, route: str, runners: int) -> bool:
+    def on_route(key: CellKey) -> bool:
+        return key.route == route
+
+    if ballot.weight(on_route) < REJECT_WEIGHT:
+        return False
+    # While one runner alone has answered, of several, nobody can tell whether it is that runner or the version.
+    if runners > 1 and len(ballot.runners()) < 2:
+        return False
+    return ballot.weight_of_others(on_route) >= REJECT_WEIGHT_OF_OTHERS
+
+
+def _lacking(evidence: Evidence) -> str:
+    """What is still to be seen, or speaks against the version of late; "" where nothing is."""
+    by_route = _answers_by_route(evidence)
+    everything = sum(by_route.values())
+    least = max(LEAST_ANSWERS, LEAST_PART * everything)
+    asked_for = [route for route, count in by_route.items() if count >= least]
+    if not asked_for:
+        return "hardly any answers were seen"
+    lacking = (_lacking_on(evidence, route, by_route[route] < RARE_PART * everything) for route in asked_for)
+    return next((text for text in lacking if text), "")
+
+
+def _lacking_on(evidence: Evidence, route: str, rare: bool) -> str:
+    """What is still to be seen on a route."""
+    needed = ACCEPT_WEIGHT_OF_RARE if rare else ACCEPT_WEIGHT
+
+    def on_route(key: CellKey) -> bool:
+        return key.route == route
+
+    for fault, bad in FAULTS.items():
+        base = _base_rates(evidence, bad)
+        if bad is delays and base.get(route, (0, 0))[1] < LEAST_ANSWERS:
+            # The old version's pace is not known well enough there to compare with.
+            continue
+        weight = Ballot(evidence.total, bad, base).weight_of_others(on_route)
+        if weight > -needed:
+            return f"whether {fault} on route {route}: {-weight:.1f} of {needed:.1f}"
+        if Ballot(evidence.recent, bad, base).weight_of_others(on_route) > 0:
+            return f"whether {fault} on route {route} of late"
+    return ""
+
+
+def _is_accepted_under_load(evidence: Evidence) -> bool:
+    ballot = Ballot(evidence.total, failures, _base_rates(evidence, failures))
+    return ballot.weight(lambda key: key.loaded) <= -ACCEPT_WEIGHT_LOADED
--- a/sparloom/router/admission_queues.py
+++ b/sparloom/router/admission_queues.py
@@ -136,7 +136,8 @@
         Where this router's share is none at any runner, it may hold one to each.
         """
         state, fleet_size = self.state, self.state.fleet_size
-        backends, service = state.backends.of(service_name), self._configuration().services.get(service_name)
+        backends = state.backends.connected_to(service_name)
+        service = self._configuration().services.get(service_name)
         known = self._connections.get(service_name)
         position = (fleet_size.divisor, fleet_size.index)
         if (
--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from datetime import timedelta
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -40,6 +41,15 @@
 BACKEND_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
+class AttemptEnd(Enum):
+    """How an attempt ended, as far as it tells about the backend."""
+
+    COMPLETE = "the answer was complete"
+    FAILED = "the answer failed, broke off or did not come"
+    NOT_RUN = "the backend did not run the request"
+    BROKEN_OFF_HERE = "the client left, or another attempt was preferred"
+
+
 class Attempt:
     """One send of a request to a backend on which a slot was taken for it.
 
@@ -50,6 +60,9 @@
     Attributes
     ----------
     connected: whether the request may have left the router.
+    in_flight_before: requests that were at the backend before this one, of all routers.
+    timed_out: whether the wait for it was ended here.
+    first_part_at, last_part_at, parts: when parts of the answer came, and how many; only where anybody asks.
     inactivity: the timer of the backend's silence.
     """
 
@@ -65,8 +78,13 @@
         self._yields = choice.yields
         self.backend = choice.backend
         self.slot = choice.slot
+        self.in_flight_before = choice.in_flight
         self._response: aiohttp.ClientResponse | None = None
         self._asked_at = monotonic()
+        self.first_part_at: timedelta | None = None
+        self.last_part_at: timedelta | None = None
+        self.parts = 0
+        self.timed_out = False
         self.connected = True
         self.backend.open_calls += 1
         self.inactivity = InactivityTimer(self.backend, self.slot, lambda: self._suspect(UNRESPONSIVE), on_unresponsive)
@@ -76,6 +94,22 @@
         """Whether the head of a response has come."""
         return self._response is not None
 
+    @property
+    def asked_at(self) -> timedelta:
+        """When the request was sent, or the attempt began."""
+        return self._asked_at
+
+    def note_part(self, now: timedelta) -> None:
+        """Note that a part of the answer has come."""
+        self.first_part_at = now if self.first_part_at is None else self.first_part_at
+        self.last_part_at = now
+        self.parts += 1
+
+    @property
+    def status(self) -> int | None:
+        """The status of the backend's response; None while there is none."""
+        return None if self._response is None else self._response.status
+
     @property
     def response(self) -> aiohttp.ClientResponse:
         """The backend's response; there is none before the attempt has opened."""
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -15,7 +15,7 @@
 from .timeout_buckets import buckets_for
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from datetime import timedelta
     from random import Random
 
@@ -37,11 +37,13 @@
     """A backend for one attempt, and the slot taken there.
 
     ``yields``: the prefill is heavy there, so the request lets others go first.
+    ``in_flight``: requests that were at the backend before, of all routers.
     """
 
     backend: Backend
     slot: Slot
     yields: bool
+    in_flight: int = 0
 
 
 @define(frozen=True, slots=True, eq=False)
@@ -92,7 +94,10 @@
         service = configuration.services.get(self.service) if configuration else None
         if service is not None and not service.supported:
             return ()
-        backends = self._services.state.backends.of(self.service)
+        return self._allowed(self._services.state.backends.of(self.service))
+
+    def _allowed(self, backends: Sequence[Backend]) -> Sequence[Backend]:
+        """Return those of some backends that may be shown the request's prompt."""
         isolation = self._services.state.settings.isolation
         if isolation is None:
             return backends
@@ -112,7 +117,27 @@
         ``reserved``: the request was admitted from its member's reserve.
         """
         now = monotonic()
-        backends = {backend.id: backend for backend in self.eligible()}
+        return self._take_on_trial(reserved, now) or self._take_best(self.eligible(), reserved, now)
+
+    def _take_on_trial(self, reserved: bool, now: timedelta) -> BackendChoice | None:
+        """Take a slot at a runner of the version that is on trial, if the first attempt is to go there.
+
+        Further attempts go to versions that serve: a request must not depend on a version that may be bad.
+        """
+        rollouts = self._services.rollouts
+        if rollouts is None or self.tried:
+            return None
+        candidates = rollouts.trial_backends(self.service, self._request.route.name, now)
+        if not candidates:
+            return None
+        choice = self._take_best(self._allowed(candidates), reserved, now)
+        if choice is None:
+            rollouts.not_exposed(self.service)
+        return choice
+
+    def _take_best(self, eligible: Sequence[Backend], reserved: bool, now: timedelta) -> BackendChoice | None:
+        """Take a slot at the best of some backends."""
+        backends = {backend.id: backend for backend in eligible}
         connection_limits = self._services.queues.connections(self.service)
         count_event("weighed runners", len(backends))
         candidates = [self._candidate(backend, now) for backend in backends.values()]
@@ -120,11 +145,7 @@
         shared_tokens = sum(tokens for _, tokens in self._request.shared_parts)
         for candidate in choose(candidates, shared_tokens):
             backend = backends[candidate.id]
-            if backend.id in self.tried or backend.open_calls >= connection_limits[backend.id]:
-                continue
-            if in_doubt and not backend.has_stayed(now, self._longest_trust()):
-                continue
-            if candidate.cold and not self._bears_one_more(backend, now):
+            if not self._may_use(backend, connection_limits, in_doubt, now):
                 continue
             choice = self._take_slot(backend, candidate.prefill_tokens, now, reserved)
             if choice is not None:
@@ -135,6 +156,14 @@
                 return choice
         return None
 
+    def _may_use(self, backend: Backend, connection_limits: Mapping[str, int], in_doubt: bool, now: timedelta) -> bool:
+        """Whether an attempt may be made at a backend now, a slot apart."""
+        if backend.id in self.tried or backend.open_calls >= connection_limits.get(backend.id, 0):
+            return False
+        if in_doubt and not backend.has_stayed(now, self._longest_trust()):
+            return False
+        return not backend.is_cold(now) or self._bears_one_more(backend, now)
+
     def _longest_trust(self) -> timedelta:
         """For how long an answer shows that a backend isn't leaving; what is sent then arrives within the bound."""
         return self._services.state.settings.bounds.drain * DOUBT_AFTER_DRAIN_PART
@@ -172,10 +201,12 @@
 
     def _take_slot(self, backend: Backend, prefill_tokens: int, now: timedelta, reserved: bool) -> BackendChoice | None:
         buckets = buckets_for(self._request.route, backend.slots, reserved)
+        in_flight = self._services.in_flight.count(backend.id, now)
         slot = self._services.in_flight.acquire(backend.id, buckets, now, prefill_tokens)
         if slot is None:
             return None
-        return BackendChoice(backend, slot, is_heavy_prefill(prefill_tokens, backend.cached.capacity, backend.slots))
+        yields = is_heavy_prefill(prefill_tokens, backend.cached.capacity, backend.slots)
+        return BackendChoice(backend, slot, yields, in_flight)
 
     def _announce_prompt(self, backend: Backend) -> None:
         """Note that the backend will have the prompt cached, here, at the other routers and at a controller."""
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -10,6 +10,7 @@
 import aiohttp
 from attrs import define, field
 
+from sparloom.discovery import service_of
 from sparloom.load_balancing import CachedPrefixes
 from sparloom.metrics import count_event
 from sparloom.transport import tune
@@ -19,8 +20,9 @@
 from .target import RawTargetRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable, Mapping
 
+    from sparloom.configuration.rollouts import ServiceVersions
     from sparloom.discovery import Endpoint
 
 NOT_SUSPECTED = timedelta(0)
@@ -60,7 +62,9 @@
 
     Attributes
     ----------
-    id, service, address, zone, slots, draining: as the endpoint list has them.
+    id, address, zone, slots, draining: as the endpoint list has them.
+    service: the service that it belongs to.
+    pool: the runners of the service that run the same version.
     warming_up: whether it has started a short time ago (slow start).
     evacuated: whether its zone is evacuated.
     returned_at: when its zone was taken back; ``NEVER`` if it was not evacuated.
@@ -95,6 +99,7 @@
     returned_at: timedelta = NEVER
     stays_at: timedelta = NEVER
     cold_sends: ColdSends = field(factory=ColdSends)
+    pool: str = ""
 
     def is_cold(self, now: timedelta) -> bool:
         """Whether it is warming up, or may be: it may have become cold shortly before its zone was taken back.
@@ -190,7 +195,7 @@
 def _new_backend(endpoint: Endpoint, cache_tokens: int) -> Backend:
     return Backend(
         endpoint.id,
-        endpoint.service,
+        service_of(endpoint.service),
         endpoint.address,
         endpoint.zone,
         endpoint.slots,
@@ -208,49 +213,87 @@
     Attributes
     ----------
     by_id: each backend.
-    services: for each service the backends that take new requests: those that drain or whose zone is evacuated don't.
+    services: for each service the backends that take new requests: those that drain or whose zone is evacuated don't,
+        nor those of a version that doesn't serve.
+    trials: for each service with a roll-out under way the backends of the new version that take new requests.
+    connected: for each service the backends of both.
     ids_by_number: backend ids by their number in the gossip.
 
-    >>> BackendTable().of("s")
-    ()
+    >>> BackendTable().of("s"), BackendTable().on_trial("s")
+    ((), ())
     """
 
     by_id: dict[str, Backend] = field(factory=dict)
     services: dict[str, tuple[Backend, ...]] = field(factory=dict)
     ids_by_number: dict[int, str] = field(factory=dict)
+    trials: dict[str, tuple[Backend, ...]] = field(factory=dict)
+    connected: dict[str, tuple[Backend, ...]] = field(factory=dict)
 
     def of(self, service: str) -> tuple[Backend, ...]:
         """The backends of a service that take new requests."""
         return self.services.get(service, ())
 
+    def on_trial(self, service: str) -> tuple[Backend, ...]:
+        """The backends of the version that is on trial, which may be sent a part of the service's requests."""
+        return self.trials.get(service, ())
+
+    def connected_to(self, service: str) -> tuple[Backend, ...]:
+        """The backends of a service that requests may be sent to, on trial or not."""
+        return self.connected.get(service, ())
+
     def renew(
         self,
         endpoints: Iterable[Endpoint],
         cache_tokens: Callable[[str], int],
         evacuated_zones: Collection[str] = (),
         now: timedelta = NEVER,
+        versions: Mapping[str, ServiceVersions] | None = None,
     ) -> BackendTable:
         """The next snapshot; instances that go on keep what was learned of them.
 
         ``cache_tokens(service)``: how many tokens a backend of a service caches.
         ``evacuated_zones``: whose backends take no new requests; ``now`` is when that is so.
+        ``versions``: which pools of a service serve, and which is on trial, where it has had a roll-out.
         """
         by_id: dict[str, Backend] = {}
         for endpoint in endpoints:
-            tokens = cache_tokens(endpoint.service)
+            service = service_of(endpoint.service)
+            tokens = cache_tokens(service)
             backend = self.by_id.get(endpoint.id)
-            if backend is None or (backend.address, backend.service) != (endpoint.address, endpoint.service):
+            if backend is None or (backend.address, backend.service) != (endpoint.address, service):
                 backend = _new_backend(endpoint, tokens)
+            backend.pool = endpoint.service
             backend.draining = endpoint.draining
             backend.warming_up = bool(endpoint.cold)
             backend.slots = endpoint.slots
             backend.note_evacuation(endpoint.zone in evacuated_zones, now)
             backend.cached.capacity = tokens
             by_id[endpoint.id] = backend
-        names = {backend.service for backend in by_id.values()}
-        taking = [backend for backend in by_id.values() if not backend.draining and not backend.evacuated]
-        return BackendTable(
-            by_id,
-            {name: tuple(backend for backend in taking if backend.service == name) for name in names},
-            {backend.number: backend.id for backend in by_id.values()},
-        )
+        return _table(by_id, versions or {})
+
+
+def _table(by_id: dict[str, Backend], versions: Mapping[str, ServiceVersions]) -> BackendTable:
+    """The table of some backends."""
+    taking: dict[str, list[Backend]] = {backend.service: [] for backend in by_id.values()}
+    for backend in by_id.values():
+        if not backend.draining and not backend.evacuated:
+            taking[backend.service].append(backend)
+    services, trials, connected = {}, {}, {}
+    for name, backends in taking.items():
+        found = versions.get(name)
+        services[name] = connected[name] = _serving(backends, name, found)
+        if found is not None and found.trial is not None:
+            trials[name] = _in_pools(backends, (found.trial.pool,))
+            connected[name] = tuple({backend.id: backend for backend in services[name] + trials[name]}.values())
+    return BackendTable(by_id, services, {backend.number: backend.id for backend in by_id.values()}, trials, connected)
+
+
+def _serving(backends: list[Backend], service: str, versions: ServiceVersions | None) -> tuple[Backend, ...]:
+    """The backends of versions that serve; while none of them is listed, of those that served before."""
+    if versions is None:
+        return _in_pools(backends, (service,))
+    return _in_pools(backends, versions.pools) or _in_pools(backends, versions.base)
+
+
+def _in_pools(backends: list[Backend], pools: Collection[str]) -> tuple[Backend, ...]:
+    return tuple(backend for backend in backends if backend.pool in pools)
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -21,7 +21,7 @@
 
 from . import refusal
 from .admission_queues import Rejected
-from .attempt import BACKEND_ERRORS, Attempt
+from .attempt import BACKEND_ERRORS, Attempt, AttemptEnd
 from .backend_choice import BackendChooser
 from .hedging import Hedging
 from .outcomes import Outcome
@@ -142,6 +142,8 @@
     # -- attempts -----------------------------------------------------------------
     def _next_attempt(self) -> Attempt | None:
         """Start an attempt at the best backend not tried yet; None where none has capacity."""
+        if self._services.rollouts is not None and not self._attempts:
+            self._services.rollouts.on_request(self._chooser.service, self.request.route.name)
         choice = self._chooser.take(self._reserved)
         if choice is None:
             return None
@@ -152,6 +154,32 @@
         return Attempt(self._services.state, self.request, choice, self._hedge)
 
     async def _carry_out(self, attempt: Attempt) -> Verdict | None:
+        """Carry an attempt out to its end, and tell the watcher of roll-outs how it was; None if it was complete."""
+        rollouts, ended = self._services.rollouts, AttemptEnd.BROKEN_OFF_HERE
+        if rollouts is not None:
+            rollouts.on_sent(attempt.backend)
+        try:
+            verdict = await self._open_and_relay(attempt)
+            ended = self._end_of(attempt, verdict)
+            return verdict
+        finally:
+            if rollouts is not None:
+                rollouts.on_ended(attempt, self.request.route, ended)
+
+    def _end_of(self, attempt: Attempt, verdict: Verdict | None) -> AttemptEnd:
+        """How an attempt ended, as far as it tells about the backend."""
+        if verdict is NOT_RUN:
+            return AttemptEnd.NOT_RUN
+        if attempt.status is not None and attempt.status >= FIRST_SERVER_ERROR:
+            return AttemptEnd.FAILED
+        if verdict is None:
+            return AttemptEnd.COMPLETE
+        # A hedged attempt may have ended the wait for this one before its time was over.
+        if attempt.timed_out and self._time_left() > ZERO:
+            return AttemptEnd.BROKEN_OFF_HERE
+        return AttemptEnd.FAILED
+
+    async def _open_and_relay(self, attempt: Attempt) -> Verdict | None:
         """Open an attempt, unless it is open, and relay its response; None once that is complete."""
         try:
             async with asyncio.timeout(self._seconds_left()) as self._wait:
@@ -163,6 +191,7 @@
                     return MAY_HAVE_RUN
                 return await self._relay.relay(attempt)
         except TimeoutError:
+            attempt.timed_out = True
             return MAY_HAVE_RUN
         except BACKEND_ERRORS as error:
             return attempt.broke_off(error)
@@ -219,6 +248,8 @@
     def _on_progress(self, attempt: Attempt) -> None:
         """The backend has sent something: it keeps the request."""
         attempt.inactivity.progressed()
+        if self._services.rollouts is not None:
+            attempt.note_part(monotonic())
         if not self._began and attempt.response.status == OK:
             self._began = True
             if self._services.usage is not None:
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from sparloom.feed import CONFIGURATION
 from sparloom.membership import SUSPECT
 from sparloom.prefix_cache import PrefixPlacements
 from sparloom.relay import plan_tier
@@ -29,6 +30,7 @@
     from sparloom.retry import RetryBudget
     from sparloom.settings import Settings
 
+    from .rollout_watcher import RolloutWatcher
     from .usage_reporter import UsageReporter
 
 DEFAULT_CACHE_TOKENS = 1 << 18
@@ -57,6 +59,7 @@
     gossip: exchanges in-flight counts with the other routers.
     prefix_recall: exchanges long prefixes with controllers.
     usage: counts what begins, and reports it to the primary; None where the platform expects no duties.
+    rollouts: watches roll-outs; None where versions don't matter.
     relay_server: passes the feed on.
     """
 
@@ -93,6 +96,7 @@
         self.gossip = InFlightGossip(state, self.membership, self.feed_client.upstream)
         self.prefix_recall = PrefixRecall(state, self.membership)
         self.usage = self._usage_reporter(settings)
+        self.rollouts = self._rollout_watcher(settings)
         self.relay_server = RelayServer(state, self.feed_client)
         # The routers, with their zones, for which the tier was planned.
         self.tier_members: frozenset[tuple[str, str]] | None = None
@@ -105,6 +109,14 @@
 
         return UsageReporter(self.snapshots, self.membership, self.queues)
 
+    def _rollout_watcher(self, settings: Settings) -> RolloutWatcher | None:
+        if not settings.rollouts.enabled:
+            return None
+        # Nor do they on this.
+        from .rollout_watcher import RolloutWatcher
+
+        return RolloutWatcher(self.snapshots, self.membership, lambda: self.shelf.version(CONFIGURATION)[0])
+
     @property
     def shelf(self) -> VersionedStore:
         """The versions of what this router has."""
@@ -114,7 +126,15 @@
         """What the forwarding of requests needs of this router."""
         state = self.snapshots
         return ForwardingServices(
-            state, state.in_flight, self.budgets, self.queues, self.gossip, self.prefix_recall, self.usage, state.random
+            state,
+            state.in_flight,
+            self.budgets,
+            self.queues,
+            self.gossip,
+            self.prefix_recall,
+            self.usage,
+            state.random,
+            self.rollouts,
         )
 
     def nodes(self) -> int:
@@ -168,8 +188,9 @@
             self.update_relay_tier()
         self.gossip.tick(turn)
         self.prefix_recall.tick(turn)
-        if self.usage is not None:
-            self.usage.tick()
+        for reporter in (self.usage, self.rollouts):
+            if reporter is not None:
+                reporter.tick()
 
     def update_fleet_size(self) -> None:
         """Notes among how many routers capacity is divided."""
@@ -194,10 +215,13 @@
     def update_backends(self) -> None:
         """Takes the next snapshot of the backends, after a change came."""
         state = self.snapshots
+        versions = state.configuration.versions if state.configuration else {}
+        if self.rollouts is not None:
+            self.rollouts.on_configuration(versions)
         if state.endpoint_list is not None:
             evacuated = state.configuration.evacuated_zones if state.configuration else ()
             runners = state.endpoint_list.runners
-            state.backends = state.backends.renew(runners, self._cache_tokens, evacuated, monotonic())
+            state.backends = state.backends.renew(runners, self._cache_tokens, evacuated, monotonic(), versions)
         if state.configuration is not None and state.endpoint_list is not None and not state.prefixes_known.is_set():
             self.prefix_recall.request()
 
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -27,6 +27,7 @@
     from .admission_queues import AdmissionQueues
     from .in_flight_gossip import InFlightGossip
     from .prefix_recall import PrefixRecall
+    from .rollout_watcher import RolloutWatcher
     from .usage_reporter import UsageReporter
 
 # Without confirmation, a router counts as ready after so many contact bounds.
@@ -166,6 +167,7 @@
     prefix_recall: tells controllers of long prefixes.
     usage: counts what begins; None where nobody asks.
     random: source of random draws.
+    rollouts: watches roll-outs; None where versions don't matter.
     """
 
     state: RouterState
@@ -176,3 +178,4 @@
     prefix_recall: PrefixRecall
     usage: UsageReporter | None
     random: random.Random
+    rollouts: RolloutWatcher | None = None
--- a/sparloom/settings/checks.py
+++ b/sparloom/settings/checks.py
@@ -17,6 +17,7 @@
 from .model import (
     MODEL_DEPLOYMENT,
     ORDERS_BY_CALL,
+    ROLLOUT_CONTRACT,
     SCALING_DUTY,
     USAGE_DUTY,
     Address,
@@ -28,6 +29,7 @@
     Limits,
     ListenAddresses,
     RevocationBounds,
+    RolloutSettings,
     Settings,
     ToleratedLosses,
 )
@@ -224,6 +226,19 @@
     )
 
 
+def _rollouts(table: Table) -> RolloutSettings:
+    default = RolloutSettings()
+    share = _number(table, "bounds.exposureShare", default.exposure_share)
+    if share > 1:
+        raise SettingsError("bounds.exposureShare must be 1 at most.")
+    return RolloutSettings(
+        enabled=ROLLOUT_CONTRACT in _get(table, "contracts", list, []),
+        exposure_share=share,
+        exposure_slack=_number(table, "bounds.exposureSlack", default.exposure_slack),
+        rollback=_milliseconds(table, "bounds.rollbackMs", default.rollback),
+    )
+
+
 def _job_bounds(table: Table) -> JobBounds:
     default = JobBounds()
     return JobBounds(
@@ -291,6 +306,7 @@
         cold=_cold_bounds(table),
         revocation=_revocation_bounds(table),
         duties=_duties(table),
+        rollouts=_rollouts(table),
     )
 
 
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -20,6 +20,8 @@
 # The duties at the platform that the programs know.
 USAGE_DUTY = "usage_reporting"
 SCALING_DUTY = "scaling"
+# The contract under which new versions come by roll-outs.
+ROLLOUT_CONTRACT = "rollout"
 
 
 @define(frozen=True, slots=True)
@@ -233,6 +235,28 @@
         return self.reports_usage or self.scales
 
 
+@define(frozen=True, slots=True)
+class RolloutSettings:
+    """What holds for new versions of services.
+
+    Attributes
+    ----------
+    enabled
+        Whether runners of a version serve only once a roll-out has brought it in.
+    exposure_share
+        A version that isn't known to be good gets at most this part of its service's requests,
+    exposure_slack
+        and so many more.
+    rollback
+        After its 50th bad answer, when a bad version must get nothing any more.
+    """
+
+    enabled: bool = False
+    exposure_share: float = 0.1
+    exposure_slack: float = 50
+    rollback: timedelta = timedelta(seconds=5)
+
+
 @define(frozen=True, slots=True)
 class CloudApi:
     """Where the platform lists its runners.
@@ -294,8 +318,8 @@
         How runners of tasks are told what to do; only ``ORDERS_BY_CALL`` is served.
     jobs
         See ``JobBounds``.
-    cold, revocation, duties
-        See ``ColdBounds``, ``RevocationBounds`` and ``DutySettings``.
+    cold, revocation, duties, rollouts
+        See ``ColdBounds``, ``RevocationBounds``, ``DutySettings`` and ``RolloutSettings``.
     """
 
     node: str
@@ -321,6 +345,7 @@
     cold: ColdBounds = field(factory=ColdBounds)
     revocation: RevocationBounds = field(factory=RevocationBounds)
     duties: DutySettings = field(factory=DutySettings)
+    rollouts: RolloutSettings = field(factory=RolloutSettings)
 
     @property
     def controller_port(self) -> int:
--- a/tests/controller/test_program.py
+++ b/tests/controller/test_program.py
@@ -35,9 +35,10 @@
 
 
 class ControllerCase(unittest.IsolatedAsyncioTestCase):
-    # What a test needs beside the usual bounds, and of the platform.
+    # What a test needs beside the usual bounds, of the platform, and of the contracts in force.
     bounds = {}
     cloud = {}
+    contracts = []
 
     async def asyncSetUp(self):
         self.dir = tempfile.TemporaryDirectory()
@@ -51,6 +52,7 @@
             "seedNodes": [f"127.0.0.1:{control}"],
             "bounds": {"contactMs": 600, **self.bounds},
             "cloudApi": {"address": f"127.0.0.1:{self.platform.port}", "ratePerS": 100, **self.cloud},
+            "contracts": self.contracts,
         }
         self.controller_settings = from_dict(
             {
--- a/tests/support/duty_group.py
+++ b/tests/support/duty_group.py
@@ -1,10 +1,8 @@
 """Several duty services over one agreed store, with one simulated platform: kills, freezes, cuts, late calls.
 
-The store stands for the consensus: one node at a time leads, by epoch; a
-write is committed only if its node still leads when it ends, and its outcome
-may stay unknown; a confirmation comes only to the node that leads. Nodes may go
-on believing that they lead. A frozen node stands still at the next step of
-whatever it was doing, also between a confirmation and the call that it was for.
+The store is that of ``agreed_store``. A frozen node stands still at the next
+step of whatever it was doing, also between a confirmation and the call that it
+was for.
 """
 
 import asyncio
@@ -27,6 +25,7 @@
 from sparloom.transport import monotonic
 from sparloom.usage import ServiceLoad, UsageChannel, UsageCounter, UsageReport, window_number
 from sparloom.usage.clock import microseconds
+from tests.support.agreed_store import Consensus, Store
 from tests.support.router_fixture import POLICY, STARTUP
 
 # Between the last answer of a majority and the call for which it was asked.
@@ -75,78 +74,6 @@
         return 0
 
 
-class Store:
-    """The agreed data, and who leads."""
-
-    def __init__(self):
-        self.data, self.epoch, self.leader = Data(0, 0, 0, b""), 0, None
-        self.number = 0
-
-    def commit(self, node, epoch, revision, blob):
-        """Commits for the node that leads in this epoch; gives the data, or None."""
-        if (self.leader, self.epoch) != (node, epoch):
-            return None
-        self.number += 1
-        self.data = Data(epoch, self.number, revision, blob)
-        return self.data
-
-
-class Consensus:
-    """One node's part of the store, as ``ConfigurationWriter`` and ``DutyService`` use it."""
-
-    def __init__(self, node):
-        self.node, self.believed, self.key = node, None, node.name
-        self.confirmed_at = monotonic()
-        self.member = SimpleNamespace(
-            leading=lambda: self.believed is not None,
-            primary=lambda: None,
-            confirmation_age=lambda now: now - self.confirmed_at,
-        )
-        self.swim = SimpleNamespace(table={}, alive=node.group.alive_routers)
-        self.sent = []
-
-    def heartbeat(self):
-        """A majority answers a heartbeat of the node that leads."""
-        if self.believed == self.node.group.store.epoch and not self.node.cut and self.node.thawed.is_set():
-            self.confirmed_at = monotonic()
-
-    def leading_epoch(self):
-        return self.believed
-
-    def backup_keys(self):
-        return [name for name in self.node.group.names if name != self.node.name]
-
-    def send_datagram(self, to, record):
-        self.node.group.replies.append((to, record))
-
-    async def _round_trip(self, timeout):
-        """Whether the node reaches a majority that takes it for the primary."""
-        await self.node.step()
-        await asyncio.sleep(self.node.luck.uniform(0.001, 0.02))
-        if self.node.cut:
-            await asyncio.sleep(timeout.total_seconds())
-            return False
-        return self.believed is not None and self.node.group.store.epoch == self.believed
-
-    async def confirm(self, timeout):
-        sure = await self._round_trip(timeout)
-        await self.node.step()
-        return self.node.group.store.data if sure else None
-
-    async def write(self, revision, blob, timeout):
-        epoch = self.believed
-        sure = await self._round_trip(timeout)
-        data = self.node.group.store.commit(self.node.name, epoch, revision, blob) if sure else None
-        if data is not None and self.node.luck.random() < 0.05:
-            # Committed, and the node doesn't learn of it: it is deposed at once.
-            self.believed = None
-            return None
-        await self.node.step()
-        if data is not None and self.believed == epoch:
-            self.node.writer.on_committed(data)
-        return data
-
-
 class Calls(PlatformCalls):
     """Calls to the simulated platform; a frozen node stands still before and after each."""
 
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -164,9 +164,10 @@
     def test_golden_blobs_are_read(self) -> None:
         for version, blob in golden()["state"].items():
             with self.subTest(version):
-                # Versions 1 and 2 have no evacuated zones, and 3 no duties; the bytes of 3 and 4 were written by hand.
-                values = blob["values"] if version in "34" else [*blob["values"], []]
-                values = values if version == "4" else [*values, None]
+                # Versions 1 and 2 have no evacuated zones, 3 no duties, 4 no roll-outs; the bytes of 3 to 5 were
+                # written by hand.
+                lacking = [[], None, None]
+                values = [*blob["values"], *lacking[max(0, int(version) - 2) :]]
                 self.assertEqual(plain(names.State.unpack(bytes.fromhex(blob["bytes"]))), values)
 
     def test_a_state_with_evacuated_zones_is_written_as_by_hand(self) -> None:
@@ -177,6 +178,10 @@
         raw = bytes.fromhex(golden()["state"]["4"]["bytes"])
         self.assertEqual(names.State.unpack(raw).pack(), raw)
 
+    def test_a_state_with_rollouts_is_written_as_by_hand(self) -> None:
+        raw = bytes.fromhex(golden()["state"]["5"]["bytes"])
+        self.assertEqual(names.State.unpack(raw).pack(), raw)
+
     def test_the_state_is_written_as_before(self) -> None:
         blob = golden()["state"]["2"]
         raw = bytes.fromhex(blob["bytes"])
@@ -215,7 +220,7 @@
     # The parts of that case, without its tests.
     asyncSetUp, asyncTearDown = test_control.Case.asyncSetUp, test_control.Case.asyncTearDown
     until, call = test_control.Case.until, test_control.Case.call
-    bounds, cloud = test_control.Case.bounds, test_control.Case.cloud
+    bounds, cloud, contracts = test_control.Case.bounds, test_control.Case.cloud, test_control.Case.contracts
 
     async def gather(self) -> dict[str, Any]:
         """The keys of both programs' beliefs, and the readiness address's statuses before and after news."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -22,6 +22,7 @@
         "scheduler",
         "duties",
         "usage",
+        "rollouts",
     ),
     ("settings", "discovery", "dynamic_timeout", "membership", "consensus", "transport"),
     ("prefix_cache", "aggregation", "feed"),
--- a/tests/test_wire_table.py
+++ b/tests/test_wire_table.py
@@ -7,7 +7,7 @@
 from sparloom.controller import platform_calls
 from sparloom.controller.control_api import ControlApi
 from sparloom.settings import from_dict
-from sparloom.settings.model import SCALING_DUTY, USAGE_DUTY
+from sparloom.settings.model import ROLLOUT_CONTRACT, SCALING_DUTY, USAGE_DUTY
 from tests.support.paths import ROOT
 from tests.support.router_fixture import STARTUP
 
@@ -49,17 +49,38 @@
         for key in (*bounds, "duties", "dutyPerS", "tenants", "apiKeys", "priority", "public", "scaling"):
             self.assertIn(f"`{key}`", section)
 
+    def test_keys_of_roll_outs_that_are_served_change_what_the_settings_say(self):
+        plain = from_dict(STARTUP).unwrap()
+        section = self.page().split("## Keys of roll-outs")[1].split("## ")[0]
+        for key, value in {"exposureShare": 0.2, "exposureSlack": 7, "rollbackMs": 9}.items():
+            with self.subTest(key):
+                self.assertNotEqual(from_dict({**STARTUP, "bounds": {key: value}}).unwrap(), plain)
+                self.assertIn(f"`{key}`", section)
+        self.assertTrue(from_dict({**STARTUP, "contracts": ["base", ROLLOUT_CONTRACT]}).unwrap().rollouts.enabled)
+        for key in ("service", "targetVersion", "durationS", "state", "step", "share", "reason", "revision"):
+            self.assertIn(f"`{key}`", section)
+
+    def routes(self):
+        """The calls of a controller on a deployment that has all that is served."""
+        api = ControlApi(None, None, None)
+        api.serve_rollouts(dict)
+        return api.routes
+
+    def test_roll_outs_are_no_calls_where_the_contract_is_not_in_force(self):
+        self.assertEqual(ControlApi(None, None, None).routes.find("POST", "/-/rollouts"), 404)
+
     def test_each_call_is_served_or_refused_as_the_page_says(self):
-        routes = ControlApi(None, None, None).routes
+        routes = self.routes()
         for method, path, state in self.rows():
             with self.subTest(f"{method} {path}"):
-                found = routes.find(method, path.replace("ZONE", "z").replace("ID", "1"))
+                found = routes.find(method, path.replace("ZONE", "z").replace("SERVICE", "s").replace("ID", "1"))
                 self.assertEqual(callable(found), state == "served")
 
     def test_each_call_that_is_served_is_on_the_page(self):
-        routes = ControlApi(None, None, None).routes
+        routes = self.routes()
         served = {(method, path) for path, methods in routes.paths.items() for method in methods}
-        served |= {(method, path + "ZONE") for path, methods in routes.prefixes.items() for method in methods}
+        names = {"/-/evacuation/": "ZONE", "/-/rollouts/": "SERVICE"}
+        served |= {(method, path + names[path]) for path, methods in routes.prefixes.items() for method in methods}
         named = {(method, path) for method, path, state in self.rows() if state == "served"}
         self.assertEqual(served, named)
 
