Soak of roll-outs: real processes, good and bad versions, controllers killed, routers paused

Cause: nothing played roll-outs with the real programs under signals. The operator's part of the plays stands once (soak/operator.py).

--- a/simulator/soak/command.py
+++ b/simulator/soak/command.py
@@ -9,18 +9,21 @@
 from .jobs import JobPlay
 from .processes import ROOT
 from .requests import RequestPlay
+from .rollouts import RolloutPlay
 
-PLAYS = ("requests", "jobs", "duties")
+PLAYS = ("requests", "jobs", "duties", "rollouts")
 
 
 async def _play(kind: str, seed: int, routers: int, clients: int, seconds: float, root: str) -> bool:
-    play: RequestPlay | JobPlay | DutyPlay
+    play: RequestPlay | JobPlay | DutyPlay | RolloutPlay
     if kind == "requests":
         play = RequestPlay(seed, routers or 3, clients, seconds, root or ROOT)
     elif kind == "jobs":
         play = JobPlay(seed, routers or 2, seconds=seconds)
-    else:
+    elif kind == "duties":
         play = DutyPlay(seed, routers or 3, seconds)
+    else:
+        play = RolloutPlay(seed, routers or 4, seconds)
     started = time.monotonic()
     try:
         faults = await play.run()
@@ -47,7 +50,7 @@
 ) -> int:
     """Play seeds with real processes on loopback.
 
-    :param play: requests, jobs or duties; each in turn without it
+    :param play: requests, jobs, duties or rollouts; each in turn without it
     :param seed: the first seed
     :param runs: how many seeds of each play
     :param parallel: how many plays run at the same time
--- a/simulator/soak/duties.py
+++ b/simulator/soak/duties.py
@@ -13,7 +13,8 @@
 from fakes.platform import Platform
 from fakes.runner import Runner
 
-from .processes import CONTROL_PORT, FRONT_PORT, READINESS_PORT, Fleet
+from .operator import Operator
+from .processes import FRONT_PORT, Fleet
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -133,31 +134,12 @@
     async def _put(self, http: aiohttp.ClientSession) -> None:
         """Send the next configuration until it is acknowledged."""
         base, self._revision = self._revision, self._revision + 1
-        body, headers = self._configuration(), {"If-Match": str(base)}
-        while True:
-            for node in self.fleet.controllers:
-                url = f"http://{node.ip}:{CONTROL_PORT}/-/configuration"
-                try:
-                    async with http.put(url, json=body, headers=headers) as response:
-                        if response.status == 200:
-                            return
-                except (aiohttp.ClientError, OSError, TimeoutError):
-                    continue
-            await asyncio.sleep(0.1)
+        await Operator(http, self.fleet).put(self._configuration(), base)
 
     async def _until_ready(self, http: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
             await self._put(http)
-            while not all([await self._is_ready(http, node.ip) for node in self.fleet.routers]):
-                await asyncio.sleep(0.1)
-
-    @staticmethod
-    async def _is_ready(http: aiohttp.ClientSession, ip: str) -> bool:
-        try:
-            async with http.get(f"http://{ip}:{READINESS_PORT}/-/ready") as response:
-                return response.status == 200
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+            await Operator(http, self.fleet).until_routers_are_ready()
 
     async def _revocations(self, http: aiohttp.ClientSession) -> None:
         """A tenant's key is taken away and another one given; the old one must be out of force soon."""
--- a/tests/simulator/test_soak.py
+++ b/tests/simulator/test_soak.py
@@ -18,6 +18,9 @@
     def test_duties_while_their_holder_is_killed_and_pauses_and_the_platform_is_late(self):
         self.assertEqual(soak(play="duties", runs=2, parallel=2, seconds=12.0), 0)
 
+    def test_roll_outs_while_controllers_are_killed_and_routers_pause(self):
+        self.assertEqual(soak(play="rollouts", runs=2, parallel=2, seconds=14.0), 0)
+
     def test_an_unknown_play_is_refused(self):
         self.assertEqual(soak(play="nothing"), 2)
 
