--- a/tests/rollouts/test_state.py
+++ b/tests/rollouts/test_state.py
@@ -1,12 +1,13 @@
 """The durable state of roll-outs: orders, steps, verdicts, what is published of it, and its bytes."""
 
+import itertools
 import unittest
 
 from sparloom.controller.control_state import State
 from sparloom.controller.rollout_updates import judge_rollout, pool_of, rollouts_addition
 from sparloom.discovery import pool_name
 from sparloom.rollouts import RolloutsState, Status, Step
-from sparloom.rollouts.updates import AdvanceRollout, EndRollout, NoteVersions, OrderRollout, Refusal
+from sparloom.rollouts.updates import AdvanceRollout, ClaimRollouts, EndRollout, NoteVersions, OrderRollout, Refusal
 
 KNOWN = RolloutsState().note_versions({"s": ("v1",)})
 ORDER = OrderRollout("s", "v2", 12000)
@@ -72,6 +73,41 @@
         self.assertIsInstance(AdvanceRollout(1, Step.PROBE, Step.LOAD, 0.1).apply(full()), Refusal)
 
 
+class EveryOrderOfUpdates(unittest.TestCase):
+    UPDATES = (
+        ORDER,
+        OrderRollout("s", "v3", 12000),
+        AdvanceRollout(1, Step.PROBE, Step.LOAD, 0.1),
+        AdvanceRollout(1, Step.PROBE, Step.FULL, 1.0),
+        EndRollout(1, Status.ROLLED_BACK, "bad"),
+        EndRollout(1, Status.COMPLETED, "good"),
+        ClaimRollouts("other:1"),
+    )
+
+    def test_to_a_depth_no_verdict_turns_and_no_step_goes_back(self):
+        for updates in itertools.product(self.UPDATES, repeat=5):
+            state = KNOWN
+            for update in updates:
+                after_it = update.apply(state)
+                if not isinstance(after_it, Refusal):
+                    self.follows(state, after_it)
+                    state = after_it
+
+    def follows(self, before, after_it):
+        old, new = before.newest.get("s"), after_it.newest.get("s")
+        if old is None:
+            return
+        self.assertIsNotNone(new, "an order is gone")
+        if old.number != new.number:
+            self.assertFalse(old.is_serving, "an order took the place of one under way")
+            return
+        self.assertGreaterEqual(new.step, old.step)
+        if not old.is_serving:
+            self.assertEqual(new, old)
+        if new.status is Status.COMPLETED:
+            self.assertIs(new.step, Step.FULL)
+
+
 class Pools(unittest.TestCase):
     def test_what_is_published_at_each_step(self):
         trial = pool_name("s", "v2")
