--- a/sparloom/controller/rollout_service.py
+++ b/sparloom/controller/rollout_service.py
@@ -42,6 +42,8 @@
     from .endpoint_poller import EndpointPoller
 
 STEP_INTERVAL = timedelta(milliseconds=100)
+# What is known of a roll-out under way is logged so often, and at each step.
+LOG_INTERVAL = timedelta(seconds=1)
 # The rate of requests is taken over so long.
 RATE_TIME = timedelta(seconds=2)
 # A router is out of touch that has missed so many of its votes.
@@ -68,6 +70,8 @@
         Requests of the service at some moments of late, the newest last.
     lacking
         What is still to be seen of the version; "" where nothing is.
+    logged_at
+        When that was logged last.
     """
 
     number: int
@@ -78,6 +82,7 @@
     step_at: timedelta = timedelta(0)
     sent: deque[tuple[timedelta, int]] = field(factory=deque)
     lacking: str = ""
+    logged_at: timedelta = timedelta(0)
 
     def note_step(self, rollout: Rollout, now: timedelta) -> None:
         """Note the committed step."""
@@ -209,10 +214,15 @@
         return found
 
     def _update_of(self, term: RolloutTerm, state: RolloutsState, rollout: Rollout) -> RolloutUpdate | None:
-        watch = term.watch(rollout, monotonic())
+        now = monotonic()
+        watch = term.watch(rollout, now)
         progress = self._progress(watch, state, rollout)
         watch.lacking = progress.judgement.reason
-        return next_update(rollout, progress, self.exposure)
+        update = next_update(rollout, progress, self.exposure)
+        if update is not None or now >= watch.logged_at + LOG_INTERVAL:
+            watch.logged_at = now
+            _log_progress(rollout, watch, progress)
+        return update
 
     def _progress(self, watch: RolloutWatch, state: RolloutsState, rollout: Rollout) -> Progress:
         now, collector, routers = monotonic(), watch.collector, self._routers()
@@ -234,7 +244,7 @@
             in_flight=sum(vote.in_flight for _, vote in collector.in_touch(now)),
             watched=collector.has_majority(now, watchers),
             base_is_empty=collector.base_is_empty(now, Step.FULL, routers),
-            judgement=judge(collector.evidence(now), len(runners)),
+            judgement=judge(collector.evidence(now), len(runners), rollout.step > Step.PROBE),
         )
 
     @staticmethod
@@ -250,3 +260,18 @@
             logging.debug("rollouts: next step number=%d step=%s", update.number, update.step.name)
         outcome = await self.writer.change(StateUpdate(update, judge_rollout), Deadline.after_body(0))
         return isinstance(outcome, Acknowledged)
+
+
+def _log_progress(rollout: Rollout, watch: RolloutWatch, progress: Progress) -> None:
+    loaded = watch.collector.loaded_answers()
+    logging.info(
+        "rollouts: watching number=%d step=%s sent=%d exposed=%d loaded=%d loaded_failed=%d watched=%s lacking=%r",
+        rollout.number,
+        rollout.step.name.lower(),
+        progress.sent,
+        progress.exposed,
+        loaded.answers,
+        loaded.failed,
+        progress.watched,
+        watch.lacking,
+    )
--- a/sparloom/rollouts/evidence.py
+++ b/sparloom/rollouts/evidence.py
@@ -149,6 +149,15 @@
             recent[name] = difference(watcher.cells, watcher.before_window(now))
         return Evidence(total, recent)
 
+    def loaded_answers(self) -> Counts:
+        """Return the answers of busy runners of the new version."""
+        loaded = Counts()
+        for watcher in self._watchers.values():
+            for key, counts in watcher.cells.items():
+                if key.trial and key.loaded:
+                    loaded += counts
+        return loaded
+
     def votes(self) -> list[RolloutVote]:
         """Return the newest vote of each watcher."""
         return [watcher.vote for watcher in self._watchers.values()]
--- a/sparloom/rollouts/exposure.py
+++ b/sparloom/rollouts/exposure.py
@@ -26,13 +26,16 @@
 # Unused tokens: more are lost.
 MAXIMUM_TOKENS = 2.0
 # Requests are drawn more often than tokens come.
-DRAW_FACTOR = 2.5
+DRAW_FACTOR = 6.0
+# Each router begins with so many tokens besides, as long as all together take no more than this part of the slack.
+FIRST_TOKENS = 0.5
+FIRST_SLACK_PART = 0.5
 # In a large fleet only about so many routers watch, each with a larger share of its own requests,
 MAXIMUM_WATCHERS = 100
 # which is at most this.
 MAXIMUM_OWN_SHARE = 0.5
 # For how long one runner after the other is kept busy.
-FOCUS_TIME = timedelta(milliseconds=750)
+FOCUS_TIME = timedelta(milliseconds=1250)
 
 # Between two votes of a router: so much for each router, so that the primary hears the same number whatever their
 # number.
@@ -78,6 +81,15 @@
     return min(MAXIMUM_OWN_SHARE, share * routers / MAXIMUM_WATCHERS)
 
 
+def first_tokens(slack: float, routers: int) -> float:
+    """Return how many tokens a watcher begins with besides, where so many requests may be exposed beyond the share.
+
+    >>> first_tokens(50, 20), first_tokens(50, 1000)
+    (0.5, 0.25)
+    """
+    return min(FIRST_TOKENS, slack * FIRST_SLACK_PART / max(1, min(routers, MAXIMUM_WATCHERS)))
+
+
 @define(slots=True)
 class ExposureTokens:
     """The tokens of one router for one roll-out, and how often each route is asked for.
@@ -87,14 +99,17 @@
     random
         Draws which requests are exposed. It also draws with how many tokens a router begins: a part of one, so that
         routers don't act all at once, and their sum keeps to the share from the first request on.
+    first_tokens
+        Tokens that it begins with besides, see ``first_tokens``.
     """
 
     random: Random
+    first_tokens: float = 0.0
     _tokens: float = 0.0
     _requests: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self._tokens = self.random.random()
+        self._tokens = self.random.random() + self.first_tokens
 
     def on_request(self, route: str, share: float) -> None:
         """Note a request of a route, at a step's share."""
--- a/sparloom/rollouts/plan.py
+++ b/sparloom/rollouts/plan.py
@@ -34,11 +34,11 @@
 # by no more than this part of all requests,
 LOAD_MAXIMUM_SHARE = 0.7
 # for at least and at most so long.
-LOAD_TIME = timedelta(milliseconds=1500)
-LOAD_LIMIT = timedelta(milliseconds=2500)
+LOAD_TIME = timedelta(milliseconds=2500)
+LOAD_LIMIT = timedelta(milliseconds=3500)
 # The share of the new version before it takes all, and for how long.
 GROW_SHARE = 0.5
-GROW_TIME = timedelta(seconds=1)
+GROW_TIME = timedelta(milliseconds=800)
 
 
 @define(frozen=True, slots=True)
--- a/sparloom/rollouts/verdict.py
+++ b/sparloom/rollouts/verdict.py
@@ -43,7 +43,7 @@
 ACCEPT_WEIGHT = 4.0
 ACCEPT_WEIGHT_OF_RARE = 1.5
 # and so much among answers of busy runners.
-ACCEPT_WEIGHT_LOADED = 3.0
+ACCEPT_WEIGHT_LOADED = 5.0
 # Routes with less than this part of all answers are rare; those with fewer answers are not asked for.
 RARE_PART = 0.05
 LEAST_PART = 0.02
@@ -209,7 +209,7 @@
     return found
 
 
-def judge(evidence: Evidence, runners: int) -> Judgement:
+def judge(evidence: Evidence, runners: int, accepted_before: bool = False) -> Judgement:
     """Return the outcome of the vote.
 
     Parameters
@@ -218,12 +218,15 @@
         What the watchers have told.
     runners
         How many runners of the new version there are.
+    accepted_before
+        Whether it was accepted at an earlier step: then it stays so while nothing speaks against it, also where
+        answers can't be compared any more because all runners are busy.
     """
     reason = _rejection(evidence, runners)
     if reason:
         return Judgement(Ruling.REJECTED, reason=reason)
     under_load = _is_accepted_under_load(evidence)
-    lacking = _lacking(evidence)
+    lacking = _lacking(evidence, accepted_before)
     if lacking:
         return Judgement(Ruling.UNDECIDED, under_load, lacking)
     return Judgement(Ruling.ACCEPTED, under_load)
@@ -253,7 +256,7 @@
     return ballot.weight_of_others(on_route) >= REJECT_WEIGHT_OF_OTHERS
 
 
-def _lacking(evidence: Evidence) -> str:
+def _lacking(evidence: Evidence, accepted_before: bool) -> str:
     """What is still to be seen, or speaks against the version of late; "" where nothing is."""
     by_route = _answers_by_route(evidence)
     everything = sum(by_route.values())
@@ -261,13 +264,16 @@
     asked_for = [route for route, count in by_route.items() if count >= least]
     if not asked_for:
         return "hardly any answers were seen"
-    lacking = (_lacking_on(evidence, route, by_route[route] < RARE_PART * everything) for route in asked_for)
-    return next((text for text in lacking if text), "")
+    for route in asked_for:
+        needed = ACCEPT_WEIGHT_OF_RARE if by_route[route] < RARE_PART * everything else ACCEPT_WEIGHT
+        lacking = _lacking_on(evidence, route, 0.0 if accepted_before else needed)
+        if lacking:
+            return lacking
+    return ""
 
 
-def _lacking_on(evidence: Evidence, route: str, rare: bool) -> str:
-    """What is still to be seen on a route."""
-    needed = ACCEPT_WEIGHT_OF_RARE if rare else ACCEPT_WEIGHT
+def _lacking_on(evidence: Evidence, route: str, needed: float) -> str:
+    """What is still to be seen on a route, where votes for the version are to weigh so much."""
 
     def on_route(key: CellKey) -> bool:
         return key.route == route
--- a/sparloom/router/rollout_watcher.py
+++ b/sparloom/router/rollout_watcher.py
@@ -9,7 +9,15 @@
 
 from sparloom.rollouts import Step
 from sparloom.rollouts.evidence import CellKey, Counts
-from sparloom.rollouts.exposure import LEASE, ExposureTokens, focus_runner, is_watcher, own_share, vote_interval
+from sparloom.rollouts.exposure import (
+    LEASE,
+    ExposureTokens,
+    first_tokens,
+    focus_runner,
+    is_watcher,
+    own_share,
+    vote_interval,
+)
 from sparloom.rollouts.pace import PaceReference, pace_of
 from sparloom.rollouts.records import AnswerTally, RolloutVote
 from sparloom.transport import monotonic
@@ -18,7 +26,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
-    from random import Random
 
     from sparloom.configuration import Route
     from sparloom.configuration.rollouts import ServiceVersions, Trial
@@ -29,7 +36,7 @@
     from .router_state import RouterState
 
 # Of the slots of a runner so many must be taken for an answer to count as one under load,
-LOADED_PART = 0.5
+LOADED_PART = 0.6
 # and no more than so many for its pace to be compared.
 UNLOADED_PART = 0.25
 # In one datagram.
@@ -93,10 +100,6 @@
         self.references: dict[str, PaceReference] = {}
         self._voted_at = timedelta(0)
 
-    @property
-    def _random(self) -> Random:
-        return self._state.random
-
     # -- the configuration ----------------------------------------------------------
     def on_configuration(self, versions: Mapping[str, ServiceVersions]) -> None:
         """Go by the roll-outs of another configuration."""
@@ -106,11 +109,15 @@
         for service, trial in trials.items():
             watch = self.watches.get(service)
             if watch is None or watch.trial.number != trial.number:
-                watch = TrialWatch(trial, ExposureTokens(self._random), now)
+                watch = TrialWatch(trial, self._new_tokens(), now)
             watch.follow(trial, now)
             watches[service] = watch
         self.watches = watches
 
+    def _new_tokens(self) -> ExposureTokens:
+        slack = self._state.settings.rollouts.exposure_slack
+        return ExposureTokens(self._state.random, first_tokens(slack, self._state.fleet_size.divisor))
+
     # -- exposure -------------------------------------------------------------------
     def on_request(self, service: str, route: str) -> None:
         """A request of a service is about to be sent for the first time."""
--- a/tests/rollouts/test_plan.py
+++ b/tests/rollouts/test_plan.py
@@ -55,10 +55,10 @@
         self.assertEqual(following(Step.PROBE, PROBE).step, Step.LOAD)
         self.assertIsNone(following(Step.LOAD, 0.1, step_age=at(1), judgement=GOOD_UNDER_LOAD))
         self.assertIsNone(following(Step.LOAD, 0.1, step_age=at(2)))
-        self.assertEqual(following(Step.LOAD, 0.1, step_age=at(2), judgement=GOOD_UNDER_LOAD).share, GROW_SHARE)
+        self.assertEqual(following(Step.LOAD, 0.1, step_age=at(2.6), judgement=GOOD_UNDER_LOAD).share, GROW_SHARE)
 
     def test_load_ends_by_itself(self):
-        back = following(Step.LOAD, 0.5, step_age=at(2.6), judgement=UNKNOWN)
+        back = following(Step.LOAD, 0.5, step_age=at(3.6), judgement=UNKNOWN)
         self.assertEqual((back.step, round(back.share, 3)), (Step.LOAD, PROBE))
 
     def test_without_a_majority_of_the_watchers_nothing_grows(self):
--- a/tests/rollouts/test_watcher.py
+++ b/tests/rollouts/test_watcher.py
@@ -9,11 +9,13 @@
 from sparloom.configuration import build
 from sparloom.discovery import Endpoint, pool_name
 from sparloom.rollouts import Step
-from sparloom.rollouts.exposure import ExposureTokens
+from sparloom.rollouts.exposure import ExposureTokens, first_tokens
 from sparloom.router import rollout_watcher
 from sparloom.router.attempt import AttemptEnd
 from sparloom.router.backends import BackendTable
 from sparloom.router.rollout_watcher import RolloutWatcher
+from sparloom.settings import from_dict
+from tests.support.router_fixture import STARTUP
 
 TRIAL = pool_name("s", "v2")
 SECOND, MS = timedelta(seconds=1), timedelta(milliseconds=1)
@@ -32,6 +34,7 @@
         self.endpoints, self.backends = endpoints, BackendTable()
         self.random, self.key, self.instance_id = random.Random(1), "r:1", 7
         self.fleet_size = SimpleNamespace(divisor=1)
+        self.settings = from_dict(STARTUP).unwrap()
         self.in_flight = SimpleNamespace(count=lambda id, now: self.busy)
         datagrams = SimpleNamespace(send=lambda to, record: self.sent.append((to, record)))
         self.watcher = RolloutWatcher(self, SimpleNamespace(datagrams=datagrams), lambda: 5)
@@ -97,7 +100,7 @@
     def test_the_sum_of_a_fleet_keeps_to_the_share_from_the_first_request_on(self):
         for seed in range(20):
             luck = random.Random(seed)
-            fleet = [ExposureTokens(luck) for _ in range(70)]
+            fleet = [ExposureTokens(luck, first_tokens(50, 70)) for _ in range(70)]
             exposed = 0
             for count in range(1, 3000):
                 tokens, route = luck.choice(fleet), luck.choices("abc", (85, 10, 5))[0]
@@ -156,7 +159,7 @@
         self.follow(document())
         for _ in range(8):
             self.end("a")
-        self.end("b", pace=200 * MS, before=4)
+        self.end("b", pace=200 * MS, before=5)
         self.follow(document(Step.LOAD))
         self.end("b", pace=200 * MS)
         self.assertEqual(self.tallies()[True, True], (1, 0, 0, 0))
--- a/tests/support/rollout_group.py
+++ b/tests/support/rollout_group.py
@@ -130,6 +130,7 @@
         self.group, self.key, self.instance_id = group, f"r:{number}", number
         self.random = random.Random(f"router {number} {group.seed}")
         self.fleet_size = SimpleNamespace(divisor=group.router_count)
+        self.settings = group.settings
         self.in_flight = SimpleNamespace(count=lambda id, now: group.runner(id).in_flight)
         self.backends, self.version, self.configuration = BackendTable(), (0, 0), None
         self.confirmed_at, self.cut, self.thawed = timedelta(-1000), False, asyncio.Event()
