--- a/sparloom/controller/rollout_service.py
+++ b/sparloom/controller/rollout_service.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections import deque
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -41,7 +42,7 @@
     from .consensus_service import ConsensusService
     from .endpoint_poller import EndpointPoller
 
-STEP_INTERVAL = timedelta(milliseconds=100)
+STEP_INTERVAL = timedelta(milliseconds=200)
 # What is known of a roll-out under way is logged so often, and at each step.
 LOG_INTERVAL = timedelta(seconds=1)
 # The rate of requests is taken over so long.
@@ -62,6 +63,8 @@
         The roll-out.
     seen_at
         When it was first seen in this epoch, on the monotonic clock.
+    inherited
+        Whether it was ordered before this epoch: then only the wall clock tells how long ago.
     collector
         The votes.
     step, share, step_at
@@ -76,6 +79,7 @@
 
     number: int
     seen_at: timedelta
+    inherited: bool
     collector: VoteCollector
     step: Step = Step.PROBE
     share: float = 0.0
@@ -101,16 +105,29 @@
 
 @define(slots=True, eq=False)
 class RolloutTerm:
-    """What one epoch of this primary knows: the roll-outs under way, by number."""
+    """What one epoch of this primary knows: the roll-outs under way, by number.
+
+    Attributes
+    ----------
+    epoch
+        The epoch.
+    next_number
+        Roll-outs below this number were ordered before the epoch.
+    watches
+        What is known of each roll-out under way.
+    """
 
     epoch: int
+    next_number: int
     watches: dict[int, RolloutWatch] = field(factory=dict)
 
     def watch(self, rollout: Rollout, now: timedelta) -> RolloutWatch:
         """Return what is known of a roll-out under way."""
         found = self.watches.get(rollout.number)
         if found is None:
-            found = self.watches[rollout.number] = RolloutWatch(rollout.number, now, VoteCollector(rollout.number))
+            inherited = rollout.number < self.next_number
+            collector = VoteCollector(rollout.number)
+            found = self.watches[rollout.number] = RolloutWatch(rollout.number, now, inherited, collector)
         found.note_step(rollout, now)
         return found
 
@@ -138,7 +155,8 @@
         if epoch is None:
             self.term = None
         elif self.term is None or self.term.epoch != epoch:
-            self.term = RolloutTerm(epoch)
+            state = self._state()
+            self.term = RolloutTerm(epoch, state.next_number if state is not None else sys.maxsize)
         return self.term
 
     def _state(self) -> RolloutsState | None:
@@ -249,7 +267,9 @@
 
     @staticmethod
     def _elapsed(watch: RolloutWatch, rollout: Rollout, now: timedelta) -> timedelta:
-        """Time since the order: at least what this epoch has seen of it, and what the wall clock says."""
+        """Time since the order: what this epoch has seen of it, or what the wall clock says where that is not all."""
+        if not watch.inherited:
+            return now - watch.seen_at
         by_wall_clock = (wall_clock_us() // MICROSECONDS_PER_MS - rollout.ordered_at_ms) * MILLISECOND
         elapsed: timedelta = max(now - watch.seen_at, by_wall_clock)
         return elapsed
--- a/sparloom/rollouts/verdict.py
+++ b/sparloom/rollouts/verdict.py
@@ -15,7 +15,7 @@
 from math import log
 from typing import TYPE_CHECKING, TypeAlias
 
-from attrs import define, field
+from attrs import define
 
 from .evidence import CellKey, Counts
 
@@ -70,7 +70,8 @@
     return counts.slow, counts.paced
 
 
-FAULTS: dict[str, Bad] = {"answers fail": failures, "answers are slow": delays}
+SLOW = "answers are slow"
+FAULTS: dict[str, Bad] = {"answers fail": failures, SLOW: delays}
 
 
 @define(frozen=True, slots=True)
@@ -137,46 +138,134 @@
     reason: str = ""
 
 
-@define(slots=True)
+@define(frozen=True, slots=True)
 class Ballot:
-    """The votes on one kind of fault, counted over some cells.
+    """The weights of the watchers' votes on one fault, over some of the new version's cells.
 
     Attributes
     ----------
-    cells
-        By watcher.
+    weights
+        For each watcher that has had answers its weight by runner.
+    others
+        Whether the fleet has more than one watcher.
+
+    >>> ballot = Ballot(({1: 3.0, 2: -1.0}, {1: 3.5}), others=True)
+    >>> ballot.weight(), ballot.weight_of_others(), sorted(ballot.runners())
+    (5.5, -1.0, [1, 2])
+    """
+
+    weights: tuple[dict[int, float], ...]
+    others: bool
+
+    def weight(self) -> float:
+        """Return the bounded sum of all watchers' weights."""
+        return bounded_sum((sum(by_runner.values()) for by_runner in self.weights), self.others)
+
+    def runners(self) -> set[int]:
+        """Return the runners of the new version that have answered."""
+        return {runner for by_runner in self.weights for runner in by_runner}
+
+    def weight_of_others(self) -> float:
+        """Return the weight without the runner that did worst, where there is more than one."""
+        everything = self.weight()
+        without: dict[int, float] = {}
+        for by_runner in self.weights:
+            total = sum(by_runner.values())
+            for runner, weight in by_runner.items():
+                change = bounded_sum([total - weight], self.others) - bounded_sum([total], self.others)
+                without[runner] = without.get(runner, everything) + change
+        return min(without.values()) if len(without) > 1 else everything
+
+
+def _ballots(
+    cells_by_watcher: Mapping[str, Cells],
+    bad: Bad,
+    base: Mapping[str, tuple[int, int]],
+    group: Callable[[CellKey], str],
+) -> dict[str, Ballot]:
+    """The ballots on one fault over the new version's cells, by what ``group`` names; "" is left out.
+
+    Parameters
+    ----------
+    cells_by_watcher
+        What the watchers have told.
     bad
         Gives the bad answers of some counts, and all.
     base
         The old version's bad answers and all of them, by route.
     """
+    rates = {route: Rates.of(*found) for route, found in base.items()}
+    unknown = Rates.of(0, 0)
+    weights: dict[str, list[dict[int, float]]] = {}
+    for cells in cells_by_watcher.values():
+        own: dict[str, dict[int, float]] = {}
+        for key, counts in cells.items():
+            name = group(key) if key.trial else ""
+            if name:
+                by_runner = own.setdefault(name, {})
+                weight = rates.get(key.route, unknown).weight(*bad(counts))
+                by_runner[key.runner] = by_runner.get(key.runner, 0.0) + weight
+        for name, by_runner in own.items():
+            weights.setdefault(name, []).append(by_runner)
+    others = len(cells_by_watcher) > 1
+    return {name: Ballot(tuple(found), others) for name, found in weights.items()}
 
-    cells: Mapping[str, Cells]
-    bad: Bad
-    base: dict[str, tuple[int, int]] = field(factory=dict)
 
-    def weight(self, wanted: Callable[[CellKey], bool]) -> float:
-        """Return the bounded sum of all watchers' weights over the new version's cells that are wanted."""
-        weights = []
-        for cells in self.cells.values():
-            own = [(key, self.bad(counts)) for key, counts in cells.items() if key.trial and wanted(key)]
-            if own:
-                weights.append(sum(Rates.of(*self.base.get(key.route, (0, 0))).weight(*found) for key, found in own))
-        return bounded_sum(weights, others=len(self.cells) > 1)
+def _by_route(key: CellKey) -> str:
+    return key.route
 
-    def runners(self) -> set[int]:
-        """Return the runners of the new version that have answered."""
-        return {key.runner for cells in self.cells.values() for key in cells if key.trial}
 
-    def weight_of_others(self, wanted: Callable[[CellKey], bool]) -> float:
-        """Return the weight without the runner that did worst, where there is more than one."""
-        runners = self.runners()
-        if len(runners) < 2:
-            return self.weight(wanted)
-        return min(
-            self.weight(lambda key, worst=runner: key.runner != worst and wanted(key))  # type: ignore[misc]
-            for runner in runners
-        )
+def _if_loaded(key: CellKey) -> str:
+    return "loaded" if key.loaded else ""
+
+
+NO_VOTES = Ballot((), others=True)
+
+
+@define(frozen=True, slots=True)
+class _Question:
+    """All that the votes say on one fault.
+
+    Attributes
+    ----------
+    fault
+        The fault, in words.
+    base
+        The old version's bad answers and all of them, by route.
+    total, recent
+        The ballots of all time and of the last seconds, by route.
+    """
+
+    fault: str
+    base: dict[str, tuple[int, int]]
+    total: dict[str, Ballot]
+    recent: dict[str, Ballot]
+
+    @classmethod
+    def of(cls, evidence: Evidence, fault: str, bad: Bad) -> _Question:
+        base = _base_rates(evidence, bad)
+        total = _ballots(evidence.total, bad, base, _by_route)
+        return cls(fault, base, total, _ballots(evidence.recent, bad, base, _by_route))
+
+    def rejected_route(self, runners: int) -> str | None:
+        """The first route on which the votes reject the version."""
+        for ballots in (self.total, self.recent):
+            for route, ballot in ballots.items():
+                if _is_rejected(ballot, runners):
+                    return route
+        return None
+
+    def lacking_on(self, route: str, needed: float) -> str:
+        """What is still to be seen on a route, where votes for the version are to weigh so much."""
+        if self.fault == SLOW and self.base.get(route, (0, 0))[1] < LEAST_ANSWERS:
+            # The old version's pace is not known well enough there to compare with.
+            return ""
+        weight = self.total.get(route, NO_VOTES).weight_of_others()
+        if weight > -needed:
+            return f"whether {self.fault} on route {route}: {-weight:.1f} of {needed:.1f}"
+        if self.recent.get(route, NO_VOTES).weight_of_others() > 0:
+            return f"whether {self.fault} on route {route} of late"
+        return ""
 
 
 def _base_of(cells_by_watcher: Iterable[Cells], bad: Bad) -> dict[str, tuple[int, int]]:
@@ -200,12 +289,11 @@
     return {route: _worse(found, recent.get(route, (0, 0))) for route, found in total.items()}
 
 
-def _answers_by_route(evidence: Evidence, trial: bool | None = None) -> dict[str, int]:
+def _answers_by_route(evidence: Evidence) -> dict[str, int]:
     found: dict[str, int] = {}
     for cells in evidence.total.values():
         for key, counts in cells.items():
-            if trial is None or key.trial is trial:
-                found[key.route] = found.get(key.route, 0) + counts.answers
+            found[key.route] = found.get(key.route, 0) + counts.answers
     return found
 
 
@@ -222,41 +310,28 @@
         Whether it was accepted at an earlier step: then it stays so while nothing speaks against it, also where
         answers can't be compared any more because all runners are busy.
     """
-    reason = _rejection(evidence, runners)
-    if reason:
-        return Judgement(Ruling.REJECTED, reason=reason)
+    questions = [_Question.of(evidence, fault, bad) for fault, bad in FAULTS.items()]
+    for question in questions:
+        route = question.rejected_route(runners)
+        if route is not None:
+            return Judgement(Ruling.REJECTED, reason=f"{question.fault} on route {route}")
     under_load = _is_accepted_under_load(evidence)
-    lacking = _lacking(evidence, accepted_before)
+    lacking = _lacking(evidence, questions, accepted_before)
     if lacking:
         return Judgement(Ruling.UNDECIDED, under_load, lacking)
     return Judgement(Ruling.ACCEPTED, under_load)
 
 
-def _rejection(evidence: Evidence, runners: int) -> str:
-    """What is wrong with the version, by enough votes; "" where nothing is."""
-    for fault, bad in FAULTS.items():
-        base = _base_rates(evidence, bad)
-        for cells in (evidence.total, evidence.recent):
-            ballot = Ballot(cells, bad, base)
-            for route in _answers_by_route(evidence, trial=True):
-                if _is_rejected(ballot, route, runners):
-                    return f"{fault} on route {route}"
-    return ""
-
-
-def _is_rejected(ballot: Ballot, route: str, runners: int) -> bool:
-    def on_route(key: CellKey) -> bool:
-        return key.route == route
-
-    if ballot.weight(on_route) < REJECT_WEIGHT:
+def _is_rejected(ballot: Ballot, runners: int) -> bool:
+    if ballot.weight() < REJECT_WEIGHT:
         return False
     # While one runner alone has answered, of several, nobody can tell whether it is that runner or the version.
     if runners > 1 and len(ballot.runners()) < 2:
         return False
-    return ballot.weight_of_others(on_route) >= REJECT_WEIGHT_OF_OTHERS
+    return ballot.weight_of_others() >= REJECT_WEIGHT_OF_OTHERS
 
 
-def _lacking(evidence: Evidence, accepted_before: bool) -> str:
+def _lacking(evidence: Evidence, questions: list[_Question], accepted_before: bool) -> str:
     """What is still to be seen, or speaks against the version of late; "" where nothing is."""
     by_route = _answers_by_route(evidence)
     everything = sum(by_route.values())
@@ -266,31 +341,14 @@
         return "hardly any answers were seen"
     for route in asked_for:
         needed = ACCEPT_WEIGHT_OF_RARE if by_route[route] < RARE_PART * everything else ACCEPT_WEIGHT
-        lacking = _lacking_on(evidence, route, 0.0 if accepted_before else needed)
-        if lacking:
-            return lacking
-    return ""
-
-
-def _lacking_on(evidence: Evidence, route: str, needed: float) -> str:
-    """What is still to be seen on a route, where votes for the version are to weigh so much."""
-
-    def on_route(key: CellKey) -> bool:
-        return key.route == route
-
-    for fault, bad in FAULTS.items():
-        base = _base_rates(evidence, bad)
-        if bad is delays and base.get(route, (0, 0))[1] < LEAST_ANSWERS:
-            # The old version's pace is not known well enough there to compare with.
-            continue
-        weight = Ballot(evidence.total, bad, base).weight_of_others(on_route)
-        if weight > -needed:
-            return f"whether {fault} on route {route}: {-weight:.1f} of {needed:.1f}"
-        if Ballot(evidence.recent, bad, base).weight_of_others(on_route) > 0:
-            return f"whether {fault} on route {route} of late"
+        for question in questions:
+            lacking = question.lacking_on(route, 0.0 if accepted_before else needed)
+            if lacking:
+                return lacking
     return ""
 
 
 def _is_accepted_under_load(evidence: Evidence) -> bool:
-    ballot = Ballot(evidence.total, failures, _base_rates(evidence, failures))
-    return ballot.weight(lambda key: key.loaded) <= -ACCEPT_WEIGHT_LOADED
+    base = _base_rates(evidence, failures)
+    ballots = _ballots(evidence.total, failures, base, _if_loaded)
+    return ballots.get("loaded", NO_VOTES).weight() <= -ACCEPT_WEIGHT_LOADED
