--- a/sparloom/router/rollout_watcher.py
+++ b/sparloom/router/rollout_watcher.py
@@ -139,6 +139,9 @@
         backends = self._state.backends.on_trial(service)
         if watch.trial.step == Step.LOAD:
             backends = self._focus(watch, backends, now)
+        elif watch.trial.step == Step.PROBE and backends:
+            # Affinity could send all to one runner, of which nobody can tell whether it is the version that is bad.
+            backends = (self._state.random.choice(backends),)
         share = own_share(watch.trial.share, self._state.fleet_size.divisor)
         return backends if backends and watch.tokens.take(route, share) else ()
 
--- a/tests/rollouts/test_watcher.py
+++ b/tests/rollouts/test_watcher.py
@@ -67,6 +67,15 @@
         self.follow({"revision": 2})
         self.assertEqual(self.exposed(100), 0)
 
+    def test_all_runners_of_the_version_are_probed(self):
+        """Regression: the choice of a runner sent all to one, and a bad version could not be told from a sick runner."""
+        self.follow(document(share=0.5))
+        seen = set()
+        for _ in range(60):
+            self.watcher.on_request("s", "r")
+            seen |= {backend.id for backend in self.watcher.trial_backends("s", "r", self.now)}
+        self.assertEqual(seen, {"b", "c"})
+
     def test_nothing_once_its_lease_is_over_also_after_it_stood_still(self):
         self.follow(document(share=0.5))
         self.now += 0.9 * SECOND
