--- a/tests/rollouts/test_watcher.py
+++ b/tests/rollouts/test_watcher.py
@@ -68,7 +68,7 @@
         self.assertEqual(self.exposed(100), 0)
 
     def test_all_runners_of_the_version_are_probed(self):
-        """Regression: the choice of a runner sent all to one, and a bad version could not be told from a sick runner."""
+        """Regression: all went to one runner, so a bad version could not be told from a sick runner."""
         self.follow(document(share=0.5))
         seen = set()
         for _ in range(60):
