Roll-outs read once more: one report interval, one base of updates, nothing worked out twice

Cause, from reading the change: the interval between reports stood twice (usage and votes), four updates had the same is_retry_of, tallies were packed far from where they are unpacked, the wall clock in ms twice; the committed state was looked up for each runner of a list, the old version's failures counted twice a judgement, and a runner's cold flag and requests in flight asked for again. Change: report_interval (membership/timing.py), MadeOnce, tallies_of beside cells_of, wall_clock_ms, in_pools for a whole list; the candidate's own figures. A number that repeated its key and a log line beside another went. Behaviour is as it was.

--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -10,7 +10,7 @@
 from absl import logging
 from mode import Service
 
-from sparloom.discovery import EndpointList, PageAssembler, PollSchedule, read_page, versions_listed, with_pools
+from sparloom.discovery import EndpointList, PageAssembler, PollSchedule, read_page, versions_listed
 from sparloom.feed import ENDPOINTS
 from sparloom.transport import monotonic
 from sparloom.transport.http_client import Connector, open_session
@@ -72,8 +72,8 @@
     ----------
     fleet_size
         Gives the number of routers that share the endpoints.
-    pool_of
-        Gives the pool in which a runner of a service and version is listed; None where versions don't matter.
+    in_pools
+        Puts the runners of a list that was read by version into their pools; None where versions don't matter.
     """
 
     def __init__(
@@ -82,10 +82,10 @@
         consensus: ConsensusService,
         feed_server: FeedServer,
         fleet_size: Callable[[], int] = lambda: 0,
-        pool_of: Callable[[str, str], str] | None = None,
+        in_pools: Callable[[list[Endpoint]], list[Endpoint]] | None = None,
     ) -> None:
         super().__init__()
-        self.pool_of = pool_of
+        self.in_pools = in_pools
         self.versions: dict[str, set[str]] = {}
         self.settings, self.consensus, self.feed_server, self.fleet_size = settings, consensus, feed_server, fleet_size
         self.last: EndpointList | None = None
@@ -144,7 +144,7 @@
             return PollOutcome(more_pages=False, rate_limited=False)
         if status == HTTPStatus.TOO_MANY_REQUESTS:
             return PollOutcome(more_pages=False, rate_limited=True)
-        by_version = self.pool_of is not None
+        by_version = self.in_pools is not None
         page = read_page(document, by_version).value_or(None) if status == HTTPStatus.OK else None
         if page is None:
             self._restart(f"status {status}" if status != HTTPStatus.OK else "a page can't be read")
@@ -182,7 +182,7 @@
         complete = self.pages.add(endpoints, token)
         if complete is None:
             return True
-        endpoint_list = EndpointList(self._in_pools(complete.runners), self.fleet_size())
+        endpoint_list = EndpointList(self._published(complete.runners), self.fleet_size())
         if endpoint_list.differs_from(self.last):
             self.last, self.number = endpoint_list, self.number + 1
             draining = [endpoint.id for endpoint in endpoint_list.runners if endpoint.draining]
@@ -190,9 +190,9 @@
             self.feed_server.publish(ENDPOINTS, self.last_version, endpoint_list)
         return False
 
-    def _in_pools(self, runners: list[Endpoint]) -> list[Endpoint]:
+    def _published(self, runners: list[Endpoint]) -> list[Endpoint]:
         """The runners of a complete list as they are published; notes which versions there are."""
-        if self.pool_of is None:
+        if self.in_pools is None:
             return runners
         self.versions = versions_listed(runners)
-        return with_pools(runners, self.pool_of)
+        return self.in_pools(runners)
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -59,8 +59,10 @@
         self.consensus = ConsensusService(settings, self.feed_server.serve, self._on_committed, self._receive)
         self.control_api = ControlApi(settings, self.consensus, self.feed_server)
         self.duties = self._duty_service(settings)
-        pool_of = self._pool_of if settings.rollouts.enabled else None
-        self.poller = EndpointPoller(settings, self.consensus, self.feed_server, self.control_api.router_count, pool_of)
+        in_pools = self._in_pools if settings.rollouts.enabled else None
+        self.poller = EndpointPoller(
+            settings, self.consensus, self.feed_server, self.control_api.router_count, in_pools
+        )
         self.rollouts = self._rollout_service(settings)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
@@ -92,15 +94,12 @@
         self.control_api.serve_rollouts(service.votes)
         return service
 
-    def _pool_of(self, service: str, version: str) -> str:
-        """The pool in which a runner is listed, by the newest committed state."""
-        from sparloom.rollouts import RolloutsState
-
-        from .rollout_updates import pool_of
+    def _in_pools(self, runners: list[Endpoint]) -> list[Endpoint]:
+        """The runners of a list in their pools, by the newest committed state."""
+        from .rollout_updates import in_pools
 
         committed = self.control_api.writer.committed
-        state = committed.state.rollouts if committed is not None else None
-        return pool_of(state or RolloutsState(), service, version)
+        return in_pools(committed.state.rollouts if committed is not None else None, runners)
 
     def _scaled_services(self) -> list[ScaledService]:
         """The services whose runners are ordered, as the newest configuration and list have them."""
--- a/sparloom/controller/rollout_api.py
+++ b/sparloom/controller/rollout_api.py
@@ -12,7 +12,7 @@
 
 from sparloom.discovery import SEPARATOR
 from sparloom.rollouts.updates import OrderRollout
-from sparloom.transport import wall_clock_us
+from sparloom.transport import wall_clock_ms
 
 from .change_requests import StateUpdate
 from .rollout_updates import judge_rollout
@@ -26,7 +26,6 @@
 ROLLOUT_PREFIX = ROLLOUTS_PATH + "/"
 MAXIMUM_NAME_LENGTH = 255
 MAXIMUM_DURATION = timedelta(days=30)
-MICROSECONDS_PER_MS = 1000
 MILLISECONDS_PER_S = 1000
 
 
@@ -51,8 +50,7 @@
     if duration_ms is None:
         longest = int(MAXIMUM_DURATION.total_seconds())
         return Failure(f"durationS must be a number of seconds above 0, and no more than {longest}")
-    ordered_at_ms = wall_clock_us() // MICROSECONDS_PER_MS
-    order = OrderRollout(item["service"], item["targetVersion"], duration_ms, ordered_at_ms)
+    order = OrderRollout(item["service"], item["targetVersion"], duration_ms, wall_clock_ms())
     return Success(StateUpdate(order, judge_rollout))
 
 
--- a/sparloom/controller/rollout_service.py
+++ b/sparloom/controller/rollout_service.py
@@ -18,15 +18,15 @@
 from attrs import define, field
 from mode import Service
 
-from sparloom.membership import ROUTER
+from sparloom.membership import ROUTER, report_interval
 from sparloom.rollouts import RolloutsState, Step
 from sparloom.rollouts.evidence import VOTE_VALID, VoteCollector
-from sparloom.rollouts.exposure import is_watcher, vote_interval
+from sparloom.rollouts.exposure import is_watcher
 from sparloom.rollouts.plan import Exposure, Progress, next_update
 from sparloom.rollouts.records import RolloutVote
-from sparloom.rollouts.updates import AdvanceRollout, ClaimRollouts, NoteVersions
+from sparloom.rollouts.updates import ClaimRollouts, NoteVersions
 from sparloom.rollouts.verdict import judge
-from sparloom.transport import monotonic, wall_clock_us
+from sparloom.transport import monotonic, wall_clock_ms
 
 from .change_requests import StateUpdate
 from .configuration_writer import Acknowledged, Deadline
@@ -50,7 +50,6 @@
 # A router is out of touch that has missed so many of its votes.
 VALID_INTERVALS = 3
 MILLISECOND = timedelta(milliseconds=1)
-MICROSECONDS_PER_MS = 1000
 
 
 @define(slots=True, eq=False)
@@ -59,8 +58,6 @@
 
     Attributes
     ----------
-    number
-        The roll-out.
     seen_at
         When it was first seen in this epoch, on the monotonic clock.
     inherited
@@ -77,20 +74,19 @@
         When that was logged last.
     """
 
-    number: int
     seen_at: timedelta
     inherited: bool
     collector: VoteCollector
-    step: Step = Step.PROBE
-    share: float = 0.0
-    step_at: timedelta = timedelta(0)
+    step: Step
+    share: float
+    step_at: timedelta
     sent: deque[tuple[timedelta, int]] = field(factory=deque)
     lacking: str = ""
     logged_at: timedelta = timedelta(0)
 
     def note_step(self, rollout: Rollout, now: timedelta) -> None:
         """Note the committed step."""
-        if (rollout.step, rollout.share) != (self.step, self.share) or not self.step_at:
+        if (rollout.step, rollout.share) != (self.step, self.share):
             self.step, self.share, self.step_at = rollout.step, rollout.share, now
 
     def sent_per_s(self, now: timedelta, sent: int) -> float:
@@ -127,7 +123,9 @@
         if found is None:
             inherited = rollout.number < self.next_number
             collector = VoteCollector(rollout.number)
-            found = self.watches[rollout.number] = RolloutWatch(rollout.number, now, inherited, collector)
+            found = self.watches[rollout.number] = RolloutWatch(
+                now, inherited, collector, rollout.step, rollout.share, step_at=now
+            )
         found.note_step(rollout, now)
         return found
 
@@ -180,15 +178,15 @@
     def votes(self) -> dict[str, Any]:
         """Return the votes about roll-outs under way, as the beliefs show them."""
         now, term = monotonic(), self.term
-        watches = term.watches.values() if term is not None else ()
+        watches = term.watches if term is not None else {}
         return {
-            str(watch.number): {
+            str(number): {
                 "watchers": sum(1 for _ in watch.collector.in_touch(now)),
                 "sent": sum(vote.sent for vote in watch.collector.votes()),
                 "exposed": sum(vote.exposed for vote in watch.collector.votes()),
                 "lacking": watch.lacking,
             }
-            for watch in watches
+            for number, watch in watches.items()
         }
 
     def _routers(self) -> set[tuple[str, int]]:
@@ -244,7 +242,7 @@
 
     def _progress(self, watch: RolloutWatch, state: RolloutsState, rollout: Rollout) -> Progress:
         now, collector, routers = monotonic(), watch.collector, self._routers()
-        collector.valid = max(VOTE_VALID, vote_interval(len(routers)) * VALID_INTERVALS)
+        collector.valid = max(VOTE_VALID, report_interval(len(routers)) * VALID_INTERVALS)
         watchers = {key for key in routers if is_watcher(rollout.number, key[0], len(routers))}
         target = pool_of(state, rollout.service, rollout.target)
         listed = self.poller.last.runners if self.poller.last is not None else []
@@ -270,14 +268,12 @@
         """Time since the order: what this epoch has seen of it, or what the wall clock says where that is not all."""
         if not watch.inherited:
             return now - watch.seen_at
-        by_wall_clock = (wall_clock_us() // MICROSECONDS_PER_MS - rollout.ordered_at_ms) * MILLISECOND
+        by_wall_clock = (wall_clock_ms() - rollout.ordered_at_ms) * MILLISECOND
         elapsed: timedelta = max(now - watch.seen_at, by_wall_clock)
         return elapsed
 
     async def _commit(self, update: RolloutUpdate) -> bool:
         """Commit an update; return whether it is known to be committed."""
-        if isinstance(update, AdvanceRollout):
-            logging.debug("rollouts: next step number=%d step=%s", update.number, update.step.name)
         outcome = await self.writer.change(StateUpdate(update, judge_rollout), Deadline.after_body(0))
         return isinstance(outcome, Acknowledged)
 
--- a/sparloom/controller/rollout_updates.py
+++ b/sparloom/controller/rollout_updates.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sparloom.configuration.rollouts import BASE, COLLECTOR, NUMBER, POOLS, SERVICE, SHARE, STEP, TRIAL
-from sparloom.discovery import pool_name, service_of
+from sparloom.discovery import pool_name, service_of, version_of
 from sparloom.rollouts import RolloutsState
 from sparloom.rollouts.updates import OrderRollout, Refusal
 
@@ -61,6 +61,21 @@
     return service if state.is_plain(service, version) else pool_name(service, version)
 
 
+def in_pools(state: RolloutsState | None, runners: Iterable[Endpoint]) -> list[Endpoint]:
+    """The runners of a list that was read by version, each in its pool; ``state``: None before versions are known.
+
+    >>> from sparloom.discovery import Endpoint
+    >>> state = RolloutsState().note_versions({"s": ("v1",)})
+    >>> listed = [Endpoint(version, pool_name("s", version), "h:1", "z", 8, False, 0) for version in ("v1", "v2")]
+    >>> [runner.service for runner in in_pools(state, listed)], [runner.service for runner in in_pools(None, listed)]
+    (['s', 's\\x1fv2'], ['s', 's'])
+    """
+    known = state or RolloutsState()
+    return [
+        runner.in_pool(pool_of(known, service_of(runner.service), version_of(runner.service))) for runner in runners
+    ]
+
+
 def serving_runners(state: RolloutsState, runners: Iterable[Endpoint]) -> list[Endpoint]:
     """The runners of versions that serve, each under its service's name.
 
--- a/sparloom/discovery/__init__.py
+++ b/sparloom/discovery/__init__.py
@@ -12,8 +12,8 @@
     pool_name,
     read_page,
     service_of,
+    version_of,
     versions_listed,
-    with_pools,
 )
 
 __all__ = [
@@ -28,6 +28,6 @@
     "pool_name",
     "read_page",
     "service_of",
+    "version_of",
     "versions_listed",
-    "with_pools",
 ]
--- a/sparloom/discovery/endpoints.py
+++ b/sparloom/discovery/endpoints.py
@@ -16,7 +16,7 @@
 from sparloom.codec import Record, UInt16, UInt32, record
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
 PERIODS_PER_DRAIN = 4
 # Calls are made at half the rate that the platform allows.
@@ -157,16 +157,6 @@
     return found
 
 
-def with_pools(runners: Iterable[Endpoint], pool_of: Callable[[str, str], str]) -> list[Endpoint]:
-    """The runners of a list that was read by version, each in the pool that is given for its service and version.
-
-    >>> runners = [Endpoint("a", pool_name("s", "v1"), "h:1", "z", 4, False, 0)]
-    >>> with_pools(runners, lambda service, version: service)[0].service
-    's'
-    """
-    return [runner.in_pool(pool_of(service_of(runner.service), version_of(runner.service))) for runner in runners]
-
-
 def _by_id(runners: Iterable[Endpoint]) -> dict[str, Endpoint]:
     return {runner.id: runner for runner in runners}
 
--- a/sparloom/membership/__init__.py
+++ b/sparloom/membership/__init__.py
@@ -16,7 +16,7 @@
     TableComparison,
 )
 from .swim import Send, Swim
-from .timing import SwimTiming
+from .timing import SwimTiming, report_interval
 
 __all__ = [
     "ALIVE",
@@ -35,4 +35,5 @@
     "SwimMessage",
     "SwimTiming",
     "TableComparison",
+    "report_interval",
 ]
--- a/sparloom/membership/timing.py
+++ b/sparloom/membership/timing.py
@@ -8,6 +8,20 @@
 from attrs import define
 
 MINIMUM_RETRANSMISSIONS = 6
+# Between two reports of a router to the primary: so much for each router, so that the primary hears the same number
+# whatever the fleet's size.
+REPORT_INTERVAL_PER_ROUTER = timedelta(milliseconds=4)
+MINIMUM_REPORT_INTERVAL = timedelta(milliseconds=200)
+MAXIMUM_REPORT_INTERVAL = timedelta(seconds=4)
+
+
+def report_interval(routers: int) -> timedelta:
+    """How long a router waits between two reports to the primary, in a fleet of so many.
+
+    >>> report_interval(10), report_interval(100)
+    (datetime.timedelta(microseconds=200000), datetime.timedelta(microseconds=400000))
+    """
+    return min(max(REPORT_INTERVAL_PER_ROUTER * routers, MINIMUM_REPORT_INTERVAL), MAXIMUM_REPORT_INTERVAL)
 
 
 def retransmissions(members: int) -> int:
--- a/sparloom/rollouts/evidence.py
+++ b/sparloom/rollouts/evidence.py
@@ -4,14 +4,17 @@
 
 from collections import deque
 from datetime import timedelta
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from .records import AnswerTally
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator, Mapping
 
-    from .records import AnswerTally, RolloutVote
+    from .records import RolloutVote
 
 # A version may turn bad late: the newest answers are judged by themselves as well, those of this time.
 WINDOW = timedelta(seconds=3)
@@ -66,6 +69,21 @@
     }
 
 
+def tallies_of(cells: Mapping[CellKey, Counts], most: int) -> list[AnswerTally]:
+    """Return the tallies of a vote, the other way round; no more than ``most`` of them.
+
+    >>> cells = {CellKey("r", True, False, 7): Counts(3, 1)}
+    >>> cells_of(tallies_of(cells, 9)) == cells
+    True
+    """
+    return [
+        AnswerTally(
+            key.route, key.trial, key.loaded, key.runner, counts.answers, counts.failed, counts.paced, counts.slow
+        )
+        for key, counts in islice(cells.items(), most)
+    ]
+
+
 def difference(newer: Cells, older: Mapping[CellKey, Counts]) -> Cells:
     """Return what has come between two votes of one watcher."""
     nothing = Counts()
--- a/sparloom/rollouts/exposure.py
+++ b/sparloom/rollouts/exposure.py
@@ -37,21 +37,6 @@
 # For how long one runner after the other is kept busy.
 FOCUS_TIME = timedelta(milliseconds=1250)
 
-# Between two votes of a router: so much for each router, so that the primary hears the same number whatever their
-# number.
-VOTE_INTERVAL_PER_ROUTER = timedelta(milliseconds=4)
-LEAST_VOTE_INTERVAL = timedelta(milliseconds=200)
-MAXIMUM_VOTE_INTERVAL = timedelta(seconds=4)
-
-
-def vote_interval(routers: int) -> timedelta:
-    """Return how long a router waits between two votes, in a fleet of so many.
-
-    >>> vote_interval(10), vote_interval(100)
-    (datetime.timedelta(microseconds=200000), datetime.timedelta(microseconds=400000))
-    """
-    return min(max(VOTE_INTERVAL_PER_ROUTER * routers, LEAST_VOTE_INTERVAL), MAXIMUM_VOTE_INTERVAL)
-
 
 def _hash(*parts: object) -> int:
     return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest())
--- a/sparloom/rollouts/updates.py
+++ b/sparloom/rollouts/updates.py
@@ -90,8 +90,18 @@
         return state.order(self.service, self.target, self.duration_ms, self.ordered_at_ms)
 
 
+class MadeOnce:
+    """An update of a controller's own: each is made once, from what was committed before it."""
+
+    __slots__ = ()
+
+    def is_retry_of(self, other: object) -> bool:
+        """Whether this is the other update."""
+        return self is other
+
+
 @define(frozen=True, slots=True)
-class NoteVersions:
+class NoteVersions(MadeOnce):
     """The first list of runners of some services.
 
     Attributes
@@ -102,10 +112,6 @@
 
     versions: Mapping[str, tuple[str, ...]]
 
-    def is_retry_of(self, other: object) -> bool:
-        """Whether this is the other update; each is made once, from what was committed before it."""
-        return self is other
-
     def apply(self, state: RolloutsState) -> RolloutsState:
         """Return the state that knows them.
 
@@ -117,7 +123,7 @@
 
 
 @define(frozen=True, slots=True)
-class ClaimRollouts:
+class ClaimRollouts(MadeOnce):
     """A primary takes the votes from now on.
 
     Attributes
@@ -128,10 +134,6 @@
 
     collector: str
 
-    def is_retry_of(self, other: object) -> bool:
-        """Whether this is the other update; each is made once."""
-        return self is other
-
     def apply(self, state: RolloutsState) -> RolloutsState:
         """Return the state that names it.
 
@@ -143,7 +145,7 @@
 
 
 @define(frozen=True, slots=True)
-class AdvanceRollout:
+class AdvanceRollout(MadeOnce):
     """The next step of a roll-out, or another share within the present one.
 
     Attributes
@@ -161,10 +163,6 @@
     step: Step
     share: float
 
-    def is_retry_of(self, other: object) -> bool:
-        """Whether this is the other update; each is made once."""
-        return self is other
-
     def apply(self, state: RolloutsState) -> RolloutsState | Refusal:
         """Return the state with the step; steps never go back.
 
@@ -183,7 +181,7 @@
 
 
 @define(frozen=True, slots=True)
-class EndRollout:
+class EndRollout(MadeOnce):
     """The verdict.
 
     Attributes
@@ -200,10 +198,6 @@
     status: Status
     reason: str
 
-    def is_retry_of(self, other: object) -> bool:
-        """Whether this is the other update; each is made once."""
-        return self is other
-
     def apply(self, state: RolloutsState) -> RolloutsState | Refusal:
         """Return the state with the verdict; it is given once, and only a full step can be completed.
 
--- a/sparloom/rollouts/verdict.py
+++ b/sparloom/rollouts/verdict.py
@@ -70,8 +70,7 @@
     return counts.slow, counts.paced
 
 
-SLOW = "answers are slow"
-FAULTS: dict[str, Bad] = {"answers fail": failures, SLOW: delays}
+FAILING, SLOW = "answers fail", "answers are slow"
 
 
 @define(frozen=True, slots=True)
@@ -310,12 +309,13 @@
         Whether it was accepted at an earlier step: then it stays so while nothing speaks against it, also where
         answers can't be compared any more because all runners are busy.
     """
-    questions = [_Question.of(evidence, fault, bad) for fault, bad in FAULTS.items()]
+    failing, slowness = _Question.of(evidence, FAILING, failures), _Question.of(evidence, SLOW, delays)
+    questions = (failing, slowness)
     for question in questions:
         route = question.rejected_route(runners)
         if route is not None:
             return Judgement(Ruling.REJECTED, reason=f"{question.fault} on route {route}")
-    under_load = _is_accepted_under_load(evidence)
+    under_load = _is_accepted_under_load(evidence, failing.base)
     lacking = _lacking(evidence, questions, accepted_before)
     if lacking:
         return Judgement(Ruling.UNDECIDED, under_load, lacking)
@@ -331,7 +331,7 @@
     return ballot.weight_of_others() >= REJECT_WEIGHT_OF_OTHERS
 
 
-def _lacking(evidence: Evidence, questions: list[_Question], accepted_before: bool) -> str:
+def _lacking(evidence: Evidence, questions: Iterable[_Question], accepted_before: bool) -> str:
     """What is still to be seen, or speaks against the version of late; "" where nothing is."""
     by_route = _answers_by_route(evidence)
     everything = sum(by_route.values())
@@ -348,7 +348,7 @@
     return ""
 
 
-def _is_accepted_under_load(evidence: Evidence) -> bool:
-    base = _base_rates(evidence, failures)
+def _is_accepted_under_load(evidence: Evidence, base: Mapping[str, tuple[int, int]]) -> bool:
+    """Whether enough answers of busy runners were good; ``base``: the old version's failures."""
     ballots = _ballots(evidence.total, failures, base, _if_loaded)
     return ballots.get("loaded", NO_VOTES).weight() <= -ACCEPT_WEIGHT_LOADED
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -145,9 +145,9 @@
         shared_tokens = sum(tokens for _, tokens in self._request.shared_parts)
         for candidate in choose(candidates, shared_tokens):
             backend = backends[candidate.id]
-            if not self._may_use(backend, connection_limits, in_doubt, now):
+            if not self._may_use(backend, candidate.cold, connection_limits, in_doubt, now):
                 continue
-            choice = self._take_slot(backend, candidate.prefill_tokens, now, reserved)
+            choice = self._take_slot(backend, candidate, now, reserved)
             if choice is not None:
                 self.tried.add(backend.id)
                 if candidate.cold:
@@ -156,13 +156,15 @@
                 return choice
         return None
 
-    def _may_use(self, backend: Backend, connection_limits: Mapping[str, int], in_doubt: bool, now: timedelta) -> bool:
+    def _may_use(
+        self, backend: Backend, cold: bool, connection_limits: Mapping[str, int], in_doubt: bool, now: timedelta
+    ) -> bool:
         """Whether an attempt may be made at a backend now, a slot apart."""
-        if backend.id in self.tried or backend.open_calls >= connection_limits.get(backend.id, 0):
+        if backend.id in self.tried or backend.open_calls >= connection_limits[backend.id]:
             return False
         if in_doubt and not backend.has_stayed(now, self._longest_trust()):
             return False
-        return not backend.is_cold(now) or self._bears_one_more(backend, now)
+        return not cold or self._bears_one_more(backend, now)
 
     def _longest_trust(self) -> timedelta:
         """For how long an answer shows that a backend isn't leaving; what is sent then arrives within the bound."""
@@ -199,14 +201,16 @@
             + ALREADY_TRIED * (backend.id in self.tried)
         )
 
-    def _take_slot(self, backend: Backend, prefill_tokens: int, now: timedelta, reserved: bool) -> BackendChoice | None:
+    def _take_slot(
+        self, backend: Backend, candidate: Candidate, now: timedelta, reserved: bool
+    ) -> BackendChoice | None:
         buckets = buckets_for(self._request.route, backend.slots, reserved)
-        in_flight = self._services.in_flight.count(backend.id, now)
+        prefill_tokens = candidate.prefill_tokens
         slot = self._services.in_flight.acquire(backend.id, buckets, now, prefill_tokens)
         if slot is None:
             return None
         yields = is_heavy_prefill(prefill_tokens, backend.cached.capacity, backend.slots)
-        return BackendChoice(backend, slot, yields, in_flight)
+        return BackendChoice(backend, slot, yields, candidate.calls)
 
     def _announce_prompt(self, backend: Backend) -> None:
         """Note that the backend will have the prompt cached, here, at the other routers and at a controller."""
--- a/sparloom/router/rollout_watcher.py
+++ b/sparloom/router/rollout_watcher.py
@@ -7,8 +7,9 @@
 
 from attrs import define, field
 
+from sparloom.membership import report_interval
 from sparloom.rollouts import Step
-from sparloom.rollouts.evidence import CellKey, Counts
+from sparloom.rollouts.evidence import CellKey, Counts, tallies_of
 from sparloom.rollouts.exposure import (
     LEASE,
     ExposureTokens,
@@ -16,10 +17,9 @@
     focus_runner,
     is_watcher,
     own_share,
-    vote_interval,
 )
 from sparloom.rollouts.pace import PaceReference, pace_of
-from sparloom.rollouts.records import AnswerTally, RolloutVote
+from sparloom.rollouts.records import RolloutVote
 from sparloom.transport import monotonic
 
 from .attempt import AttemptEnd
@@ -218,7 +218,7 @@
     def tick(self) -> None:
         """Vote, if it is time."""
         now = monotonic()
-        if self.watches and now - self._voted_at >= vote_interval(self._state.fleet_size.divisor):
+        if self.watches and now - self._voted_at >= report_interval(self._state.fleet_size.divisor):
             self._voted_at = now
             for service, watch in self.watches.items():
                 if watch.trial.collector:
@@ -239,18 +239,5 @@
             exposed=watch.exposed,
             in_flight=sum(backend.open_calls for backend in backends),
             base_in_flight=base,
-            tallies=[_tally(key, counts) for key, counts in list(watch.tallies.items())[:MAXIMUM_TALLIES]],
+            tallies=tallies_of(watch.tallies, MAXIMUM_TALLIES),
         )
-
-
-def _tally(key: CellKey, counts: Counts) -> AnswerTally:
-    return AnswerTally(
-        key.route,
-        key.trial,
-        key.loaded,
-        key.runner,
-        counts.answers,
-        counts.failed,
-        counts.paced,
-        counts.slow,
-    )
--- a/sparloom/router/usage_reporter.py
+++ b/sparloom/router/usage_reporter.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from sparloom.membership import CONTROLLER
+from sparloom.membership import CONTROLLER, report_interval
 from sparloom.transport import monotonic, wall_clock_us
 from sparloom.usage import RouterClock, ServiceLoad, UsageChannel, UsageCounter, UsageReply, UsageReport, window_number
 from sparloom.usage.clock import MICROSECOND, microseconds
@@ -21,10 +21,6 @@
     from .membership_service import MembershipService
     from .router_state import RouterState
 
-# Between two reports: so much for each router, so that the primary hears the same number whatever the fleet's size.
-INTERVAL_PER_ROUTER = timedelta(milliseconds=4)
-MINIMUM_INTERVAL = timedelta(milliseconds=200)
-MAXIMUM_INTERVAL = timedelta(seconds=4)
 # A controller that has not replied for so many intervals is left for the next one.
 UNANSWERED_INTERVALS = 3
 
@@ -60,8 +56,8 @@
 
     # -- reports ------------------------------------------------------------------
     def _interval(self) -> timedelta:
-        wanted = INTERVAL_PER_ROUTER * self._state.fleet_size.divisor
-        return min(max(wanted, MINIMUM_INTERVAL), MAXIMUM_INTERVAL)
+        interval: timedelta = report_interval(self._state.fleet_size.divisor)
+        return interval
 
     def tick(self) -> None:
         """Send a report if one is due."""
--- a/sparloom/transport/clock.py
+++ b/sparloom/transport/clock.py
@@ -28,3 +28,14 @@
     True
     """
     return time.time_ns() // 1000
+
+
+def wall_clock_ms() -> int:
+    """The same in milliseconds.
+
+    Examples
+    --------
+    >>> wall_clock_ms() > 1_600_000_000_000
+    True
+    """
+    return wall_clock_us() // 1000
--- a/tests/support/rollout_group.py
+++ b/tests/support/rollout_group.py
@@ -370,12 +370,12 @@
             self.luck.choice(able).lead(self.store.epoch + 1)
 
     # -- the play -----------------------------------------------------------------------
-    def wall_us(self):
-        return START_MS * 1000 + int(monotonic().total_seconds() * 1e6)
+    def wall_ms(self):
+        return START_MS + int(monotonic().total_seconds() * 1000)
 
     async def order(self, target=NEW, duration_s=None):
         """An operator's order, sent again to whoever leads until it is acknowledged; gives the last outcome."""
-        order = OrderRollout(SERVICE, target, int((duration_s or self.duration_s) * 1000), self.wall_us() // 1000)
+        order = OrderRollout(SERVICE, target, int((duration_s or self.duration_s) * 1000), self.wall_ms())
         outcome = None
         for _ in range(40):
             node = self.leader()
@@ -389,7 +389,7 @@
 
     async def run(self, faults=(), seconds=None, runners=6):
         """Orders the new version, plays faults, each a (pause before it, name), and goes on past the term."""
-        with mock.patch("sparloom.controller.rollout_service.wall_clock_us", self.wall_us):
+        with mock.patch("sparloom.controller.rollout_service.wall_clock_ms", self.wall_ms):
             for node in self.nodes:
                 await node.start()
             self.store.data = Data(0, 0, 1, State({**POLICY, "revision": 1}).pack())
