--- a/simulator/soak/duties.py
+++ b/simulator/soak/duties.py
@@ -13,11 +13,12 @@
 from fakes.platform import Platform
 from fakes.runner import Runner
 
+from .faults import overlapping
 from .operator import Operator
 from .processes import FRONT_PORT, Fleet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    pass
 
 GRACE_S = 5.0
 START_TIMEOUT_S = 90.0
@@ -155,8 +156,7 @@
 
     # -- faults ---------------------------------------------------------------------
     async def _chaos(self) -> None:
-        running: set[asyncio.Task[Any]] = set()
-        kinds: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
+        faults = (
             self._kill,
             self._terminate,
             self._pause,
@@ -165,12 +165,7 @@
             self._refuse,
             self._end_router,
         )
-        while self._time_left() > 1:
-            await asyncio.sleep(self.luck.uniform(0.2, 2.5))
-            task = asyncio.ensure_future(self.luck.choice(kinds)())
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.gather(*running)
+        await overlapping(self.luck, faults, (0.2, 2.5), lambda: self._time_left() > 1)
 
     def _holder(self) -> Any:
         """The controller that acted last, or any."""
--- a/simulator/soak/jobs.py
+++ b/simulator/soak/jobs.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,7 @@
 from fakes.platform import Platform
 from fakes.task_runner import RunLog, TaskRunner, Work
 
+from .faults import overlapping
 from .processes import CONTROL_PORT, FRONT_PORT, READINESS_PORT, Fleet
 
 GRACE_S = 5.0
@@ -170,16 +172,10 @@
 
     # -- faults ---------------------------------------------------------------------
     async def _chaos(self, platform: Platform) -> None:
-        running: set[asyncio.Task[Any]] = set()
         kinds = ["term", "kill", "kill_all", "router", "pause", "pause", "crash", "unanswered", "unanswered"]
         kinds += ["sick", "sick", "evacuate"]
-        while asyncio.get_running_loop().time() < self._ends_at:
-            await asyncio.sleep(self.luck.uniform(0.2, 2.0))
-            kind = self.luck.choice(kinds)
-            task = asyncio.ensure_future(getattr(self, f"_{kind}")(platform))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.gather(*running)
+        faults = [partial(getattr(self, f"_{kind}"), platform) for kind in kinds]
+        await overlapping(self.luck, faults, (0.2, 2.0), lambda: asyncio.get_running_loop().time() < self._ends_at)
 
     async def _term(self, _platform: Platform) -> None:
         node = self.luck.choice(self.fleet.controllers)
--- a/simulator/soak/requests.py
+++ b/simulator/soak/requests.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -15,6 +16,7 @@
 from fakes.runner import Runner
 from simulator.clients import Client, Outcome, PlannedEnd
 
+from .faults import overlapping
 from .processes import CONTROL_PORT, FRONT_PORT, READINESS_PORT, ROOT, Fleet, Node
 
 if TYPE_CHECKING:
@@ -166,15 +168,9 @@
 
     async def _chaos(self, http: aiohttp.ClientSession) -> None:
         """Signals, pauses and changes, in series that overlap."""
-        running: set[asyncio.Task[Any]] = set()
-        while self._time_left() > GRACE_S * 0.4:
-            await asyncio.sleep(self.luck.uniform(0.05, 0.7))
-            kinds = ("term", "term", "hup", "pause", "pause", "change", "controller", "evacuate")
-            kind = self.luck.choice(kinds)
-            task = asyncio.ensure_future(getattr(self, f"_{kind}")(http))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.gather(*running)
+        kinds = ("term", "term", "hup", "pause", "pause", "change", "controller", "evacuate")
+        faults = [partial(getattr(self, f"_{kind}"), http) for kind in kinds]
+        await overlapping(self.luck, faults, (0.05, 0.7), lambda: self._time_left() > GRACE_S * 0.4)
 
     async def _term(self, _http: aiohttp.ClientSession) -> None:
         node = self.luck.choice(self.fleet.routers)
--- a/tests/support/agreed_store.py
+++ b/tests/support/agreed_store.py
@@ -7,11 +7,17 @@
 """
 
 import asyncio
+from datetime import timedelta
 from types import SimpleNamespace
 
+from attrs import evolve
+
 from sparloom.consensus.records import Data
+from sparloom.controller.configuration_writer import ConfigurationWriter
 from sparloom.transport import monotonic
 
+WRITE_TIMEOUT = timedelta(seconds=2)
+
 
 class Store:
     """The agreed data, and who leads."""
@@ -85,3 +91,62 @@
         if data is not None and self.believed == epoch:
             self.node.writer.on_committed(data)
         return data
+
+
+class AgreedNode:
+    """One controller over the store; a subclass says which service it runs."""
+
+    def __init__(self, group, name):
+        self.group, self.name, self.luck = group, name, group.luck
+        self.settings = evolve(group.settings, node=name)
+        self.cut, self.cut_at, self.thawed = False, timedelta(0), asyncio.Event()
+        self.thawed.set()
+        self.service = None
+
+    async def step(self):
+        """Stands still while the node is frozen."""
+        await self.thawed.wait()
+
+    def join(self, publish=lambda *change: None):
+        """Makes the process's part of the store and its writer, which know nothing of an earlier process."""
+        self.consensus = Consensus(self)
+        self.writer = ConfigurationWriter(self.consensus, SimpleNamespace(publish=publish), lambda: WRITE_TIMEOUT)
+
+    async def kill(self):
+        """Ends the process."""
+        service, self.service = self.service, None
+        self.consensus.believed = None
+        if service is not None:
+            await service.stop()
+
+    def lead(self, epoch):
+        """Wins an election: it has the committed data, and commits it again in its epoch."""
+        store = self.group.store
+        store.epoch, store.leader = epoch, self.name
+        data = store.commit(self.name, epoch, store.data.revision, store.data.blob)
+        self.consensus.believed = epoch
+        self.writer.on_committed(data)
+
+
+class AgreedGroup:
+    """What groups of such nodes have in common; a subclass has ``nodes``, ``store`` and ``luck``."""
+
+    def leader(self):
+        """The node that leads."""
+        return next(node for node in self.nodes if node.name == self.store.leader)
+
+    def elect(self, node):
+        """A node takes the lead over."""
+        node.lead(self.store.epoch + 1)
+
+    def elect_other(self):
+        """Any node that can lead takes over."""
+        able = [node for node in self.nodes if node.service is not None and not node.cut and node.thawed.is_set()]
+        if able:
+            self.elect(self.luck.choice(able))
+
+    async def notice(self, node, longest_s):
+        """A deposed primary notices after a while; until then it believes that it leads."""
+        await asyncio.sleep(self.luck.uniform(0.0, longest_s))
+        if self.store.leader != node.name and node.service is not None:
+            node.consensus.believed = None
--- a/tests/support/duty_group.py
+++ b/tests/support/duty_group.py
@@ -11,11 +11,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from attrs import evolve
-
 from fakes.duty_log import DutyLog
 from sparloom.consensus.records import Data
-from sparloom.controller.configuration_writer import ConfigurationWriter
 from sparloom.controller.control_state import State
 from sparloom.controller.duty_service import DutyService
 from sparloom.controller.platform_calls import PlatformCalls, result_of
@@ -25,11 +22,13 @@
 from sparloom.transport import monotonic
 from sparloom.usage import ServiceLoad, UsageChannel, UsageCounter, UsageReport, window_number
 from sparloom.usage.clock import microseconds
-from tests.support.agreed_store import Consensus, Store
+from tests.support.agreed_store import AgreedGroup, AgreedNode, Store
 from tests.support.router_fixture import POLICY, STARTUP
 
 # Between the last answer of a majority and the call for which it was asked.
 LONGEST_CONFIRMATION = timedelta(seconds=1)
+# A deposed primary notices within this time.
+NOTICES_WITHIN_S = 4.0
 START_US = 1_700_000_000_000_000
 WINDOW = timedelta(seconds=5)
 SETTINGS = {
@@ -92,45 +91,17 @@
         return result_of(status or 500)
 
 
-class Node:
+class Node(AgreedNode):
     """One controller."""
 
-    def __init__(self, group, name):
-        self.group, self.name, self.luck = group, name, group.luck
-        self.settings = evolve(group.settings, node=name)
-        self.cut, self.cut_at, self.thawed = False, timedelta(0), asyncio.Event()
-        self.thawed.set()
-        self.service = None
-
-    async def step(self):
-        """Stands still while the node is frozen."""
-        await self.thawed.wait()
-
     async def start(self):
         """Starts the process, which knows nothing of an earlier one."""
-        self.consensus = Consensus(self)
-        feed = SimpleNamespace(publish=lambda *change: None)
-        self.writer = ConfigurationWriter(self.consensus, feed, lambda: timedelta(seconds=2))
+        self.join()
         self.service = DutyService(self.settings, self.consensus, self.writer, self.group.scaled_services)
         await self.service.calls.close()
         self.service.calls = Calls(self)
         await self.service.start()
 
-    async def kill(self):
-        """Ends the process."""
-        service, self.service = self.service, None
-        self.consensus.believed = None
-        if service is not None:
-            await service.stop()
-
-    def lead(self, epoch):
-        """Wins an election: it has the committed data, and commits it again in its epoch."""
-        store = self.group.store
-        store.epoch, store.leader = epoch, self.name
-        data = store.commit(self.name, epoch, store.data.revision, store.data.blob)
-        self.consensus.believed = epoch
-        self.writer.on_committed(data)
-
 
 class Router:
     """Counts requests and reports them as a router does; ``truth`` is what really began."""
@@ -185,7 +156,7 @@
         return reply
 
 
-class DutyGroup:
+class DutyGroup(AgreedGroup):
     """Three nodes, three routers and a platform, under faults that a seed draws."""
 
     def __init__(self, seed, nodes=3, routers=3):
@@ -285,23 +256,6 @@
             elif leader.consensus.believed is None:
                 self.elect(leader)
 
-    def elect(self, node):
-        node.lead(self.store.epoch + 1)
-
-    def elect_other(self):
-        able = [n for n in self.nodes if n.service is not None and not n.cut and n.thawed.is_set()]
-        if able:
-            self.elect(self.luck.choice(able))
-
-    def leader(self):
-        return next(node for node in self.nodes if node.name == self.store.leader)
-
-    async def _notice(self, node):
-        """A deposed primary notices after a while; until then it believes that it leads."""
-        await asyncio.sleep(self.luck.uniform(0.0, 4.0))
-        if self.store.leader != node.name and node.service is not None:
-            node.consensus.believed = None
-
     # -- faults -----------------------------------------------------------------------
     async def kill(self):
         node = self.leader()
@@ -317,20 +271,20 @@
         node.thawed.clear()
         await asyncio.sleep(self.luck.uniform(0.2, 6.0))
         node.thawed.set()
-        await self._notice(node)
+        await self.notice(node, NOTICES_WITHIN_S)
 
     async def cut(self):
         node = self.leader()
         node.cut, node.cut_at = True, monotonic()
         await asyncio.sleep(self.luck.uniform(0.2, 6.0))
         node.cut = False
-        await self._notice(node)
+        await self.notice(node, NOTICES_WITHIN_S)
 
     async def transfer(self):
         """The lead goes to another node and soon back: what leases are for."""
         node = self.leader()
         self.elect_other()
-        asyncio.ensure_future(self._notice(node))
+        asyncio.ensure_future(self.notice(node, NOTICES_WITHIN_S))
         await asyncio.sleep(self.luck.uniform(0.05, 1.5))
         if node.service is not None and node.thawed.is_set() and not node.cut:
             self.elect(node)
--- a/tests/support/rollout_group.py
+++ b/tests/support/rollout_group.py
@@ -14,12 +14,12 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from sparloom.configuration import build
 from sparloom.consensus.records import Data
 from sparloom.controller.change_requests import StateUpdate
-from sparloom.controller.configuration_writer import Acknowledged, ConfigurationWriter, Deadline
+from sparloom.controller.configuration_writer import Acknowledged, Deadline
 from sparloom.controller.control_state import State
 from sparloom.controller.rollout_service import RolloutService
 from sparloom.controller.rollout_updates import judge_rollout, pool_of
@@ -32,7 +32,7 @@
 from sparloom.router.rollout_watcher import RolloutWatcher
 from sparloom.settings import from_dict
 from sparloom.transport import monotonic
-from tests.support.agreed_store import Consensus, Store
+from tests.support.agreed_store import AgreedGroup, AgreedNode, Store
 from tests.support.router_fixture import POLICY, STARTUP
 
 SETTINGS = {
@@ -48,6 +48,8 @@
 PARTS, PACE = 8, timedelta(milliseconds=30)
 # From an order to the runners of the new version being listed.
 BOOT_S = 1.5
+# A deposed primary notices within this time.
+NOTICES_WITHIN_S = 3.0
 # Membership takes a router that is away for dead after this time.
 NOTICED_AFTER = timedelta(seconds=3)
 
@@ -77,34 +79,15 @@
     listed: bool = True
 
 
-class Node:
+class Node(AgreedNode):
     """One controller."""
 
-    def __init__(self, group, name):
-        self.group, self.name, self.luck = group, name, group.luck
-        self.settings = evolve(group.settings, node=name)
-        self.cut, self.thawed, self.service = False, asyncio.Event(), None
-        self.thawed.set()
-
-    async def step(self):
-        """Stands still while the node is frozen."""
-        await self.thawed.wait()
-
     async def start(self):
         """Starts the process, which knows nothing of an earlier one."""
-        self.consensus = Consensus(self)
-        feed = SimpleNamespace(publish=lambda topic, version, document: self.group.publish(self, version, document))
-        self.writer = ConfigurationWriter(self.consensus, feed, lambda: timedelta(seconds=2))
+        self.join(lambda topic, version, document: self.group.publish(self, version, document))
         self.service = RolloutService(self.settings, self.consensus, self.writer, self)
         await self.service.start()
 
-    async def kill(self):
-        """Ends the process."""
-        service, self.service = self.service, None
-        self.consensus.believed = None
-        if service is not None:
-            await service.stop()
-
     # The platform's list, as the poller of this node has it.
     @property
     def versions(self):
@@ -114,14 +97,6 @@
     def last(self):
         return EndpointList(self.group.endpoints(), 1)
 
-    def lead(self, epoch):
-        """Wins an election: it has the committed data, and commits it again in its epoch."""
-        store = self.group.store
-        store.epoch, store.leader = epoch, self.name
-        data = store.commit(self.name, epoch, store.data.revision, store.data.blob)
-        self.consensus.believed = epoch
-        self.writer.on_committed(data)
-
 
 class Router:
     """A router: sends requests as its watcher says, and votes."""
@@ -199,7 +174,7 @@
         return not fails
 
 
-class RolloutGroup:
+class RolloutGroup(AgreedGroup):
     """Three controllers, some routers, and runners of an old and a new version."""
 
     def __init__(self, seed, badness=None, routers=10, rate=8.0, duration_s=14.0):
@@ -313,9 +288,6 @@
         if node is not None and node.service is not None and node.thawed.is_set() and not node.cut:
             node.service.receive(record)
 
-    def leader(self):
-        return next(node for node in self.nodes if node.name == self.store.leader)
-
     def leads_well(self):
         node = self.leader()
         return (
@@ -363,11 +335,10 @@
             if not self.leads_well():
                 self.elect_other()
 
-    def elect_other(self):
-        able = [node for node in self.nodes if node.service is not None and not node.cut and node.thawed.is_set()]
-        if able:
-            self.trouble.append(monotonic())
-            self.luck.choice(able).lead(self.store.epoch + 1)
+    def elect(self, node):
+        """A change of the lead is trouble of the core."""
+        self.trouble.append(monotonic())
+        super().elect(node)
 
     # -- the play -----------------------------------------------------------------------
     def wall_ms(self):
@@ -430,7 +401,7 @@
         node.thawed.clear()
         await asyncio.sleep(self.luck.uniform(0.2, 4.0))
         node.thawed.set()
-        await self._notice(node)
+        await self.notice(node, NOTICES_WITHIN_S)
 
     async def cut(self):
         node = self.leader()
@@ -438,19 +409,13 @@
         node.cut = True
         await asyncio.sleep(self.luck.uniform(0.2, 4.0))
         node.cut = False
-        await self._notice(node)
+        await self.notice(node, NOTICES_WITHIN_S)
 
     async def transfer(self):
         """The lead goes to another node and soon back."""
         node = self.leader()
         self.elect_other()
-        asyncio.ensure_future(self._notice(node))
-
-    async def _notice(self, node):
-        """A deposed primary notices after a while; until then it believes that it leads."""
-        await asyncio.sleep(self.luck.uniform(0.0, 3.0))
-        if self.store.leader != node.name and node.service is not None:
-            node.consensus.believed = None
+        asyncio.ensure_future(self.notice(node, NOTICES_WITHIN_S))
 
     async def freeze_routers(self):
         """A part of the routers stands still, and wakes."""
