Connections to runners that have left the list are closed with their last call

A backend that leaves the table is delisted; its session ends when no call needs it. Test: an unused session ends at once, one with a call under way after it.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -86,7 +86,7 @@
         self.parts = 0
         self.timed_out = False
         self.connected = True
-        self.backend.open_calls += 1
+        self.backend.begin_call()
         self.inactivity = InactivityTimer(self.backend, self.slot, lambda: self._suspect(UNRESPONSIVE), on_unresponsive)
 
     @property
@@ -184,5 +184,5 @@
         if self._response is not None:
             self._response.release()
         if self.slot.open:
-            self.backend.open_calls -= 1
+            self.backend.end_call()
             self.slot.release(monotonic())
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from datetime import timedelta
 from hashlib import blake2b
@@ -77,6 +78,7 @@
     strikes: failures in a row, four at most.
     unresponsive_calls: calls here that have passed their timeout without a sign of life.
     open_calls: calls in hand here.
+    delisted: whether it has left the endpoint list; its connections are closed once no call needs them.
     idle_timeout: seconds for which an unused connection is kept.
     """
 
@@ -100,6 +102,8 @@
     stays_at: timedelta = NEVER
     cold_sends: ColdSends = field(factory=ColdSends)
     pool: str = ""
+    delisted: bool = False
+    _closing: asyncio.Task[None] | None = None
 
     def is_cold(self, now: timedelta) -> bool:
         """Whether it is warming up, or may be: it may have become cold shortly before its zone was taken back.
@@ -151,6 +155,25 @@
         self.strikes = 0
         self.suspected_until = NOT_SUSPECTED
 
+    def begin_call(self) -> None:
+        """A call is sent here."""
+        self.open_calls += 1
+
+    def end_call(self) -> None:
+        """A call has ended, and its connection was released."""
+        self.open_calls -= 1
+        self._close_if_unused()
+
+    def delist(self) -> None:
+        """It has left the endpoint list: no further call comes."""
+        self.delisted = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        session = self.client_session
+        if self.delisted and not self.open_calls and session is not None and not session.closed:
+            self._closing = asyncio.get_running_loop().create_task(session.close())
+
     def session(self) -> aiohttp.ClientSession:
         """The session that holds the connections to this instance."""
         if self.client_session is None or self.client_session.closed:
@@ -269,6 +292,9 @@
             backend.note_evacuation(endpoint.zone in evacuated_zones, now)
             backend.cached.capacity = tokens
             by_id[endpoint.id] = backend
+        for backend in self.by_id.values():
+            if by_id.get(backend.id) is not backend:
+                backend.delist()
         return _table(by_id, versions or {})
 
 
