A 421 takes none of the route's attempts: the request goes on to a runner that is there

Cause: routers that still list a zone's instances of before its return send them requests; each is answered 421 and has not run, but the route's only attempt (maxAttempts 1) was used up, so the client got 503 5 ms later with seconds left. Change: an attempt that another instance turned away is not counted (the rule BUDGET counts runs, not arrivals); it stays charged to the retry budget, and each runner is asked once.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -86,6 +86,7 @@
         self.parts = 0
         self.timed_out = False
         self.connected = True
+        self._misdirected = False
         self.backend.begin_call()
         self.inactivity = InactivityTimer(self.backend, self.slot, lambda: self._suspect(UNRESPONSIVE), on_unresponsive)
 
@@ -110,6 +111,11 @@
         """The status of the backend's response; None while there is none."""
         return None if self._response is None else self._response.status
 
+    @property
+    def misdirected(self) -> bool:
+        """Whether another instance answered, at the address of the one that the request was for."""
+        return self._misdirected
+
     @property
     def response(self) -> aiohttp.ClientResponse:
         """The backend's response; there is none before the attempt has opened."""
@@ -161,7 +167,8 @@
         if "Keep-Alive" in response.headers and head.belongs:
             self.backend.apply_keep_alive(response.headers["Keep-Alive"])
         if verdict is NOT_RUN:
-            self._suspect(OTHER_INSTANCE if response.status == MISDIRECTED else REJECTED)
+            self._misdirected = response.status == MISDIRECTED
+            self._suspect(OTHER_INSTANCE if self._misdirected else REJECTED)
             await self._drain_rejection(response)
             return NOT_RUN
         if not may_relay:
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -66,10 +66,11 @@
         self.outcome = Outcome.UNANSWERED
         self._chooser = BackendChooser(services, request)
         self._relay = ResponseRelay(http_request, request, self._on_progress, self._on_prefilled, closing)
-        self._hedging = Hedging(self._is_preferable, self._end_wait, self._uncount_attempt)
+        self._hedging = Hedging(self._is_preferable, self._end_wait, self._uncount)
         self._budget = services.budgets.of(self._chooser.service)
         self._deadline = request.deadline
         self._attempts = 0
+        self._arrivals = 0
         self._reserved = False
         self._worst_verdict: Verdict = NOT_RUN
         self._wait: asyncio.Timeout | None = None
@@ -147,9 +148,10 @@
         choice = self._chooser.take(self._reserved)
         if choice is None:
             return None
-        if self._attempts:
+        if self._arrivals:
             self._budget.spend(monotonic())
         self._attempts += 1
+        self._arrivals += 1
         count_event("attempts")
         return Attempt(self._services.state, self.request, choice, self._hedge)
 
@@ -196,13 +198,20 @@
         except BACKEND_ERRORS as error:
             return attempt.broke_off(error)
         finally:
-            if not attempt.connected:
-                self._uncount_attempt()
+            self._uncount(attempt)
             attempt.end()
 
-    def _uncount_attempt(self) -> None:
-        """An attempt that never left the router is none of the route's attempts."""
+    def _uncount(self, attempt: Attempt) -> None:
+        """Take back the count of an attempt that did not reach the backend that it was for.
+
+        It is none of the route's attempts. One that reached another instance arrived all the same, so it stays
+        charged to the retry budget.
+        """
+        if attempt.connected and not attempt.misdirected:
+            return
         self._attempts -= 1
+        if not attempt.connected:
+            self._arrivals -= 1
 
     def _may_relay(self, response: ClientResponse) -> bool:
         """Whether a valid response is relayed: no error amid a stream, nor where a retry may do better."""
@@ -225,7 +234,7 @@
             verdict=verdict,
             response_started=self._relay.begun,
             time_left=self._time_left(),
-            within_budget=self._attempts == 0 or self._within_budget(),
+            within_budget=self._arrivals == 0 or self._within_budget(),
             has_alternatives=self._chooser.has_untried(),
         )
 
--- a/sparloom/router/hedging.py
+++ b/sparloom/router/hedging.py
@@ -65,18 +65,18 @@
     ----------
     is_preferable: whether a response is worth leaving an unresponsive backend for.
     on_preferable: called when such a response has come; it ends the present attempt.
-    on_not_connected: called when the hedged attempt turned out never to have left the router.
+    on_failed: called with the hedged attempt when it has not brought a preferable response.
     """
 
     def __init__(
         self,
         is_preferable: Callable[[aiohttp.ClientResponse], bool],
         on_preferable: Callable[[], None],
-        on_not_connected: Callable[[], None],
+        on_failed: Callable[[Attempt], None],
     ) -> None:
         self._is_preferable = is_preferable
         self._on_preferable = on_preferable
-        self._on_not_connected = on_not_connected
+        self._on_failed = on_failed
         self._hedged: HedgedAttempt | None = None
 
     @property
@@ -114,8 +114,7 @@
             return None
         if self._preferable(hedged):
             return hedged.attempt
-        if not hedged.attempt.connected:
-            self._on_not_connected()
+        self._on_failed(hedged.attempt)
         hedged.drop()
         return None
 
