A zone that falls silent is probed, and believed unreachable as a whole

Cause: runners of a lost or partitioned zone were suspected one by one, each after a time-out of its own. Change: load_balancing/zone_reachability.py judges zones from the router's own calls. A runner that owes a sign for half of the route's target, nothing from its zone and a sign from another zone raise a doubt; two connections to runners of the zone that don't open within a fortieth of the contact bound confirm it. Such a zone is ranked last, calls that wait there fire their inactivity timer at once (repeatable ones are hedged within attempts and budget), and one connection each sixteenth of the contact bound looks for its return. One sign from any runner ends the belief. Ruled out: belief from three silent runners without probes.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -30,6 +30,8 @@
 MINIMUM_CONNECT_TIMEOUT_S = 0.05
 # A connection must be there within this part of the route's latency target.
 CONNECT_TIMEOUT_PART = 1 / 3
+# Silence for this part of the route's latency target says nothing about a backend's zone.
+ZONE_PATIENCE_PART = 1 / 2
 MISDIRECTED = 421
 # For how long a backend is suspected after a fault, as a part of the contact bound.
 NOT_CONNECTED = 1 / 3
@@ -88,7 +90,14 @@
         self.connected = True
         self._misdirected = False
         self.backend.begin_call()
-        self.inactivity = InactivityTimer(self.backend, self.slot, lambda: self._suspect(UNRESPONSIVE), on_unresponsive)
+        self.inactivity = InactivityTimer(
+            self.backend,
+            self.slot,
+            lambda: self._suspect(UNRESPONSIVE),
+            on_unresponsive,
+            state.zones,
+            request.route.target * ZONE_PATIENCE_PART,
+        )
 
     @property
     def opened(self) -> bool:
@@ -131,9 +140,11 @@
         self.inactivity.arm(self.slot.grant.timeout)
         try:
             self._response = await self._send(last_event_id)
-        except CONNECT_ERRORS:
+        except CONNECT_ERRORS as error:
             # Not a byte of the request has left the router.
             self.connected = False
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                self.inactivity.not_connected()
             self._suspect(NOT_CONNECTED)
             return NOT_RUN
         except BACKEND_ERRORS as error:
@@ -160,6 +171,7 @@
         return MAY_HAVE_RUN
 
     async def _judge(self, response: aiohttp.ClientResponse) -> Verdict | None:
+        self._state.zones.note_sign(self.backend.zone, monotonic())
         head = response_head(response, self._request.attempt_id)
         verdict, may_relay = judge_head(head)
         if head.belongs:
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -196,7 +196,7 @@
 
     def _penalty(self, backend: Backend, now: timedelta) -> int:
         return (
-            SUSPECTED_HERE * backend.is_suspected(now)
+            SUSPECTED_HERE * (backend.is_suspected(now) or self._services.state.zones.is_unreachable(backend.zone))
             + UNRESPONSIVE_FOR_PEERS * (self._services.in_flight.unresponsive(backend.id, now) > 0)
             + ALREADY_TRIED * (backend.id in self.tried)
         )
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -296,6 +296,13 @@
         "runners": list(node.shelf.version(ENDPOINTS)),
         "revision": configuration.revision if configuration else 0,
         "evacuated": sorted(configuration.evacuated_zones) if configuration else [],
+        "unreachableZones": {
+            zone: {
+                "sinceMs": int((now - belief.since) / timedelta(milliseconds=1)),
+                "silentRunners": belief.silent_runners,
+            }
+            for zone, belief in node.zones.unreachable.items()
+        },
         "members": {peer.key: PEER_STATES[peer.state] for peer in peers},
         "fleet": {backend.id: "draining" if backend.draining else "ready" for backend in backends.values()},
         "counts": {backend_id: node.in_flight.count(backend_id, now) for backend_id in backends},
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -21,6 +21,7 @@
 from .prefix_recall import PrefixRecall
 from .relay_server import RelayServer
 from .router_state import ForwardingServices, RetryBudgets, RouterState
+from .zone_prober import ZoneProber
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -61,6 +62,7 @@
     usage: counts what begins, and reports it to the primary; None where the platform expects no duties.
     rollouts: watches roll-outs; None where versions don't matter.
     relay_server: passes the feed on.
+    zone_prober: finds zones unreachable, and reachable again.
     """
 
     settings = _delegated("snapshots", "settings")
@@ -75,6 +77,7 @@
     fleet_size = _delegated("snapshots", "fleet_size")
     relay_tier = _delegated("snapshots", "relay_tier")
     prefixes_known = _delegated("snapshots", "prefixes_known")
+    zones = _delegated("snapshots", "zones")
     random = _delegated("snapshots", "random")
     ready = _delegated("snapshots", "ready")
     note_isolation = _delegated("snapshots", "note_isolation")
@@ -98,6 +101,7 @@
         self.usage = self._usage_reporter(settings)
         self.rollouts = self._rollout_watcher(settings)
         self.relay_server = RelayServer(state, self.feed_client)
+        self.zone_prober = ZoneProber(state)
         # The routers, with their zones, for which the tier was planned.
         self.tier_members: frozenset[tuple[str, str]] | None = None
 
@@ -162,6 +166,7 @@
         if self.membership.is_open and self.usage is not None:
             self.usage.send(monotonic())
         self.membership.close()
+        self.zone_prober.close()
         for backend in self.snapshots.backends.by_id.values():
             if backend.client_session:
                 await backend.client_session.close()
@@ -183,6 +188,7 @@
 
     def _on_tick(self, turn: int) -> None:
         self.queues.tick()
+        self.zone_prober.tick()
         if turn % MEMBERSHIP_TICKS == 1:
             self.update_fleet_size()
             self.update_relay_tier()
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -12,6 +12,7 @@
 
 from sparloom.admission import FleetSize
 from sparloom.dynamic_timeout import InFlightCounts
+from sparloom.load_balancing import ZoneReachability
 from sparloom.relay import RelayTier
 from sparloom.retry import RetryBudget
 from sparloom.transport import monotonic
@@ -30,6 +31,10 @@
     from .rollout_watcher import RolloutWatcher
     from .usage_reporter import UsageReporter
 
+# The tick is due each 50 ms; if it comes this late, the process stood still and blames no zone.
+LATE_TICK = timedelta(milliseconds=150)
+# An unreachable zone is probed so often, as a part of the contact bound.
+ZONE_PROBE_PART = 1 / 16
 # Without confirmation, a router counts as ready after so many contact bounds.
 UNCONFIRMED_READY_BOUNDS = 2
 # A list is a poll older than the confirmation of its primary (a quarter of the drain bound), and a request takes
@@ -63,6 +68,7 @@
     in_flight: requests in flight per backend, own and of the other routers.
     fleet_size: among how many routers budgets and capacity are divided.
     relay_tier: the relays, as membership has them now.
+    zones: which zones' runners give this router no sign of life.
     prefixes_known: set once controllers told the cached prefixes, or time for that is over.
     random: source of all random draws of this router.
     """
@@ -80,6 +86,7 @@
         self.in_flight = InFlightCounts(settings.bounds.contact)
         self.fleet_size = FleetSize(settings.bounds.contact)
         self.relay_tier = RelayTier()
+        self.zones = ZoneReachability(LATE_TICK, settings.bounds.contact * ZONE_PROBE_PART)
         self.prefixes_known = asyncio.Event()
         self.random = random.Random()
         self.instance_id = int.from_bytes(os.urandom(7))
