Routers keep their positions through a partition, so shares of a cold runner's rate add up

Cause: a router's part of what can't be split (a cold runner's requests a second, connections) went by its rank among the routers that it saw alive. Halves that don't see each other have the same ranks: where views were halved in a model of 63 routers, one bound of 29 was granted twice for some runners and not at all for others. Change: positions go by all routers that membership remembers, those that died within 20 contact bounds included; the remainder is divided by at least their number. A router that has just started and knows too few others to be sure of its position has no part of the remainder.

--- a/sparloom/admission/fleet_size.py
+++ b/sparloom/admission/fleet_size.py
@@ -13,6 +13,9 @@
 
 # The fraction of the whole that is never granted.
 SPARE = 1 / 8
+# For so many contact bounds membership remembers routers that have died; a router that has run for longer knows no less
+# than any other.
+REMEMBERED_BOUNDS = 20
 
 
 @define(slots=True)
@@ -31,7 +34,9 @@
     seen : (time, routers seen) within the last two contact bounds.
     recorded : the largest number that the control state has recorded.
     divisor : by how many the capacity is divided.
-    index : this router's position among all, in an order that all agree on.
+    index : this router's position among all that are known, in an order that all agree on.
+    known : how many routers have a position: those that died of late keep theirs, so that a partition moves nobody's.
+    started_at : when the first update came.
     admitting : whether this router may admit anything yet.
     admitting_since : when it was last seen that it may; None before.
 
@@ -44,15 +49,24 @@
     recorded: int = 0
     divisor: int = 1
     index: int = 0
+    known: int = 0
+    started_at: timedelta | None = None
     admitting: bool = True
     admitting_since: timedelta | None = None
 
     def update(
-        self, now: timedelta, routers: int, recorded: int, peer_divisors: Mapping[str, int], index: int = 0
+        self,
+        now: timedelta,
+        routers: int,
+        recorded: int,
+        peer_divisors: Mapping[str, int],
+        index: int = 0,
+        known: int = 0,
     ) -> None:
         """Notes the routers seen (self included), the recorded number, and what peers divide by.
 
-        ``index`` is this router's position among those seen, in an order that all agree on.
+        ``index`` is this router's position among the ``known`` ones (self and those that died of late included), in
+        an order that all agree on.
 
         >>> c = FleetSize(timedelta(seconds=3)); c.update(timedelta(0), 3, 2, {"a": 2, "b": 2}); c.admitting
         False
@@ -60,6 +74,8 @@
         True
         """
         self.recorded, self.index = max(self.recorded, recorded), index
+        self.known = max(known, routers)
+        self.started_at = now if self.started_at is None else self.started_at
         self.seen.append((now, routers))
         while now - self.seen[0][0] > 2 * self.contact_bound:
             self.seen.popleft()
@@ -101,8 +117,23 @@
         division goes to consecutive routers from a position that differs
         by ``salt`` (a runner's number), so that nothing is lost by rounding, also with more routers than things.
 
+        Routers that are partitioned from each other keep their positions, so
+        their shares still add up. Where positions differ by a few, the eighth
+        covers it. A router that has started a short time ago and knows too few
+        others doesn't know its position: it has no part of the remainder.
+
         >>> [FleetSize(timedelta(seconds=3), divisor=4, index=i).indivisible_share(8, salt=1) for i in range(4)]
         [2, 2, 1, 2]
         """
-        each, rest = divmod(int(whole * (1 - SPARE)), self.divisor)
-        return each + ((self.index + salt) % self.divisor < rest)
+        granted = int(whole * (1 - SPARE))
+        positions = max(self.divisor, self.known)
+        each, rest = divmod(granted, positions)
+        if self._lacks_position(whole - granted):
+            return each
+        return each + ((self.index + salt) % positions < rest)
+
+    def _lacks_position(self, spare: int) -> bool:
+        """Whether more routers may be unknown here than ``spare`` covers, because this one has not run for long."""
+        if self.started_at is None or self.known >= self.divisor - spare:
+            return False
+        return self.seen[-1][0] - self.started_at < REMEMBERED_BOUNDS * self.contact_bound
--- a/sparloom/router/membership_service.py
+++ b/sparloom/router/membership_service.py
@@ -74,6 +74,10 @@
         """The other routers that are believed up, suspects included."""
         return [peer for peer in self.swim.alive() if peer.role == ROUTER]
 
+    def remembered_routers(self) -> list[str]:
+        """The keys of the other routers in the membership's table, those that have died of late included; sorted."""
+        return sorted(key for key, entry in self.swim.table.items() if entry.peer.role == ROUTER)
+
     def _receive(self, source: str, message: Record) -> None:
         if not isinstance(message, SWIM_MESSAGES):
             self.on_message(source, message)
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -201,10 +201,15 @@
     def update_fleet_size(self) -> None:
         """Notes among how many routers capacity is divided."""
         state = self.snapshots
-        keys = sorted(peer.key for peer in self.membership.routers())
+        remembered = self.membership.remembered_routers()
         announced = state.endpoint_list.fleet_size if state.endpoint_list else 0
         state.fleet_size.update(
-            monotonic(), 1 + len(keys), announced, self.gossip.known_fleet_sizes(), bisect(keys, state.key)
+            monotonic(),
+            1 + len(self.membership.routers()),
+            announced,
+            self.gossip.known_fleet_sizes(),
+            bisect(remembered, state.key),
+            1 + len(remembered),
         )
 
     def update_relay_tier(self) -> None:
--- a/tests/router/test_cold_runners.py
+++ b/tests/router/test_cold_runners.py
@@ -14,6 +14,7 @@
 from sparloom.admission import FleetSize
 from sparloom.configuration import build
 from sparloom.discovery import Endpoint, EndpointList
+from sparloom.membership import ALIVE, DEAD, ROUTER, Peer, Ping
 from sparloom.router.backends import RETURN_TIME
 from sparloom.transport import monotonic
 from tests.support.router_fixture import POLICY, STARTUP, Rig
@@ -77,6 +78,25 @@
         self.play(story)
 
 
+class Positions(unittest.TestCase):
+    def test_a_router_that_has_died_of_late_keeps_its_position(self):
+        async def run():
+            async with Rig(1, COLD_POLICY, SETTINGS) as rig:
+                swim, positions = rig.state.swim, []
+                swim.receive(timedelta(0), "0:1", Ping(1, Peer("0:1", ROUTER, "z2", "", 5, 0, 0), 0, []))
+                for state in (ALIVE, DEAD):
+                    entry = swim.table["0:1"]
+                    entry.peer = entry.peer.with_state(state)
+                    swim._alive = None
+                    rig.state.update_fleet_size()
+                    size = rig.state.fleet_size
+                    positions.append((size.index, size.known, len(rig.state.membership.routers())))
+                return positions
+
+        with world(1) as loop:
+            self.assertEqual(loop.run_until_complete(run()), [(1, 2, 1), (1, 2, 0)])
+
+
 class Shares(unittest.TestCase):
     """What all routers together may send to one cold runner within a second."""
 
