Zones are shown as nodes believe them; emptying the last zone of a service warns

Cause: operators could not see which zones a router believes unreachable, nor that an order to evacuate leaves a service without runners; that order was acknowledged without a word. Change: 'zones' in the beliefs of routers and controllers, a command 'zones' of both programs, a 'warning' in the answer and the log for such an order. It is carried out all the same: the rule Acks counts an evacuation without an acknowledgement, and a zone may have to be emptied whatever becomes of a service.

--- a/sparloom/cli.py
+++ b/sparloom/cli.py
@@ -134,6 +134,12 @@
         print(fault or "sound")
         return EXIT_FAILED if fault else EXIT_OK
 
+    return [serve, check, *_node_commands(), *(_controller_commands() if name == "controller" else ())]
+
+
+def _node_commands() -> list[Callable[..., int]]:
+    """The commands that ask running nodes what they believe."""
+
     def beliefs(address: str) -> int:
         """Print what a running node believes, as JSON.
 
@@ -148,7 +154,25 @@
         print(json.dumps(fetched.unwrap(), indent=2))
         return EXIT_OK
 
-    return [serve, check, beliefs, *(_controller_commands() if name == "controller" else ())]
+    def zones(*addresses: str) -> int:
+        """Print what running nodes believe of the zones, a line for each zone.
+
+        :param addresses: HOST:PORT of control or readiness addresses
+        """
+        from sparloom.compare.beliefs import fetch
+        from sparloom.compare.zones import zone_lines
+
+        status = EXIT_OK
+        for address in addresses:
+            fetched = fetch(address)
+            if fetched.value_or(None) is None:
+                _print_error(str(fetched.failure()))
+                status = EXIT_FAILED
+            for line in zone_lines(fetched.value_or({})):
+                print(line)
+        return status
+
+    return [beliefs, zones]
 
 
 def _call_controllers(addresses: tuple[str, ...], method: str, path: str, body: Any = None) -> Any:
@@ -179,6 +203,8 @@
         if answer is None:
             return EXIT_FAILED
         print(f"{zone} is evacuated")
+        if "warning" in answer:
+            _print_error(f"warning: {answer['warning']}.")
         return EXIT_OK
 
     def restore(zone: str, *addresses: str) -> int:
--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -15,12 +15,14 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+from absl import logging
 from aiohttp import web
 from attrs import define, field
 from mode import Service
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from sparloom.discovery import services_without_runners, zone_figures
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
 from sparloom.settings import SettingsError
@@ -100,13 +102,14 @@
     return error(HTTPStatus.SERVICE_UNAVAILABLE, "the outcome is not known; send it again", **RETRY_AFTER)
 
 
-def acknowledged(revision: int) -> web.Response:
-    """The response that acknowledges a change.
+def acknowledged(revision: int, warning: str = "") -> web.Response:
+    """The response that acknowledges a change, with a sentence about what the caller may not have meant.
 
-    >>> acknowledged(7).body
-    b'{"revision":7}'
+    >>> acknowledged(7).body, acknowledged(7, "look").body
+    (b'{"revision":7}', b'{"revision":7,"warning":"look"}')
     """
-    return reply(HTTPStatus.OK, {"revision": revision})
+    body: dict[str, Any] = {"revision": revision}
+    return reply(HTTPStatus.OK, {**body, "warning": warning} if warning else body)
 
 
 # -- requests -------------------------------------------------------------------
@@ -297,7 +300,7 @@
         fault = zone_fault(zone, self.settings.zones)
         if fault is not None:
             return error(HTTPStatus.NOT_FOUND, fault)
-        return await self._order(request, EvacuationOrder(zone, evacuate=True))
+        return await self._order(request, EvacuationOrder(zone, evacuate=True), self._warning(zone))
 
     async def restore(self, request: web.BaseRequest) -> web.Response:
         """Answers DELETE: a zone is taken back; also one that the startup file doesn't name any more."""
@@ -307,8 +310,24 @@
             return error(HTTPStatus.NOT_FOUND, fault)
         return await self._order(request, EvacuationOrder(zone, evacuate=False))
 
-    async def _order(self, request: web.BaseRequest, order: EvacuationOrder) -> web.Response:
+    def _warning(self, zone: str) -> str:
+        """A sentence that names the services that an evacuation leaves without runners; empty if there is none.
+
+        The operator decides: the order is carried out all the same, since a zone may have to be emptied whatever
+        becomes of a service.
+        """
+        endpoint_list = self.feed_server.state_of(ENDPOINTS)
+        evacuated = {*(self.feed_server.evacuated_zones() or ()), zone}
+        left = services_without_runners(endpoint_list.runners if endpoint_list else (), evacuated)
+        if not left:
+            return ""
+        logging.warning("control: evacuation leaves services without runners zone=%s services=%s", zone, ",".join(left))
+        return f"no runner is left of {', '.join(left)}"
+
+    async def _order(self, request: web.BaseRequest, order: EvacuationOrder, warning: str = "") -> web.Response:
         outcome = await self.writer.change(order, Deadline.after_body(0), lambda: not client_left(request))
+        if warning and isinstance(outcome, Acknowledged):
+            return acknowledged(outcome.revision, warning)
         return self._response_to(outcome, request.raw_path)
 
     # -- roll-outs ----------------------------------------------------------------
@@ -370,6 +389,7 @@
                 "runners": list(feed.store.version(ENDPOINTS)),
                 "revision": configuration["revision"] if configuration else 0,
                 "evacuated": sorted(feed.evacuated_zones() or ()),
+                "zones": zone_figures(endpoints, feed.evacuated_zones() or ()),
                 "fleet": {endpoint.id: "draining" if endpoint.draining else "ready" for endpoint in endpoints},
                 "members": {peer.key: MEMBER_STATES[peer.state] for peer in peers},
                 "view": self._view(),
--- a/sparloom/discovery/__init__.py
+++ b/sparloom/discovery/__init__.py
@@ -15,6 +15,7 @@
     version_of,
     versions_listed,
 )
+from .zones import services_without_runners, zone_figures
 
 __all__ = [
     "SEPARATOR",
@@ -28,6 +29,8 @@
     "pool_name",
     "read_page",
     "service_of",
+    "services_without_runners",
     "version_of",
     "versions_listed",
+    "zone_figures",
 ]
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from mode import Service
 
+from sparloom.discovery import zone_figures
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
@@ -282,6 +283,18 @@
     return sum(len(name) + len(value) + HEADER_LINE_OVERHEAD for name, value in http_request.raw_headers)
 
 
+def _zones_of(node: RouterNode, now: timedelta) -> dict[str, Any]:
+    """Return what the endpoint list and this router's own requests tell of each zone."""
+    evacuated = node.configuration.evacuated_zones if node.configuration else ()
+    runners = node.endpoint_list.runners if node.endpoint_list else ()
+    zones = zone_figures(runners, evacuated)
+    for zone, belief in node.zones.unreachable.items():
+        if zone in zones:
+            age_ms = int((now - belief.since) / timedelta(milliseconds=1))
+            zones[zone] |= {"unreachableMs": age_ms, "silentRunners": belief.silent_runners}
+    return zones
+
+
 def beliefs_of(settings: Settings, node: RouterNode, outcomes: Outcomes) -> dict[str, Any]:
     """Return the beliefs under the names that the protocol gives them."""
     now = monotonic()
@@ -296,13 +309,7 @@
         "runners": list(node.shelf.version(ENDPOINTS)),
         "revision": configuration.revision if configuration else 0,
         "evacuated": sorted(configuration.evacuated_zones) if configuration else [],
-        "unreachableZones": {
-            zone: {
-                "sinceMs": int((now - belief.since) / timedelta(milliseconds=1)),
-                "silentRunners": belief.silent_runners,
-            }
-            for zone, belief in node.zones.unreachable.items()
-        },
+        "zones": _zones_of(node, now),
         "members": {peer.key: PEER_STATES[peer.state] for peer in peers},
         "fleet": {backend.id: "draining" if backend.draining else "ready" for backend in backends.values()},
         "counts": {backend_id: node.in_flight.count(backend_id, now) for backend_id in backends},
--- a/tests/evacuation/test_command_line.py
+++ b/tests/evacuation/test_command_line.py
@@ -34,6 +34,26 @@
         self.assertEqual(await self.run_command("restore", "z1", control), (0, "z1 is taken back\n", ""))
         self.assertEqual(await self.run_command("evacuated", control), (0, "", ""))
 
+    async def test_the_last_zone_of_a_service_is_evacuated_with_a_warning(self):
+        control = self.url.removeprefix("http://").partition("/")[0]
+        self.assertEqual(await self.run_command("evacuate", "z1", control), (0, "z1 is evacuated\n", ""))
+        warned = (0, "z2 is evacuated\n", "warning: no runner is left of s.\n")
+        self.assertEqual(await self.run_command("evacuate", "z2", control), warned)
+        # The same order, sent again, is told the same.
+        self.assertEqual(await self.run_command("evacuate", "z2", control), warned)
+        self.assertEqual(await self.run_command("restore", "z1", control), (0, "z1 is taken back\n", ""))
+
+    async def test_zones_are_shown_as_nodes_believe_them(self):
+        control = self.url.removeprefix("http://").partition("/")[0]
+        await self.run_command("evacuate", "z1", control)
+        status, out, _ = await self.run_command("zones", control, "127.0.0.1:1")
+        name = self.controller_settings.node
+        lines = [
+            f"{name}: z1 evacuated, 1 runners, 0 draining, 0 cold",
+            f"{name}: z2 in service, 1 runners, 0 draining, 0 cold",
+        ]
+        self.assertEqual((status, out.splitlines()), (1, lines))
+
     async def test_what_is_wrong_is_said_in_a_sentence(self):
         self.controller.control_api.settings.zones["z1"] = "r"
         control = self.url.removeprefix("http://").partition("/")[0]
--- a/tests/router/test_unreachable_zone.py
+++ b/tests/router/test_unreachable_zone.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from simulator.virtual import world
+from sparloom.compare.zones import zone_lines
 from sparloom.discovery import Endpoint, EndpointList
 from sparloom.router import zone_prober
 from sparloom.router.backends import BackendTable
@@ -17,6 +18,7 @@
     route("once", "/once/", timeoutMs=3000, targetMs=400),
 ]
 RUNNERS = 8
+TOLD_OF_UNREACHABLE = {"unreachableMs", "silentRunners"}
 
 
 class UnreachableZone(unittest.TestCase):
@@ -148,9 +150,11 @@
         async def story():
             self.silence()
             tasks = await self.requests_until_believed("/resume/x")
-            told = self.rig.front.beliefs()["unreachableZones"]
-            self.assertEqual(list(told), ["dark"])
-            self.assertGreaterEqual(told["dark"]["silentRunners"], 1)
+            beliefs = self.rig.front.beliefs()
+            self.assertEqual(beliefs["zones"]["dark"].keys() - beliefs["zones"]["light"].keys(), TOLD_OF_UNREACHABLE)
+            dark, light = zone_lines(beliefs)
+            self.assertIn("front-1: dark in service, unreachable for ", dark)
+            self.assertEqual(light, "front-1: light in service, 4 runners, 0 draining, 0 cold")
             await asyncio.gather(*tasks)
 
         self.play(story)
