--- a/simulator/soak/requests.py
+++ b/simulator/soak/requests.py
@@ -168,7 +168,7 @@
 
     async def _chaos(self, http: aiohttp.ClientSession) -> None:
         """Signals, pauses and changes, in series that overlap."""
-        kinds = ("term", "term", "hup", "pause", "pause", "change", "controller", "evacuate")
+        kinds = ("term", "term", "hup", "pause", "pause", "zone", "change", "controller", "evacuate")
         faults = [partial(getattr(self, f"_{kind}"), http) for kind in kinds]
         await overlapping(self.luck, faults, (0.05, 0.7), lambda: self._time_left() > GRACE_S * 0.4)
 
@@ -198,6 +198,15 @@
             await self.luck.choice(self.fleet.routers).pause(self.luck.uniform(0.03, 0.1))
             await asyncio.sleep(self.luck.uniform(0.0, 0.15))
 
+    async def _zone(self, _http: aiohttp.ClientSession) -> None:
+        """All processes of a zone, of both programs, stand still together, a few times."""
+        zone = self.luck.choice(self.fleet.nodes).settings["zone"]
+        stopped = [node for node in self.fleet.nodes if node.settings["zone"] == zone]
+        for _ in range(self.luck.randint(1, 4)):
+            seconds = self.luck.uniform(0.05, 0.1)
+            await asyncio.gather(*(node.pause(seconds) for node in stopped))
+            await asyncio.sleep(self.luck.uniform(0.05, 0.4))
+
     async def _change(self, http: aiohttp.ClientSession) -> None:
         base, self._revision = self._revision, self._revision + 1
         await self._put(http, base, self.luck.randrange(20))
