A router that reaches no runner calls itself unready, and closes connections with its refusals

Change: a runner is absent where no connection opened (for a third of the contact bound) or another instance answered (for a contact bound); when every listed runner is absent or in an unreachable zone for an eighth of the contact bound, the router is unready until one is in reach. A zone is also doubted when nothing came from anywhere for a quarter of the contact bound, so that a router cut off from all runners finds out. Ruled out: going by suspicion, since an overload makes runners suspected for moments.

--- a/sparloom/load_balancing/zone_reachability.py
+++ b/sparloom/load_balancing/zone_reachability.py
@@ -3,8 +3,9 @@
 A zone that loses power, or is partitioned from this router, makes all of its
 runners silent at once. Judging them one by one takes a time-out each. Here a
 zone is *doubted* once one of its runners owes a sign for longer than it was
-given, while nothing at all came from the zone and another zone spoke. The last
-condition keeps a slow or partitioned router from blaming everybody else. A
+given, while nothing at all came from the zone and another zone spoke, or none
+has for long. The last condition keeps a slow router from blaming everybody
+else for a moment of its own. A
 doubted zone is probed: only when connections to several of its runners don't
 open in time is it believed *unreachable*, so a runner that is merely slow
 blames nobody. The belief holds for the believer only, and one sign from any
@@ -114,6 +115,8 @@
         If ``tick`` comes later than this after the one before, the process itself stood still and nothing is judged.
     probe_interval
         From one probe of a zone to the next.
+    long_silence
+        When nothing came from anywhere for so long, every zone that owes a sign is doubted.
     unreachable
         The present belief about each zone that is unreachable.
     doubts
@@ -122,7 +125,7 @@
     Examples
     --------
     >>> ms = timedelta(milliseconds=1)
-    >>> zones = ZoneReachability(maximum_tick=150 * ms, probe_interval=250 * ms)
+    >>> zones = ZoneReachability(maximum_tick=150 * ms, probe_interval=250 * ms, long_silence=1000 * ms)
     >>> wait = zones.await_sign("a", "z1", timedelta(0), 200 * ms, lambda: None)
     >>> for now in range(0, 250, 50):
     ...     zones.note_sign("z2", now * ms); zones.tick(now * ms)
@@ -138,6 +141,7 @@
 
     maximum_tick: timedelta
     probe_interval: timedelta
+    long_silence: timedelta
     unreachable: dict[str, UnreachableZone] = field(factory=dict)
     doubts: dict[str, Doubt] = field(factory=dict)
     _awaited: dict[AwaitedSign, None] = field(factory=dict)
@@ -190,7 +194,8 @@
         for zone, waits in overdue.items():
             if zone in self.unreachable or zone in self.doubts:
                 continue
-            if self._others_spoke_since(zone, min(waits.values())):
+            waiting_since = min(waits.values())
+            if self._others_spoke_since(zone, waiting_since) or self._all_are_silent(waiting_since, now):
                 self.doubts[zone] = Doubt(len(waits))
 
     def _last_sign(self, zone: str) -> timedelta:
@@ -213,6 +218,10 @@
         silent_since = max(self._last_sign(zone), waiting_since)
         return any(sign > silent_since for other, sign in self._last_signs.items() if other != zone)
 
+    def _all_are_silent(self, waiting_since: timedelta, now: timedelta) -> bool:
+        """Whether nothing came from anywhere for long, though a sign is owed."""
+        return now - max(waiting_since, *self._last_signs.values(), NEVER) >= self.long_silence
+
     def due_probes(self, now: timedelta) -> list[DueProbe]:
         """The probes to begin now: several runners of a zone that is doubted, one of a zone that is unreachable."""
         due = [DueProbe(zone, FAILED_PROBES_NEEDED) for zone in self.doubts if self._is_probe_due(zone, now)]
--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -132,6 +132,9 @@
             raise RuntimeError("the attempt has no response yet")
         return self._response
 
+    def _note_absence(self, part: float) -> None:
+        self.backend.record_absence(monotonic(), self._state.settings.bounds.contact * part)
+
     def _suspect(self, part: float) -> None:
         self.backend.record_failure(monotonic(), self._state.settings.bounds.contact * part)
 
@@ -145,6 +148,7 @@
             self.connected = False
             if isinstance(error, aiohttp.ConnectionTimeoutError):
                 self.inactivity.not_connected()
+            self._note_absence(NOT_CONNECTED)
             self._suspect(NOT_CONNECTED)
             return NOT_RUN
         except BACKEND_ERRORS as error:
@@ -180,6 +184,8 @@
             self.backend.apply_keep_alive(response.headers["Keep-Alive"])
         if verdict is NOT_RUN:
             self._misdirected = response.status == MISDIRECTED
+            if self._misdirected:
+                self._note_absence(OTHER_INSTANCE)
             self._suspect(OTHER_INSTANCE if self._misdirected else REJECTED)
             await self._drain_rejection(response)
             return NOT_RUN
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -76,6 +76,7 @@
     client_session: the open connections; made when first needed.
     suspected_until: until then it is avoided (monotonic clock).
     strikes: failures in a row, four at most.
+    absent_until: until then it is taken not to be at its address: no connection opened, or another instance answered.
     unresponsive_calls: calls here that have passed their timeout without a sign of life.
     open_calls: calls in hand here.
     delisted: whether it has left the endpoint list; its connections are closed once no call needs them.
@@ -94,6 +95,7 @@
     client_session: aiohttp.ClientSession | None = None
     suspected_until: timedelta = NOT_SUSPECTED
     strikes: int = 0
+    absent_until: timedelta = NOT_SUSPECTED
     unresponsive_calls: int = 0
     open_calls: int = 0
     idle_timeout: float = DEFAULT_IDLE_TIMEOUT_S
@@ -150,8 +152,21 @@
         self.strikes = min(self.strikes + 1, MAXIMUM_STRIKES)
         self.suspected_until = max(self.suspected_until, now + duration * 2 ** (self.strikes - 1))
 
+    def record_absence(self, now: timedelta, duration: timedelta) -> None:
+        """No connection to it opened, or another instance answered at its address."""
+        self.absent_until = now + duration
+
+    def is_absent(self, now: timedelta) -> bool:
+        """Whether it seems not to be at its address.
+
+        >>> Backend("i", "s", "h:1", "z", 1, False, False, 0, None).is_absent(timedelta(seconds=1))
+        False
+        """
+        return now < self.absent_until
+
     def record_success(self) -> None:
         """It answered: earlier failures no longer count."""
+        self.absent_until = NOT_SUSPECTED
         self.strikes = 0
         self.suspected_until = NOT_SUSPECTED
 
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -154,13 +154,18 @@
             await asyncio.sleep(IDLE_SWEEP_INTERVAL.total_seconds())
             self.client_server.close_idle()
 
+    @property
+    def _sends_clients_away(self) -> bool:
+        """Whether clients are better served by other routers."""
+        return self.stopping or self.node.serviceability.cut_off
+
     # -- the platform -------------------------------------------------------------
     async def _answer_platform(self, http_request: web.BaseRequest) -> web.Response:
         if http_request.path == BELIEFS_PATH:
             return web.json_response(self.beliefs())
         if http_request.path != READY_PATH:
             return web.Response(status=NOT_FOUND)
-        ready = self.node.ready() and not self.stopping
+        ready = self.node.ready() and not self._sends_clients_away
         return web.Response(status=200 if ready else UNAVAILABLE)
 
     def beliefs(self) -> dict[str, Any]:
@@ -172,7 +177,7 @@
         connection = cast("ClientConnection", http_request.protocol)
         try:
             response = await self._respond(http_request)
-            if self.stopping and not response.prepared:
+            if self._sends_clients_away and not response.prepared:
                 response.force_close()
             return response
         finally:
@@ -314,6 +319,7 @@
         "fleet": {backend.id: "draining" if backend.draining else "ready" for backend in backends.values()},
         "counts": {backend_id: node.in_flight.count(backend_id, now) for backend_id in backends},
         "ready": node.ready(),
+        "cutOff": node.serviceability.cut_off,
         "shares": {
             f"{service} {member}": figures
             for service, members in node.queues.statistics().items()
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -21,6 +21,7 @@
 from .prefix_recall import PrefixRecall
 from .relay_server import RelayServer
 from .router_state import ForwardingServices, RetryBudgets, RouterState
+from .serviceability import Serviceability
 from .zone_prober import ZoneProber
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
     rollouts: watches roll-outs; None where versions don't matter.
     relay_server: passes the feed on.
     zone_prober: finds zones unreachable, and reachable again.
+    serviceability: whether any runner is in reach.
     """
 
     settings = _delegated("snapshots", "settings")
@@ -102,6 +104,7 @@
         self.rollouts = self._rollout_watcher(settings)
         self.relay_server = RelayServer(state, self.feed_client)
         self.zone_prober = ZoneProber(state)
+        self.serviceability = Serviceability(state)
         # The routers, with their zones, for which the tier was planned.
         self.tier_members: frozenset[tuple[str, str]] | None = None
 
@@ -189,6 +192,7 @@
     def _on_tick(self, turn: int) -> None:
         self.queues.tick()
         self.zone_prober.tick()
+        self.serviceability.tick(monotonic())
         if turn % MEMBERSHIP_TICKS == 1:
             self.update_fleet_size()
             self.update_relay_tier()
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -35,6 +35,8 @@
 LATE_TICK = timedelta(milliseconds=150)
 # An unreachable zone is probed so often, as a part of the contact bound.
 ZONE_PROBE_PART = 1 / 16
+# For this part of the contact bound nothing must have come from any zone before all of them are doubted.
+LONG_SILENCE_PART = 1 / 4
 # Without confirmation, a router counts as ready after so many contact bounds.
 UNCONFIRMED_READY_BOUNDS = 2
 # A list is a poll older than the confirmation of its primary (a quarter of the drain bound), and a request takes
@@ -86,7 +88,8 @@
         self.in_flight = InFlightCounts(settings.bounds.contact)
         self.fleet_size = FleetSize(settings.bounds.contact)
         self.relay_tier = RelayTier()
-        self.zones = ZoneReachability(LATE_TICK, settings.bounds.contact * ZONE_PROBE_PART)
+        contact = settings.bounds.contact
+        self.zones = ZoneReachability(LATE_TICK, contact * ZONE_PROBE_PART, contact * LONG_SILENCE_PART)
         self.prefixes_known = asyncio.Event()
         self.random = random.Random()
         self.instance_id = int.from_bytes(os.urandom(7))
--- /dev/null
+++ b/sparloom/router/serviceability.py
@@ -0,0 +1,57 @@
+"""Whether any runner can be reached from this router at all; one that can't serve anybody should get no clients.
+
+A router that is partitioned from every runner still answers its clients, with
+503 each time. If it calls itself unready, the platform sends its clients to
+other routers, in another zone if all of this one are as badly off.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from .backends import Backend
+    from .router_state import RouterState
+
+# No runner must have been in reach for this part of the contact bound, so that a moment's trouble moves no client.
+PATIENCE_PART = 1 / 8
+
+
+class Serviceability:
+    """Looks at each tick whether a listed runner is in reach.
+
+    Attributes
+    ----------
+    cut_off: whether runners are listed and none of them has been in reach for a while.
+    """
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+        self._out_of_reach_since: timedelta | None = None
+        self.cut_off = False
+
+    def tick(self, now: timedelta) -> None:
+        """Time moves on; called every 50 ms."""
+        backends = self._state.backends.by_id.values()
+        if not backends or any(self._is_in_reach(backend, now) for backend in backends):
+            self._out_of_reach_since = None
+        elif self._out_of_reach_since is None:
+            self._out_of_reach_since = now
+        self._set(self._is_over(now))
+
+    def _is_in_reach(self, backend: Backend, now: timedelta) -> bool:
+        return not backend.is_absent(now) and not self._state.zones.is_unreachable(backend.zone)
+
+    def _is_over(self, now: timedelta) -> bool:
+        if self._out_of_reach_since is None:
+            return False
+        return now - self._out_of_reach_since >= self._state.settings.bounds.contact * PATIENCE_PART
+
+    def _set(self, cut_off: bool) -> None:
+        if cut_off != self.cut_off:
+            logging.info("readiness: no runner in reach" if cut_off else "readiness: runners in reach again")
+        self.cut_off = cut_off
--- /dev/null
+++ b/tests/router/test_serviceability.py
@@ -0,0 +1,95 @@
+"""Regression: routers that could reach no runner stayed ready and refused all of their clients.
+
+Nothing got into their zone for 4.7 s, while all but one of its runners had come back as other instances: 489 of 1,400
+requests were refused there, and other zones had routers and runners enough (trouble day of a places deployment).
+"""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from simulator.clients import Client
+from simulator.virtual import world
+from sparloom.router.frontend import READY_PATH
+from sparloom.transport import monotonic
+from tests.support.router_fixture import Rig
+
+PATIENCE_S = 3.0 / 8
+SECOND = timedelta(seconds=1)
+
+
+class Serviceability(unittest.TestCase):
+    def play(self, story):
+        async def run():
+            async with Rig(2) as self.rig:
+                self.backends = list(self.rig.state.backends.by_id.values())
+                await story()
+
+        with world(1) as loop:
+            loop.run_until_complete(run())
+
+    async def ready(self, seconds=0.0):
+        """What the platform is told after some seconds of ticks."""
+        for _ in range(round(seconds / 0.05)):
+            await asyncio.sleep(0.05)
+            self.rig.state.serviceability.tick(monotonic())
+        answer = await self.rig.front._answer_platform(type("Asked", (), {"path": READY_PATH})())
+        return answer.status == 200
+
+    async def send(self):
+        client = await Client.connect("127.0.0.1", self.rig.port)
+        outcome = await client.send("/once/x", f"a{id(client)}")
+        return outcome.status, client.open
+
+    def test_a_router_that_reaches_no_runner_is_unready_and_closes_connections_with_its_refusals(self):
+        async def story():
+            self.assertTrue(await self.ready(1.0))
+            for runner in self.rig.runners:
+                runner.script = ["moved"] * 4
+            self.assertEqual(await self.send(), (503, True))
+            self.assertTrue(await self.ready(PATIENCE_S - 0.1))
+            self.assertFalse(await self.ready(0.2))
+            self.assertEqual(await self.send(), (503, False))
+
+        self.play(story)
+
+    def test_one_runner_in_reach_is_enough(self):
+        async def story():
+            self.backends[0].record_absence(monotonic(), 10 * SECOND)
+            self.assertTrue(await self.ready(2.0))
+            self.backends[1].record_failure(monotonic(), 10 * SECOND)
+            self.assertTrue(await self.ready(2.0))
+            self.backends[1].record_absence(monotonic(), 10 * SECOND)
+            self.assertFalse(await self.ready(PATIENCE_S + 0.1))
+            self.backends[1].record_success()
+            self.assertTrue(await self.ready(0.05))
+
+        self.play(story)
+
+    def test_runners_in_an_unreachable_zone_are_out_of_reach(self):
+        async def story():
+            zones = self.rig.state.zones
+            zones.await_sign("i-0", "z1", monotonic(), SECOND, lambda: None)
+            self.assertTrue(await self.ready(0.05))
+            for _ in range(30):
+                await asyncio.sleep(0.05)
+                zones.tick(monotonic())
+            for runner in ("i-0", "i-1"):
+                zones.note_failed_probe("z1", runner, monotonic())
+            self.assertFalse(await self.ready(PATIENCE_S + 0.1))
+            zones.note_sign("z1", monotonic())
+            self.assertTrue(await self.ready(0.05))
+
+        self.play(story)
+
+    def test_a_router_without_a_list_is_not_called_cut_off(self):
+        async def story():
+            self.rig.state.backends = type(self.rig.state.backends)()
+            await self.ready(2.0)
+            self.assertFalse(self.rig.state.serviceability.cut_off)
+
+        self.play(story)
+
+
+if __name__ == "__main__":
+    unittest.main()
