Modules of the router need each other in one direction only

The value with all services of forwarding stood beside the router's state, so eleven modules imported each other in a circle, for types. It has a module of its own, and the choice of a backend stands with the attempt that takes it. A test holds that no circle comes back in router/ and controller/, types included. No behaviour changes.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from absl import logging
+from attrs import define
 
 from sparloom.retry import MAY_HAVE_RUN, NOT_RUN, judge_head
 from sparloom.transport import monotonic
@@ -20,9 +21,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sparloom.dynamic_timeout import Slot
     from sparloom.retry import Verdict
 
-    from .backend_choice import BackendChoice
+    from .backends import Backend
     from .request import Request
     from .router_state import RouterState
 
@@ -43,6 +45,20 @@
 BACKEND_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
+@define(frozen=True, slots=True, eq=False)
+class BackendChoice:
+    """A backend for one attempt, and the slot taken there.
+
+    ``yields``: the prefill is heavy there, so the request lets others go first.
+    ``in_flight``: requests that were at the backend before, of all routers.
+    """
+
+    backend: Backend
+    slot: Slot
+    yields: bool
+    in_flight: int = 0
+
+
 class AttemptEnd(Enum):
     """How an attempt ended, as far as it tells about the backend."""
 
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -10,6 +10,7 @@
 from sparloom.metrics import count_event
 from sparloom.transport import monotonic
 
+from .attempt import BackendChoice
 from .cold_rate import fleet_limit
 from .router_state import DOUBT_AFTER_DRAIN_PART
 from .timeout_buckets import buckets_for
@@ -19,12 +20,11 @@
     from datetime import timedelta
     from random import Random
 
-    from sparloom.dynamic_timeout import Slot
     from sparloom.isolation import Isolation
 
     from .backends import Backend
+    from .forwarding_services import ForwardingServices
     from .request import Request
-    from .router_state import ForwardingServices
 
 # A candidate's penalty adds these up; any sum ranks behind all lower ones, whatever the load.
 UNRESPONSIVE_FOR_PEERS = 1
@@ -32,20 +32,6 @@
 ALREADY_TRIED = 4
 
 
-@define(frozen=True, slots=True, eq=False)
-class BackendChoice:
-    """A backend for one attempt, and the slot taken there.
-
-    ``yields``: the prefill is heavy there, so the request lets others go first.
-    ``in_flight``: requests that were at the backend before, of all routers.
-    """
-
-    backend: Backend
-    slot: Slot
-    yields: bool
-    in_flight: int = 0
-
-
 @define(frozen=True, slots=True, eq=False)
 class _Eligible:
     """The backends that may serve a request, and the snapshots that this was worked out from."""
--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -34,8 +34,8 @@
 
     from sparloom.retry import Verdict
 
+    from .forwarding_services import ForwardingServices
     from .request import Request
-    from .router_state import ForwardingServices
 
 ZERO = timedelta(0)
 FIRST_SERVER_ERROR = 500
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -16,11 +16,12 @@
 
 from .admission_queues import AdmissionQueues
 from .feed_client import FeedClient
+from .forwarding_services import ForwardingServices
 from .in_flight_gossip import GOSSIP_MESSAGES, InFlightGossip
 from .membership_service import MembershipService
 from .prefix_recall import PrefixRecall
 from .relay_server import RelayServer
-from .router_state import ForwardingServices, RetryBudgets, RouterState
+from .router_state import RetryBudgets, RouterState
 from .serviceability import Serviceability
 from .zone_prober import ZoneProber
 
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -1,4 +1,4 @@
-"""The router's present view of its fleet: snapshots that its services replace and read, and what forwarding takes."""
+"""The router's present view of its fleet: snapshots that its services replace and read."""
 
 from __future__ import annotations
 
@@ -8,8 +8,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from attrs import define
-
 from sparloom.admission import FleetSize
 from sparloom.dynamic_timeout import InFlightCounts
 from sparloom.load_balancing import ZoneReachability
@@ -25,11 +23,6 @@
     from sparloom.isolation import Isolation
     from sparloom.settings import Settings
 
-    from .admission_queues import AdmissionQueues
-    from .in_flight_gossip import InFlightGossip
-    from .prefix_recall import PrefixRecall
-    from .rollout_watcher import RolloutWatcher
-    from .usage_reporter import UsageReporter
 
 # The tick is due each 50 ms; if it comes this late, the process stood still and blames no zone.
 LATE_TICK = timedelta(milliseconds=150)
@@ -161,31 +154,3 @@
             budget = RetryBudget(bounds.budget_window, bounds.budget_ratio, bounds.budget_slack, self._state.started_at)
             self._by_service[service] = budget
         return budget
-
-
-@define(frozen=True, slots=True)
-class ForwardingServices:
-    """The collaborators of ``RequestForwarder`` and ``Attempt``.
-
-    Attributes
-    ----------
-    state: the present snapshots.
-    in_flight: requests in flight per backend; slots are taken here.
-    budgets: retry budgets by service.
-    queues: admission queues by service.
-    gossip: tells the other routers of prompts that went out.
-    prefix_recall: tells controllers of long prefixes.
-    usage: counts what begins; None where nobody asks.
-    random: source of random draws.
-    rollouts: watches roll-outs; None where versions don't matter.
-    """
-
-    state: RouterState
-    in_flight: InFlightCounts
-    budgets: RetryBudgets
-    queues: AdmissionQueues
-    gossip: InFlightGossip
-    prefix_recall: PrefixRecall
-    usage: UsageReporter | None
-    random: random.Random
-    rollouts: RolloutWatcher | None = None
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -5,6 +5,7 @@
 import ast
 import pathlib
 import unittest
+from graphlib import CycleError, TopologicalSorter
 
 from tests.support.paths import ROOT
 
@@ -67,6 +68,22 @@
     return found
 
 
+def neighbours(package: pathlib.Path) -> dict[str, set[str]]:
+    """For each module of a package the modules beside it that it imports, also those for type checkers."""
+    modules = {path.stem: ast.parse(path.read_text(encoding="utf-8")) for path in package.glob("*.py")}
+    modules.pop("__init__", None)
+    return {
+        name: {
+            imported
+            for node in ast.walk(tree)
+            if isinstance(node, ast.ImportFrom) and node.level == 1
+            for imported in ([node.module] if node.module else [alias.name for alias in node.names])
+            if imported in modules
+        }
+        for name, tree in modules.items()
+    }
+
+
 class Imports(unittest.TestCase):
     def test_each_package_imports_only_from_lower_layers(self):
         for path in sorted(pathlib.Path(ROOT, "sparloom").rglob("*.py")):
@@ -82,6 +99,18 @@
                     if other != own:
                         self.assertLess(LEVEL[other], LEVEL[own], f"{own} imports {module}")
 
+    def test_modules_of_a_program_need_each_other_in_one_direction_only(self):
+        """Also for types: a part takes what it needs, and not the value that composes all parts."""
+        for package in ("router", "controller"):
+            with self.subTest(package):
+                tuple(TopologicalSorter(neighbours(pathlib.Path(ROOT, "sparloom", package))).static_order())
+
+    def test_a_circle_would_be_found(self):
+        with self.assertRaises(CycleError):
+            tuple(TopologicalSorter({"a": {"b"}, "b": {"a"}}).static_order())
+        graph = neighbours(pathlib.Path(ROOT, "sparloom", "router"))
+        self.assertLessEqual({"attempt", "forwarding_services", "request"}, graph["backend_choice"])
+
     def test_a_wrong_import_would_be_found(self):
         """The check reads imports of every form."""
         own = pathlib.Path(ROOT, "sparloom", "cli.py")
