--- a/sparloom/rollouts/evidence.py
+++ b/sparloom/rollouts/evidence.py
@@ -69,8 +69,8 @@
     }
 
 
-def tallies_of(cells: Mapping[CellKey, Counts], most: int) -> list[AnswerTally]:
-    """Return the tallies of a vote, the other way round; no more than ``most`` of them.
+def tallies_of(cells: Mapping[CellKey, Counts], maximum: int) -> list[AnswerTally]:
+    """Return the tallies of a vote, the other way round; no more than ``maximum`` of them.
 
     >>> cells = {CellKey("r", True, False, 7): Counts(3, 1)}
     >>> cells_of(tallies_of(cells, 9)) == cells
@@ -80,7 +80,7 @@
         AnswerTally(
             key.route, key.trial, key.loaded, key.runner, counts.answers, counts.failed, counts.paced, counts.slow
         )
-        for key, counts in islice(cells.items(), most)
+        for key, counts in islice(cells.items(), maximum)
     ]
 
 
--- a/sparloom/rollouts/pace.py
+++ b/sparloom/rollouts/pace.py
@@ -20,10 +20,10 @@
 # An answer is slow at so many times the old version's median.
 SLOW_FACTOR = 2.5
 # Of a stream with fewer parts the pace isn't known.
-LEAST_PARTS = 3
+MINIMUM_PARTS = 3
 # A median is of so many answers at most, and of so many at least.
 REMEMBERED = 64
-LEAST_REMEMBERED = 8
+MINIMUM_REMEMBERED = 8
 
 
 def pace_of(
@@ -49,7 +49,7 @@
         return None
     if not streamed:
         return last_at - asked_at
-    return (last_at - first_at) / (parts - 1) if parts >= LEAST_PARTS else None
+    return (last_at - first_at) / (parts - 1) if parts >= MINIMUM_PARTS else None
 
 
 @define(slots=True)
@@ -73,6 +73,6 @@
     def is_slow(self, route: str, pace: timedelta) -> bool | None:
         """Return whether a pace is several times that of the old version; None where that isn't known."""
         known = self._paces.get(route, ())
-        if len(known) < LEAST_REMEMBERED:
+        if len(known) < MINIMUM_REMEMBERED:
             return None
         return pace.total_seconds() > median(known) * SLOW_FACTOR
--- a/sparloom/rollouts/verdict.py
+++ b/sparloom/rollouts/verdict.py
@@ -28,7 +28,7 @@
 BAD_RATE = 0.3
 HIGHEST_BAD_RATE = 0.9
 # The old version's rate is never taken for less, nor for more.
-LEAST_BASE_RATE = 0.01
+MINIMUM_BASE_RATE = 0.01
 HIGHEST_BASE_RATE = 0.5
 # So many good answers are reckoned to the old version's besides: few answers are no proof of a rate of none.
 BASE_PRIOR_ANSWERS = 50
@@ -46,8 +46,8 @@
 ACCEPT_WEIGHT_LOADED = 5.0
 # Routes with less than this part of all answers are rare; those with fewer answers are not asked for.
 RARE_PART = 0.05
-LEAST_PART = 0.02
-LEAST_ANSWERS = 20
+MINIMUM_PART = 0.02
+MINIMUM_ANSWERS = 20
 
 Bad: TypeAlias = Callable[[Counts], tuple[int, int]]
 
@@ -88,7 +88,7 @@
         (Rates(sound=0.02, bad=0.32), Rates(sound=0.5, bad=0.8))
         """
         rate = (bad + BASE_PRIOR_BAD) / (total + BASE_PRIOR_ANSWERS)
-        sound = min(max(rate, LEAST_BASE_RATE), HIGHEST_BASE_RATE)
+        sound = min(max(rate, MINIMUM_BASE_RATE), HIGHEST_BASE_RATE)
         return cls(sound, min(sound + BAD_RATE, HIGHEST_BAD_RATE))
 
     def weight(self, bad: int, total: int) -> float:
@@ -138,7 +138,7 @@
 
 
 @define(frozen=True, slots=True)
-class Ballot:
+class VoteWeights:
     """The weights of the watchers' votes on one fault, over some of the new version's cells.
 
     Attributes
@@ -148,8 +148,8 @@
     others
         Whether the fleet has more than one watcher.
 
-    >>> ballot = Ballot(({1: 3.0, 2: -1.0}, {1: 3.5}), others=True)
-    >>> ballot.weight(), ballot.weight_of_others(), sorted(ballot.runners())
+    >>> votes = VoteWeights(({1: 3.0, 2: -1.0}, {1: 3.5}), others=True)
+    >>> votes.weight(), votes.weight_of_others(), sorted(votes.runners())
     (5.5, -1.0, [1, 2])
     """
 
@@ -176,13 +176,13 @@
         return min(without.values()) if len(without) > 1 else everything
 
 
-def _ballots(
+def _vote_weights(
     cells_by_watcher: Mapping[str, Cells],
     bad: Bad,
     base: Mapping[str, tuple[int, int]],
     group: Callable[[CellKey], str],
-) -> dict[str, Ballot]:
-    """The ballots on one fault over the new version's cells, by what ``group`` names; "" is left out.
+) -> dict[str, VoteWeights]:
+    """The weights_by_fault on one fault over the new version's cells, by what ``group`` names; "" is left out.
 
     Parameters
     ----------
@@ -207,7 +207,7 @@
         for name, by_runner in own.items():
             weights.setdefault(name, []).append(by_runner)
     others = len(cells_by_watcher) > 1
-    return {name: Ballot(tuple(found), others) for name, found in weights.items()}
+    return {name: VoteWeights(tuple(found), others) for name, found in weights.items()}
 
 
 def _by_route(key: CellKey) -> str:
@@ -218,7 +218,7 @@
     return "loaded" if key.loaded else ""
 
 
-NO_VOTES = Ballot((), others=True)
+NO_VOTES = VoteWeights((), others=True)
 
 
 @define(frozen=True, slots=True)
@@ -232,31 +232,31 @@
     base
         The old version's bad answers and all of them, by route.
     total, recent
-        The ballots of all time and of the last seconds, by route.
+        The weights_by_fault of all time and of the last seconds, by route.
     """
 
     fault: str
     base: dict[str, tuple[int, int]]
-    total: dict[str, Ballot]
-    recent: dict[str, Ballot]
+    total: dict[str, VoteWeights]
+    recent: dict[str, VoteWeights]
 
     @classmethod
     def of(cls, evidence: Evidence, fault: str, bad: Bad) -> _Question:
         base = _base_rates(evidence, bad)
-        total = _ballots(evidence.total, bad, base, _by_route)
-        return cls(fault, base, total, _ballots(evidence.recent, bad, base, _by_route))
+        total = _vote_weights(evidence.total, bad, base, _by_route)
+        return cls(fault, base, total, _vote_weights(evidence.recent, bad, base, _by_route))
 
     def rejected_route(self, runners: int) -> str | None:
         """The first route on which the votes reject the version."""
-        for ballots in (self.total, self.recent):
-            for route, ballot in ballots.items():
-                if _is_rejected(ballot, runners):
+        for weights_by_fault in (self.total, self.recent):
+            for route, votes in weights_by_fault.items():
+                if _is_rejected(votes, runners):
                     return route
         return None
 
     def lacking_on(self, route: str, needed: float) -> str:
         """What is still to be seen on a route, where votes for the version are to weigh so much."""
-        if self.fault == SLOW and self.base.get(route, (0, 0))[1] < LEAST_ANSWERS:
+        if self.fault == SLOW and self.base.get(route, (0, 0))[1] < MINIMUM_ANSWERS:
             # The old version's pace is not known well enough there to compare with.
             return ""
         weight = self.total.get(route, NO_VOTES).weight_of_others()
@@ -322,21 +322,21 @@
     return Judgement(Ruling.ACCEPTED, under_load)
 
 
-def _is_rejected(ballot: Ballot, runners: int) -> bool:
-    if ballot.weight() < REJECT_WEIGHT:
+def _is_rejected(votes: VoteWeights, runners: int) -> bool:
+    if votes.weight() < REJECT_WEIGHT:
         return False
     # While one runner alone has answered, of several, nobody can tell whether it is that runner or the version.
-    if runners > 1 and len(ballot.runners()) < 2:
+    if runners > 1 and len(votes.runners()) < 2:
         return False
-    return ballot.weight_of_others() >= REJECT_WEIGHT_OF_OTHERS
+    return votes.weight_of_others() >= REJECT_WEIGHT_OF_OTHERS
 
 
 def _lacking(evidence: Evidence, questions: Iterable[_Question], accepted_before: bool) -> str:
     """What is still to be seen, or speaks against the version of late; "" where nothing is."""
     by_route = _answers_by_route(evidence)
     everything = sum(by_route.values())
-    least = max(LEAST_ANSWERS, LEAST_PART * everything)
-    asked_for = [route for route, count in by_route.items() if count >= least]
+    minimum = max(MINIMUM_ANSWERS, MINIMUM_PART * everything)
+    asked_for = [route for route, count in by_route.items() if count >= minimum]
     if not asked_for:
         return "hardly any answers were seen"
     for route in asked_for:
@@ -350,5 +350,5 @@
 
 def _is_accepted_under_load(evidence: Evidence, base: Mapping[str, tuple[int, int]]) -> bool:
     """Whether enough answers of busy runners were good; ``base``: the old version's failures."""
-    ballots = _ballots(evidence.total, failures, base, _if_loaded)
-    return ballots.get("loaded", NO_VOTES).weight() <= -ACCEPT_WEIGHT_LOADED
+    weights_by_fault = _vote_weights(evidence.total, failures, base, _if_loaded)
+    return weights_by_fault.get("loaded", NO_VOTES).weight() <= -ACCEPT_WEIGHT_LOADED
