--- a/sparloom/router/serviceability.py
+++ b/sparloom/router/serviceability.py
@@ -1,8 +1,9 @@
-"""Whether any runner can be reached from this router at all; one that can't serve anybody should get no clients.
+"""Whether enough runners can be reached from this router; one that can serve hardly anybody should get no clients.
 
-A router that is partitioned from every runner still answers its clients, with
-503 each time. If it calls itself unready, the platform sends its clients to
-other routers, in another zone if all of this one are as badly off.
+A router that is partitioned from nearly every runner still answers its
+clients, with 503 nearly each time. If it calls itself unready, the platform
+sends its clients to other routers, in another zone if all of this one are as
+badly off.
 """
 
 from __future__ import annotations
@@ -17,16 +18,18 @@
     from .backends import Backend
     from .router_state import RouterState
 
-# No runner must have been in reach for this part of the contact bound, so that a moment's trouble moves no client.
+# Fewer runners must have been in reach for this part of the contact bound, so that a moment's trouble moves no client.
 PATIENCE_PART = 1 / 8
+# With less than this part of the runners in reach, more clients gain by going elsewhere than lose.
+MINIMUM_PART_IN_REACH = 1 / 8
 
 
 class Serviceability:
-    """Looks at each tick whether a listed runner is in reach.
+    """Looks at each tick how many of the listed runners are in reach.
 
     Attributes
     ----------
-    cut_off: whether runners are listed and none of them has been in reach for a while.
+    cut_off: whether runners are listed that take requests, and hardly any of them has been in reach for a while.
     """
 
     def __init__(self, state: RouterState) -> None:
@@ -36,13 +39,17 @@
 
     def tick(self, now: timedelta) -> None:
         """Time moves on; called every 50 ms."""
-        backends = self._state.backends.by_id.values()
-        if not backends or any(self._is_in_reach(backend, now) for backend in backends):
+        if self._reaches_enough(now):
             self._out_of_reach_since = None
         elif self._out_of_reach_since is None:
             self._out_of_reach_since = now
         self._set(self._is_over(now))
 
+    def _reaches_enough(self, now: timedelta) -> bool:
+        taking = [backend for backends in self._state.backends.connected.values() for backend in backends]
+        in_reach = sum(self._is_in_reach(backend, now) for backend in taking)
+        return not taking or in_reach > 0 and in_reach >= len(taking) * MINIMUM_PART_IN_REACH
+
     def _is_in_reach(self, backend: Backend, now: timedelta) -> bool:
         return not backend.is_absent(now) and not self._state.zones.is_unreachable(backend.zone)
 
@@ -53,5 +60,5 @@
 
     def _set(self, cut_off: bool) -> None:
         if cut_off != self.cut_off:
-            logging.info("readiness: no runner in reach" if cut_off else "readiness: runners in reach again")
+            logging.info("readiness: hardly a runner in reach" if cut_off else "readiness: runners in reach again")
         self.cut_off = cut_off
--- a/tests/router/test_serviceability.py
+++ b/tests/router/test_serviceability.py
@@ -10,6 +10,7 @@
 
 from simulator.clients import Client
 from simulator.virtual import world
+from sparloom.discovery import Endpoint, EndpointList
 from sparloom.router.frontend import READY_PATH
 from sparloom.transport import monotonic
 from tests.support.router_fixture import Rig
@@ -53,7 +54,32 @@
 
         self.play(story)
 
-    def test_one_runner_in_reach_is_enough(self):
+    def test_one_runner_in_reach_is_enough_for_eight_and_too_little_for_nine(self):
+        async def story():
+            for listed, ready in ((8, True), (9, False)):
+                endpoints = [Endpoint(f"i-{n}", "s", f"127.0.0.1:{n + 1}", "z1", 8, False, 0) for n in range(listed)]
+                self.rig.state.endpoint_list = EndpointList(endpoints, 1)
+                self.rig.state.update_backends()
+                for backend in list(self.rig.state.backends.by_id.values())[1:]:
+                    backend.record_absence(monotonic(), 10 * SECOND)
+                self.assertEqual(await self.ready(PATIENCE_S + 0.1), ready)
+
+        self.play(story)
+
+    def test_runners_that_take_no_requests_do_not_count(self):
+        async def story():
+            endpoints = [
+                Endpoint(f"i-{n}", "s", f"127.0.0.1:{n + 1}", "z1", 8, draining, 0)
+                for n, draining in enumerate((True, True, False))
+            ]
+            self.rig.state.endpoint_list = EndpointList(endpoints, 1)
+            self.rig.state.update_backends()
+            self.rig.state.backends.by_id["i-2"].record_absence(monotonic(), 10 * SECOND)
+            self.assertFalse(await self.ready(PATIENCE_S + 0.1))
+
+        self.play(story)
+
+    def test_one_of_two_runners_in_reach_is_enough(self):
         async def story():
             self.backends[0].record_absence(monotonic(), 10 * SECOND)
             self.assertTrue(await self.ready(2.0))
