Zones: checks that no test bound are gone or bound; an absent runner stays so for a contact bound

A runner that no connection reached counts as absent for a contact bound, since it is seldom tried meanwhile; when its zone comes back that is forgotten.

--- a/sparloom/load_balancing/zone_reachability.py
+++ b/sparloom/load_balancing/zone_reachability.py
@@ -167,10 +167,9 @@
 
     def give_up(self, awaited: AwaitedSign, now: timedelta) -> None:
         """The call waits no longer, since its connection did not open in time; the runner owes the sign for a while."""
-        if awaited in self._awaited:
-            awaited.patience = min(awaited.patience, now - awaited.since)
-            awaited.forgotten_at = now + MEMORY_OF_GIVEN_UP
-            awaited.on_unreachable = _ignore
+        awaited.patience = min(awaited.patience, now - awaited.since)
+        awaited.forgotten_at = now + MEMORY_OF_GIVEN_UP
+        awaited.on_unreachable = _ignore
 
     def note_sign(self, zone: str, now: timedelta) -> None:
         """Something came from a runner of a zone."""
@@ -216,7 +215,7 @@
     def _others_spoke_since(self, zone: str, waiting_since: timedelta) -> bool:
         """Whether another zone has spoken since a runner of this zone is waited for and the zone did not."""
         silent_since = max(self._last_sign(zone), waiting_since)
-        return any(sign > silent_since for other, sign in self._last_signs.items() if other != zone)
+        return any(sign > silent_since for sign in self._last_signs.values())
 
     def _all_are_silent(self, waiting_since: timedelta, now: timedelta) -> bool:
         """Whether nothing came from anywhere for long, though a sign is owed."""
--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -148,8 +148,8 @@
             raise RuntimeError("the attempt has no response yet")
         return self._response
 
-    def _note_absence(self, part: float) -> None:
-        self.backend.record_absence(monotonic(), self._state.settings.bounds.contact * part)
+    def _note_absence(self) -> None:
+        self.backend.record_absence(monotonic(), self._state.settings.bounds.contact)
 
     def _suspect(self, part: float) -> None:
         self.backend.record_failure(monotonic(), self._state.settings.bounds.contact * part)
@@ -164,7 +164,7 @@
             self.connected = False
             if isinstance(error, aiohttp.ConnectionTimeoutError):
                 self.inactivity.not_connected()
-            self._note_absence(NOT_CONNECTED)
+            self._note_absence()
             self._suspect(NOT_CONNECTED)
             return NOT_RUN
         except BACKEND_ERRORS as error:
@@ -201,7 +201,7 @@
         if verdict is NOT_RUN:
             self._misdirected = response.status == MISDIRECTED
             if self._misdirected:
-                self._note_absence(OTHER_INSTANCE)
+                self._note_absence()
             self._suspect(OTHER_INSTANCE if self._misdirected else REJECTED)
             await self._drain_rejection(response)
             return NOT_RUN
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -156,6 +156,10 @@
         """No connection to it opened, or another instance answered at its address."""
         self.absent_until = now + duration
 
+    def forget_absence(self) -> None:
+        """Its whole zone was out of reach and is back: that no connection opened says nothing about it."""
+        self.absent_until = NOT_SUSPECTED
+
     def is_absent(self, now: timedelta) -> bool:
         """Whether it seems not to be at its address.
 
--- a/sparloom/router/serviceability.py
+++ b/sparloom/router/serviceability.py
@@ -48,7 +48,7 @@
     def _reaches_enough(self, now: timedelta) -> bool:
         taking = [backend for backends in self._state.backends.connected.values() for backend in backends]
         in_reach = sum(self._is_in_reach(backend, now) for backend in taking)
-        return not taking or in_reach > 0 and in_reach >= len(taking) * MINIMUM_PART_IN_REACH
+        return in_reach >= len(taking) * MINIMUM_PART_IN_REACH
 
     def _is_in_reach(self, backend: Backend, now: timedelta) -> bool:
         return not backend.is_absent(now) and not self._state.zones.is_unreachable(backend.zone)
--- a/sparloom/router/zone_prober.py
+++ b/sparloom/router/zone_prober.py
@@ -58,8 +58,14 @@
             logging.info("zones: unreachable zone=%s silent=%d", zone, unreachable[zone].silent_runners)
         for zone in self._reported - unreachable.keys():
             logging.info("zones: reachable again zone=%s", zone)
+            self._forget_absences(zone)
         self._reported = frozenset(unreachable)
 
+    def _forget_absences(self, zone: str) -> None:
+        for backend in self._state.backends.by_id.values():
+            if backend.zone == zone:
+                backend.forget_absence()
+
     async def _probe(self, backend: Backend) -> None:
         """Try to connect to a runner; a connection that opens, or is refused, is a sign of its zone."""
         host, _, port = backend.address.rpartition(":")
--- a/tests/load_balancing/test_zone_reachability.py
+++ b/tests/load_balancing/test_zone_reachability.py
@@ -77,6 +77,15 @@
         self.zones.note_failed_probe("dark", "c", self.now * MS)
         self.assertEqual(self.believed(), ["dark"])
 
+    def test_probes_that_fail_at_different_times_add_up_while_the_doubt_lasts(self):
+        self.wait("a")
+        self.run_for(200)
+        self.zones.note_failed_probe("dark", "b", self.now * MS)
+        self.probed.failing.clear()
+        self.run_for(100)
+        self.zones.note_failed_probe("dark", "c", self.now * MS)
+        self.assertEqual(self.believed(), ["dark"])
+
     def test_a_slow_runner_of_a_sound_zone_blames_nobody(self):
         self.probed.lost.clear()
         self.wait("a")
@@ -168,6 +177,16 @@
         self.run_for(2000)
         self.assertEqual(self.believed(), [])
 
+    def test_a_connection_that_did_not_open_is_forgotten_after_a_second(self):
+        wait = self.wait("a", patience=100)
+        self.run_for(TICK)
+        self.zones.give_up(wait, self.now * MS)
+        self.run_for(900, speaking=("other", "dark"))
+        self.run_for(100)
+        self.assertEqual(self.probed.probed, [])
+        self.run_for(1000)
+        self.assertEqual((self.probed.probed, self.zones._awaited), ([], {}))
+
     def test_an_unreachable_zone_is_probed_at_one_runner_at_a_time(self):
         self.wait("a")
         self.run_for(3000)
--- a/tests/router/test_serviceability.py
+++ b/tests/router/test_serviceability.py
@@ -8,6 +8,8 @@
 import unittest
 from datetime import timedelta
 
+from absl.logging import get_absl_logger as absl_logger
+
 from simulator.clients import Client
 from simulator.virtual import world
 from sparloom.discovery import Endpoint, EndpointList
@@ -16,6 +18,7 @@
 from tests.support.router_fixture import Rig
 
 PATIENCE_S = 3.0 / 8
+LOG = ["readiness: hardly a runner in reach", "readiness: runners in reach again"]
 SECOND = timedelta(seconds=1)
 
 
@@ -86,9 +89,11 @@
             self.backends[1].record_failure(monotonic(), 10 * SECOND)
             self.assertTrue(await self.ready(2.0))
             self.backends[1].record_absence(monotonic(), 10 * SECOND)
-            self.assertFalse(await self.ready(PATIENCE_S + 0.1))
-            self.backends[1].record_success()
-            self.assertTrue(await self.ready(0.05))
+            with self.assertLogs(absl_logger()) as log:
+                self.assertFalse(await self.ready(2.0))
+                self.backends[1].record_success()
+                self.assertTrue(await self.ready(1.0))
+            self.assertEqual([record.getMessage() for record in log.records], LOG)
 
         self.play(story)
 
--- a/tests/router/test_unreachable_zone.py
+++ b/tests/router/test_unreachable_zone.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 import unittest
+from datetime import timedelta
 from unittest import mock
 
+from absl.logging import get_absl_logger as absl_logger
+
 from simulator.virtual import world
 from sparloom.compare.zones import zone_lines
 from sparloom.discovery import Endpoint, EndpointList
 from sparloom.router import zone_prober
 from sparloom.router.backends import BackendTable
-from sparloom.transport import dial
+from sparloom.transport import dial, monotonic
 from tests.support.router_fixture import POLICY, Rig, route
 
 ROUTES = [
@@ -111,12 +114,18 @@
             tasks = await self.requests_until_believed("/resume/x")
             await asyncio.gather(*tasks)
             sent = sum(len(r.got) for r in self.dark)
-            await self.tick_for(1.0)
-            self.assertTrue(self.rig.state.zones.is_unreachable("dark"))
-            self.cut = False
-            await self.tick_for(0.3)
+            with self.assertLogs(absl_logger()) as log:
+                await self.tick_for(1.0)
+                self.assertTrue(self.rig.state.zones.is_unreachable("dark"))
+                self.cut = False
+                for backend in self.rig.state.backends.by_id.values():
+                    backend.record_absence(monotonic(), timedelta(seconds=9))
+                await self.tick_for(0.6)
+            absent = {b.zone for b in self.rig.state.backends.by_id.values() if b.is_absent(monotonic())}
+            self.assertEqual(absent, {"light"})
             self.assertFalse(self.rig.state.zones.is_unreachable("dark"))
             self.assertEqual(sum(len(r.got) for r in self.dark), sent)
+            self.assertEqual([record.getMessage() for record in log.records], ["zones: reachable again zone=dark"])
 
         self.play(story)
 
