Zones and readiness are judged at a cost that doesn't grow with calls and runners

Calls were looked at each 50 ms, runners too: at the aimed size 970 calls and 10,000 runners a node. Calls are kept by zone, and only those of zones that said nothing for 50 ms are looked at; runners are counted up to the eighth that is needed, each 200 ms.

--- a/sparloom/load_balancing/zone_reachability.py
+++ b/sparloom/load_balancing/zone_reachability.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -30,13 +31,11 @@
 FAILED_PROBES_NEEDED = 2
 # For how long a connection that did not open counts against the zone.
 MEMORY_OF_GIVEN_UP = timedelta(seconds=1)
+# A zone that spoke so short a time ago is not judged: the ticks come no closer.
+MINIMUM_QUIET = timedelta(milliseconds=50)
 NEVER = timedelta(0)
 
 
-def _ignore() -> None:
-    """Stands for the callback of a call that has ended."""
-
-
 @define(eq=False, slots=True)
 class AwaitedSign:
     """One call that waits for the next sign of its runner.
@@ -54,7 +53,7 @@
     on_unreachable
         Called when the runner's zone becomes unreachable while the call waits.
     forgotten_at
-        Until when it counts after the call has given up; None while the call waits.
+        Until when it counts after the call has given up.
     """
 
     runner: str
@@ -62,7 +61,7 @@
     since: timedelta
     patience: timedelta
     on_unreachable: Callable[[], None]
-    forgotten_at: timedelta | None = None
+    forgotten_at: timedelta = NEVER
 
 
 @define(frozen=True, slots=True)
@@ -144,7 +143,8 @@
     long_silence: timedelta
     unreachable: dict[str, UnreachableZone] = field(factory=dict)
     doubts: dict[str, Doubt] = field(factory=dict)
-    _awaited: dict[AwaitedSign, None] = field(factory=dict)
+    _awaited: dict[str, dict[AwaitedSign, None]] = field(factory=dict)
+    _given_up: list[AwaitedSign] = field(factory=list)
     _last_signs: dict[str, timedelta] = field(factory=dict)
     _last_probes: dict[str, timedelta] = field(factory=dict)
     _ticked_at: timedelta | None = None
@@ -158,18 +158,19 @@
     ) -> AwaitedSign:
         """A call waits for the next sign of a runner, which owes it from ``now + patience`` on."""
         awaited = AwaitedSign(runner, zone, now, patience, on_unreachable)
-        self._awaited[awaited] = None
+        self._awaited.setdefault(zone, {})[awaited] = None
         return awaited
 
     def stop_waiting(self, awaited: AwaitedSign) -> None:
         """The call waits no longer; what it had to wait says nothing."""
-        self._awaited.pop(awaited, None)
+        self._awaited[awaited.zone].pop(awaited, None)
 
     def give_up(self, awaited: AwaitedSign, now: timedelta) -> None:
         """The call waits no longer, since its connection did not open in time; the runner owes the sign for a while."""
+        self.stop_waiting(awaited)
         awaited.patience = min(awaited.patience, now - awaited.since)
         awaited.forgotten_at = now + MEMORY_OF_GIVEN_UP
-        awaited.on_unreachable = _ignore
+        self._given_up.append(awaited)
 
     def note_sign(self, zone: str, now: timedelta) -> None:
         """Something came from a runner of a zone."""
@@ -183,12 +184,7 @@
         if previous is not None and now - previous > self.maximum_tick:
             self._forgive(now - previous)
             return
-        self._forget_given_up(now)
-        overdue: dict[str, dict[str, timedelta]] = {}
-        for awaited in self._awaited:
-            if now - max(awaited.since, self._last_sign(awaited.zone)) >= awaited.patience:
-                waits = overdue.setdefault(awaited.zone, {})
-                waits[awaited.runner] = min(awaited.since, waits.get(awaited.runner, now))
+        overdue = self._overdue(now)
         self.doubts = {zone: doubt for zone, doubt in self.doubts.items() if zone in overdue}
         for zone, waits in overdue.items():
             if zone in self.unreachable or zone in self.doubts:
@@ -200,16 +196,27 @@
     def _last_sign(self, zone: str) -> timedelta:
         return self._last_signs.get(zone, NEVER)
 
-    def _forget_given_up(self, now: timedelta) -> None:
-        for awaited in list(self._awaited):
-            if awaited.forgotten_at is None:
-                continue
-            if awaited.forgotten_at <= now or awaited.since <= self._last_sign(awaited.zone):
-                del self._awaited[awaited]
+    def _overdue(self, now: timedelta) -> dict[str, dict[str, timedelta]]:
+        """For each zone since when its runners are waited for that owe a sign.
+
+        Calls in zones that spoke a moment ago owe none, so a busy router looks at hardly any call.
+        """
+        self._given_up = [
+            awaited
+            for awaited in self._given_up
+            if now < awaited.forgotten_at and self._last_sign(awaited.zone) < awaited.since
+        ]
+        quiet = [calls for zone, calls in self._awaited.items() if now - self._last_sign(zone) >= MINIMUM_QUIET]
+        overdue: dict[str, dict[str, timedelta]] = {}
+        for awaited in chain(self._given_up, *quiet):
+            if now - max(awaited.since, self._last_sign(awaited.zone)) >= awaited.patience:
+                waits = overdue.setdefault(awaited.zone, {})
+                waits[awaited.runner] = min(awaited.since, waits.get(awaited.runner, now))
+        return overdue
 
     def _forgive(self, pause: timedelta) -> None:
         """This process stood still: what is owed falls due as much later."""
-        for awaited in self._awaited:
+        for awaited in chain(self._given_up, *self._awaited.values()):
             awaited.patience += pause
 
     def _others_spoke_since(self, zone: str, waiting_since: timedelta) -> bool:
@@ -241,5 +248,5 @@
         if len(doubt.failed) >= FAILED_PROBES_NEEDED:
             del self.doubts[zone]
             self.unreachable[zone] = UnreachableZone(now, doubt.silent_runners)
-            for awaited in [awaited for awaited in self._awaited if awaited.zone == zone]:
+            for awaited in list(self._awaited.get(zone, ())):
                 awaited.on_unreachable()
--- a/sparloom/router/router_node.py
+++ b/sparloom/router/router_node.py
@@ -193,8 +193,8 @@
     def _on_tick(self, turn: int) -> None:
         self.queues.tick()
         self.zone_prober.tick()
-        self.serviceability.tick(monotonic())
         if turn % MEMBERSHIP_TICKS == 1:
+            self.serviceability.tick(monotonic())
             self.update_fleet_size()
             self.update_relay_tier()
         self.gossip.tick(turn)
--- a/sparloom/router/serviceability.py
+++ b/sparloom/router/serviceability.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from itertools import chain, islice
+from math import ceil
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -38,7 +40,7 @@
         self.cut_off = False
 
     def tick(self, now: timedelta) -> None:
-        """Time moves on; called every 50 ms."""
+        """Time moves on; called every 200 ms."""
         if self._reaches_enough(now):
             self._out_of_reach_since = None
         elif self._out_of_reach_since is None:
@@ -46,9 +48,11 @@
         self._set(self._is_over(now))
 
     def _reaches_enough(self, now: timedelta) -> bool:
-        taking = [backend for backends in self._state.backends.connected.values() for backend in backends]
-        in_reach = sum(self._is_in_reach(backend, now) for backend in taking)
-        return in_reach >= len(taking) * MINIMUM_PART_IN_REACH
+        """Whether enough runners are in reach; looks at no more of them than it takes to know."""
+        services = self._state.backends.connected.values()
+        needed = ceil(sum(map(len, services)) * MINIMUM_PART_IN_REACH)
+        in_reach = (backend for backend in chain.from_iterable(services) if self._is_in_reach(backend, now))
+        return sum(1 for _ in islice(in_reach, needed)) >= needed
 
     def _is_in_reach(self, backend: Backend, now: timedelta) -> bool:
         return not backend.is_absent(now) and not self._state.zones.is_unreachable(backend.zone)
--- a/tests/load_balancing/test_zone_reachability.py
+++ b/tests/load_balancing/test_zone_reachability.py
@@ -185,7 +185,7 @@
         self.run_for(100)
         self.assertEqual(self.probed.probed, [])
         self.run_for(1000)
-        self.assertEqual((self.probed.probed, self.zones._awaited), ([], {}))
+        self.assertEqual((self.probed.probed, self.zones.doubts), ([], {}))
 
     def test_an_unreachable_zone_is_probed_at_one_runner_at_a_time(self):
         self.wait("a")
--- a/tests/router/test_serviceability.py
+++ b/tests/router/test_serviceability.py
@@ -113,6 +113,21 @@
 
         self.play(story)
 
+    def test_the_routers_own_tick_judges_zones_and_readiness(self):
+        async def story():
+            node = self.rig.state
+            node.zones.await_sign("i-0", "z1", monotonic(), SECOND, lambda: None)
+            for backend in self.backends:
+                backend.record_absence(monotonic(), 10 * SECOND)
+            for turn in range(1, 40):
+                await asyncio.sleep(0.05)
+                node._on_tick(turn)
+            self.assertTrue(node.serviceability.cut_off)
+            self.assertEqual((await self.send())[1], False)
+            self.assertGreater(sum(runner.pipes for runner in self.rig.runners), 0)
+
+        self.play(story)
+
     def test_a_router_without_a_list_is_not_called_cut_off(self):
         async def story():
             self.rig.state.backends = type(self.rig.state.backends)()
