--- a/tests/controller/test_control_api.py
+++ b/tests/controller/test_control_api.py
@@ -79,7 +79,12 @@
             self.consensus = Consensus()
             bounds = SimpleNamespace(acknowledge=timedelta(seconds=4), contact=timedelta(seconds=3))
             self.age_ms = UNCONFIRMED
-            feed_server = SimpleNamespace(publish=lambda *args: None, confirmation_age_ms=lambda: self.age_ms)
+            feed_server = SimpleNamespace(
+                publish=lambda *args: None,
+                confirmation_age_ms=lambda: self.age_ms,
+                state_of=lambda topic: None,
+                evacuated_zones=lambda: None,
+            )
             self.handler = ControlApi(SimpleNamespace(bounds=bounds), self.consensus, feed_server)
             self.handler.on_committed(self.consensus.data)
             await story()
