A task starts again only if no earlier run of it can have ended unseen

Cause: a repeat of an unanswered start that was answered 'late' counted as proof that the run never began; a runner also says late of runs that are there or have ended, and the hold in force may keep what the order begins late.

Change: such a run is left to the next list; unless that has the run or its end it is stopped, and dropped only once the stop is confirmed and a list that was asked for later lacks both. Unanswered orders of a runner whose hold lapsed are stopped before the runner is held or used again.

--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -142,13 +142,14 @@
 
     async def _stop(self, order: StopRun) -> None:
         body = {"task": order.task, "runId": order.number, "fenceNumber": self.term}
-        fenced = False
+        confirmed = fenced = False
         try:
             status, document = await self._post(order.address, STOP_PATH, order.runner, body, ORDER_TIMEOUT_S)
+            confirmed = status == HTTPStatus.OK
             fenced = status == HTTPStatus.CONFLICT and document.get("reason") == "fence"
         except CALL_ERRORS:
             pass
-        self.on_event(StopAnswered(order.runner, order.task, order.number, fenced))
+        self.on_event(StopAnswered(order.runner, order.task, order.number, confirmed, fenced))
 
     async def _hold(self, order: HoldRunner) -> None:
         body = {"fenceNumber": self.term, "lastSeen": order.last_seen}
@@ -175,4 +176,4 @@
         ends = tuple(
             TaskEnd(item[0], item[1], item[2], item[3], item[4] or "") for item in document.get("endTime") or ()
         )
-        return HoldAnswered(runner, float(document["clockMs"]), running, ends)
+        return HoldAnswered(runner, float(document["clockMs"]), running, ends, complete=len(ends) < ENDS_AT_ONCE)
--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from .late_orders import UnsettledOrders
 from .specification import Resources
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
 LONGEST_AVOIDANCE_S = 8.0
 # So many runs in a row must fail until a runner is avoided.
 FAILURES_UNTIL_AVOIDED = 3
+# A run that may begin yet, and whose stop is left without an answer for longer, makes the hold of its runner lapse.
+STOP_PATIENCE_S = 4.0
 
 
 @define(frozen=True, slots=True)
@@ -132,7 +135,14 @@
     in_call
         Whether an order for it is under way.
     deadline
-        Until when the order to start it may be carried out; it is repeated with the same one.
+        Until when the order to start it is to be carried out; it is repeated with the same one.
+    rejected_at
+        When a repeated order to start it was turned away though an earlier one may have been carried out, in seconds;
+        None before that. A list tells what has become of it.
+    stopping_since
+        When it was first ordered to stop, in seconds; None before that.
+    stop_confirmed_at
+        When its runner was first known to have taken the stop, in seconds; None before that.
     """
 
     step: Step
@@ -145,12 +155,24 @@
     unanswered: bool = False
     in_call: bool = False
     deadline: HoldDeadline | None = None
+    rejected_at: float | None = None
+    stopping_since: float | None = None
+    stop_confirmed_at: float | None = None
 
     @property
     def name(self) -> str:
         """The task's name on the wire."""
         return self.step.task_name(self.task.index)
 
+    @property
+    def may_begin(self) -> bool:
+        """Whether an order to start it may be carried out yet, or may have been unseen."""
+        return (self.unanswered or (self.in_call and self.stopping_since is None)) and self.stop_confirmed_at is None
+
+    def resists_stop(self, now: float) -> bool:
+        """Whether a run that may begin yet could not be stopped for so long that only the end of the hold is sure."""
+        return self.may_begin and self.stopping_since is not None and now - self.stopping_since > STOP_PATIENCE_S
+
 
 @define(slots=True, eq=False)
 class Runner:
@@ -176,6 +198,10 @@
         What its clock showed, and when that answer came.
     hold_until
         When all that runs there has surely been killed if it hears no more.
+    promised_ms
+        The latest deadline of all calls, on its clock: ``hold_until`` reckons with it.
+    unsettled_orders
+        Orders to start runs that were given up, and may be carried out yet.
     calling, called_at, answers
         Whether a call to hold it is under way, when the newest one began, and whether the one before was answered.
     next_hold_at
@@ -206,6 +232,8 @@
     clock_ms: float = 0.0
     clock_read_at: float = 0.0
     hold_until: float = 0.0
+    promised_ms: int = 0
+    unsettled_orders: UnsettledOrders = field(factory=UnsettledOrders)
     calling: bool = False
     called_at: float = 0.0
     answers: bool = True
@@ -233,15 +261,30 @@
     def needs_call(self) -> bool:
         """Whether it has to be called.
 
-        It is not known, or its last call failed, or it runs something, or it may not know that an end is stored.
+        It is not known, or its last call failed, or it runs something or may begin something, or it may not know that
+        an end is stored.
         """
         if self.replaced:
             return False
-        return not self.known or not self.answers or bool(self.runs) or self.stored_end > self.acknowledged_end
+        busy = bool(self.runs) or bool(self.unsettled_orders)
+        return busy or not self.known or not self.answers or self.stored_end > self.acknowledged_end
 
     def usable(self, now: float) -> bool:
         """Whether it may be given a start now."""
-        return self.serving and self.answers and now >= self.avoid_until
+        return self.serving and self.answers and not self.unsettled_orders and now >= self.avoid_until
+
+    def next_deadline_ms(self, now: float, hold_s: float) -> int:
+        """Return the deadline of the next call to hold it, on its clock; 0 to hold nothing.
+
+        While its calls go unanswered, or a run there can't be stopped, nothing more is promised than was before: a
+        longer hold might reach it unseen, and nothing would ever lapse. The deadline of an unanswered call is promised
+        already, so it is given again.
+        """
+        if not self.known or not self.runs or self.unsettled_orders:
+            return 0
+        if any(run.resists_stop(now) for run in self.runs.values()):
+            return 0
+        return self.extend_hold(now, hold_s).clock_ms if self.answers else self.promised_ms
 
     def fits(self, needs: Resources) -> bool:
         """Whether it has room for a task."""
@@ -281,6 +324,7 @@
         deadline_ms = self.clock_ms + (now - self.clock_read_at + hold_s) * 1000
         lapses_at = self.clock_read_at + (deadline_ms - self.clock_ms) / 1000 / (1 - SLOW_CLOCK) + LAPSE_MARGIN_S
         self.hold_until = max(self.hold_until, lapses_at)
+        self.promised_ms = max(self.promised_ms, int(deadline_ms))
         return HoldDeadline(int(deadline_ms), lapses_at)
 
     # -- its health -------------------------------------------------------------
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -3,10 +3,11 @@
 One scheduler lives as long as its primary's term. What it must not do, and
 why it doesn't:
 
-- *Two runs of one task at once.* A task has one ``Run`` at most, from the
-  order until its end is listed or its runner's hold has surely lapsed. Jobs
-  of an earlier term wait until each listed runner has told what runs there,
-  or until all holds of that term have lapsed.
+- *Two runs of one task at once, or a start after an end ``done``.* A task has
+  one ``Run`` at most, from the order until its end is listed, its runner's
+  hold has surely lapsed, or it is known that it never began (``late_orders``).
+  Jobs of an earlier term wait until each listed runner has told what runs
+  there, or until all holds of that term have lapsed.
 - *A start after the end was taken note of.* A runner forgets an end only once
   what followed from it is stored (``take_changes``, ``stored``).
 - *Orders of an earlier primary.* Every order carries the term as its fence.
@@ -39,6 +40,7 @@
 )
 from .job_queue import JobQueue
 from .jobs import RUNS_PER_TERM, Job, Step, Task
+from .late_orders import STOP_INTERVAL_S, never_began
 from .messages import JobState
 from .placement import Placement, RunnerIndex
 from .placement_pass import PlacementPass
@@ -50,7 +52,7 @@
 HOLD_WAIT_MS = 1000
 # Ends are gathered for so long before the next call, in seconds.
 HOLD_PAUSE_S = 0.04
-HOLD_RETRY_S = 0.3
+HOLD_RETRY_S = 0.05
 ORDER_RETRY_S = 0.4
 # An end without success is followed by a new start after so long, longer with each failure, in seconds.
 RESTART_DELAY_S = 0.05
@@ -261,7 +263,7 @@
             runner.listed = runner_id in listed
             runner.evacuated = runner.listing.zone in self.evacuated_zones
             self._reindex(runner)
-            if not runner.listed and not runner.runs and not runner.calling:
+            if not runner.listed and not runner.runs and not runner.calling and not runner.unsettled_orders:
                 del self.runners[runner_id]
         self._dirty = True
 
@@ -293,13 +295,26 @@
         elif event.result is StartResult.NO_ANSWER:
             run.unanswered = True
             self._attend(runner, run.ordered_at + ORDER_RETRY_S)
-        elif event.result is StartResult.OLD and run.unanswered:
-            # An earlier order for it was carried out, and it has ended: the runner lists its end.
-            self._on_started(run)
-        elif not run.unanswered or event.result is StartResult.TOO_LATE:
+        elif run.unanswered or event.result is StartResult.OLD:
+            self._on_rejected_repeat(run, event.result)
+        else:
             self._on_not_started(run, event.result)
+
+    def _on_rejected_repeat(self, run: Run, result: StartResult) -> None:
+        """A start was turned away, but an earlier order for the run may have been carried out, or may be yet."""
+        if run.phase is RunPhase.STOPPING or result is StartResult.UNREACHABLE:
+            self._attend(run.runner, run.ordered_at + ORDER_RETRY_S)
+        elif result in (StartResult.TOO_LATE, StartResult.OLD):
+            self._await_list(run)
         else:
-            self._attend(runner, run.ordered_at + ORDER_RETRY_S)
+            run.runner.avoid(self.now)
+            self._stop_with_gang(run)
+
+    def _await_list(self, run: Run) -> None:
+        """Leave it to the next list what has become of a run that can't be started any more."""
+        if run.rejected_at is None:
+            run.rejected_at = self.now
+            self._hold_soon(run.runner)
 
     def _on_started(self, run: Run) -> None:
         run.step.job.begun = True
@@ -322,14 +337,21 @@
 
     @_apply.register(StopAnswered)
     def _(self, event: StopAnswered) -> None:
-        runner = self.runners.get(event.runner)
-        run = runner.runs.get(event.task) if runner else None
-        if run is not None and run.number == event.number:
-            run.in_call = False
-            self._attend(run.runner, run.ordered_at + ORDER_RETRY_S)
-            self._hold_soon(run.runner)
         if event.fenced:
             self.deposed = True
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        if event.confirmed:
+            runner.unsettled_orders.settle(event.task, event.number)
+        run = runner.runs.get(event.task)
+        if run is None or run.number != event.number:
+            return
+        run.in_call = False
+        if event.confirmed and run.stop_confirmed_at is None:
+            run.stop_confirmed_at = self.now
+        self._attend(runner, run.ordered_at + ORDER_RETRY_S)
+        self._hold_soon(runner)
 
     @_apply.register(HoldFailed)
     def _(self, event: HoldFailed) -> None:
@@ -355,24 +377,25 @@
         if not runner.known:
             runner.known = self._dirty = True
             self._reindex(runner)
-        for end in event.ends:
+        for end in sorted(event.ends, key=lambda end: end.sequence):
             if end.sequence > runner.applied_end:
                 runner.applied_end = self._unstored_ends[runner.listing.id] = end.sequence
                 self._on_end(runner, end)
         for running in event.running:
             self._on_running(runner, running)
-        self._drop_what_never_began(runner, {running.task for running in event.running})
+        self._settle_what_is_not_listed(runner, event)
         self._look_after(runner)
 
-    def _drop_what_never_began(self, runner: Runner, listed: set[str]) -> None:
-        """Drop runs whose start was left without an answer, once no order can start them any more.
-
-        A run that never began has no end. Had it begun, the runner would list it, or its end: so it is
-        gone if a list lacks it that was asked for after the deadline of its order had surely passed.
-        """
+    def _settle_what_is_not_listed(self, runner: Runner, answer: HoldAnswered) -> None:
+        """Drop runs that have surely not begun; stop those that can't be started any more and are not listed."""
+        listed = {running.task for running in answer.running}
         for run in list(runner.runs.values()):
-            if run.unanswered and run.deadline and run.name not in listed and runner.called_at > run.deadline.lapses_at:
+            if run.name in listed:
+                continue
+            if never_began(run, answer, runner.called_at):
                 self._drop_run(run)
+            elif run.rejected_at is not None and runner.called_at > run.rejected_at:
+                self._stop_with_gang(run)
 
     # -- what runs --------------------------------------------------------------
     def _find(self, name: str) -> tuple[Step, Task] | None:
@@ -511,6 +534,8 @@
     def _lose(self, runner: Runner) -> None:
         """All that ran on a runner is gone."""
         for run in list(runner.runs.values()):
+            if run.may_begin and not runner.replaced:
+                runner.unsettled_orders.add(run.name, run.number, self.now)
             self._drop_run(run)
 
     def _forget_if_over(self, job: Job) -> None:
@@ -565,6 +590,9 @@
         for run in list(runner.runs.values()):
             self._repeat_order(run)
             self._check_gang(run)
+        for task, number in runner.unsettled_orders.due(self.now):
+            self._out.append(StopRun(runner.listing.id, runner.listing.address, task, number))
+            self._attend(runner, self.now + STOP_INTERVAL_S)
         if runner.runs:
             self._attend(runner, max(self.now, runner.hold_until) + HOLD_PAUSE_S)
         if runner.calling or not runner.needs_call:
@@ -577,10 +605,8 @@
     def _hold(self, runner: Runner) -> None:
         runner.calling, runner.called_at = True, self.now
         runner.told_end = runner.stored_end
-        # A runner that doesn't answer is only asked: a longer hold might reach it, and nothing would ever lapse.
-        holding = runner.known and runner.runs and runner.answers
-        deadline_ms = runner.extend_hold(self.now, self._hold_s()).clock_ms if holding else 0
-        wait_ms = HOLD_WAIT_MS if runner.runs else 0
+        deadline_ms = runner.next_deadline_ms(self.now, self._hold_s())
+        wait_ms = HOLD_WAIT_MS if runner.runs and runner.answers else 0
         listing = runner.listing
         self._out.append(HoldRunner(listing.id, listing.address, deadline_ms, runner.told_end, wait_ms))
 
@@ -592,7 +618,14 @@
         elif run.phase is RunPhase.STARTING and run.runner.leaving:
             # The order may have been carried out, or may be yet; it is not given once more.
             self._stop_with_gang(run)
-        elif run.phase is RunPhase.STARTING:
+        elif run.phase is RunPhase.STARTING and run.rejected_at is None:
+            self._repeat_start(run)
+
+    def _repeat_start(self, run: Run) -> None:
+        """Give an order to start once more, unless its deadline has surely passed."""
+        if run.deadline is not None and self.now > run.deadline.lapses_at:
+            self._await_list(run)
+        else:
             self._order_start(run)
 
     def _stop_with_gang(self, run: Run) -> None:
@@ -635,6 +668,7 @@
             return
         starting = run.phase is RunPhase.STARTING
         run.phase = RunPhase.STOPPING
+        run.stopping_since = self.now if run.stopping_since is None else run.stopping_since
         if not (starting and run.in_call):
             self._order_stop(run)
 
