--- a/sparloom/controller/job_service.py
+++ b/sparloom/controller/job_service.py
@@ -241,6 +241,24 @@
                 failure.allowed,
             )
 
+    @staticmethod
+    def _log_dropped_runs(term: JobTerm) -> None:
+        """Tells of each run that was given up without an end, and what was known of it."""
+        for run in term.scheduler.take_dropped_runs():
+            logging.info(
+                "jobs: run dropped reason=%s task=%s run=%d runner=%s phase=%s unanswered=%s ordered_s=%.3f"
+                " listed_s=%.3f hold_left_s=%.3f",
+                run.reason.value.replace(" ", "_"),
+                run.task,
+                run.number,
+                run.runner,
+                run.phase.lower(),
+                run.unanswered,
+                run.ordered_s,
+                run.listed_s,
+                run.hold_left_s,
+            )
+
     def _on_stored(self, term: JobTerm, arrived: dict[int, Job], changes: Changes | None) -> None:
         for job in arrived.values():
             if term.arriving.pop(job.id, None) is not None:
@@ -278,6 +296,7 @@
                 self._on_event(ZonesEvacuated(zones))
             for instruction in term.scheduler.tick(monotonic().total_seconds(), wall_clock_ms()):
                 term.calls.carry_out(instruction)
+            self._log_dropped_runs(term)
 
     @Service.task
     async def _log_stalled_tasks(self) -> None:
--- a/sparloom/scheduler/events.py
+++ b/sparloom/scheduler/events.py
@@ -145,6 +145,46 @@
     complete: bool = True
 
 
+class DropReason(Enum):
+    """Why a run was given up without an end."""
+
+    REJECTED = "rejected"
+    NEVER_BEGAN = "never began"
+    HOLD_LAPSED = "hold lapsed"
+    REPLACED = "runner replaced"
+
+
+@define(frozen=True, slots=True)
+class DroppedRun:
+    """A run that was given up without an end, for the log.
+
+    Attributes
+    ----------
+    task, number, runner
+        The run, and where it was ordered.
+    reason
+        What is known of it.
+    phase
+        How far it had come, as far as was known.
+    unanswered
+        Whether an order to start it was left without an answer.
+    ordered_s, listed_s
+        How long ago it was first ordered, and the newest call to hold its runner was made, in seconds.
+    hold_left_s
+        For how much longer the runner may hold it, in seconds.
+    """
+
+    task: str
+    number: int
+    runner: str
+    reason: DropReason
+    phase: str
+    unanswered: bool
+    ordered_s: float
+    listed_s: float
+    hold_left_s: float
+
+
 class HoldFailure(Enum):
     """Why a call to hold a runner brought no list."""
 
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -22,6 +22,8 @@
 from attrs import define, field
 
 from .events import (
+    DroppedRun,
+    DropReason,
     Event,
     HoldAnswered,
     HoldFailed,
@@ -166,6 +168,7 @@
     _changed_jobs: dict[int, Job] = field(factory=dict)
     _unstored_ends: dict[str, int] = field(factory=dict)
     _counted: list[CountedFailure] = field(factory=list)
+    _dropped: list[DroppedRun] = field(factory=list)
     _dirty: bool = True
     _next_pass_at: float = 0.0
     _next_sweep_at: float = 0.0
@@ -221,6 +224,11 @@
             job.end_stored = job.end_stored or job.id in changes.ended
             self._forget_if_over(job)
 
+    def take_dropped_runs(self) -> list[DroppedRun]:
+        """Return the runs that were given up without an end since this was last asked."""
+        dropped, self._dropped = self._dropped, []
+        return dropped
+
     # -- events -----------------------------------------------------------------
     def handle(self, event: Event, now: float, now_ms: float) -> list[Instruction]:
         """Take an event; return the instructions that follow from it at once; starts come with the next tick."""
@@ -333,7 +341,7 @@
             self._hold_soon(runner)
         elif result is not StartResult.OLD:
             runner.avoid(self.now)
-        self._drop_run(run)
+        self._drop_run(run, DropReason.REJECTED)
 
     @_apply.register(StopAnswered)
     def _(self, event: StopAnswered) -> None:
@@ -393,7 +401,7 @@
             if run.name in listed:
                 continue
             if never_began(run, answer, runner.called_at):
-                self._drop_run(run)
+                self._drop_run(run, DropReason.NEVER_BEGAN)
             elif run.rejected_at is not None and runner.called_at > run.rejected_at:
                 self._stop_with_gang(run)
 
@@ -518,8 +526,22 @@
                 self._stop(run)
         self._wake(step.job)
 
-    def _drop_run(self, run: Run) -> None:
+    def _drop_run(self, run: Run, reason: DropReason) -> None:
         """A run has surely not begun, or is surely gone: its task waits again."""
+        runner = run.runner
+        self._dropped.append(
+            DroppedRun(
+                run.name,
+                run.number,
+                runner.listing.id,
+                reason,
+                run.phase.name,
+                run.unanswered,
+                self.now - run.first_ordered_at,
+                self.now - runner.called_at,
+                runner.hold_until - self.now,
+            )
+        )
         self._remove_run(run)
         if run.task.run is run:
             self._restart(run.step, run.task, slowly=False)
@@ -533,10 +555,11 @@
 
     def _lose(self, runner: Runner) -> None:
         """All that ran on a runner is gone."""
+        reason = DropReason.REPLACED if runner.replaced else DropReason.HOLD_LAPSED
         for run in list(runner.runs.values()):
             if run.may_begin and not runner.replaced:
                 runner.unsettled_orders.add(run.name, run.number, self.now)
-            self._drop_run(run)
+            self._drop_run(run, reason)
 
     def _forget_if_over(self, job: Job) -> None:
         if job.end_stored and not job.runs():
--- a/tests/scheduler/simulated_cluster.py
+++ b/tests/scheduler/simulated_cluster.py
@@ -294,10 +294,7 @@
             return
         runner.fence = term
         if not waited:
-            for end in runner.ends:
-                if end.sequence <= order.last_seen and end.how == "done":
-                    self._note_end(runner, end)
-            runner.ends = [e for e in runner.ends if e.sequence > order.last_seen]
+            self._forget_ends(runner, order.last_seen)
             if order.deadline_ms:
                 self._take_deadline(runner, order.deadline_ms)
             if not answering:
@@ -312,6 +309,12 @@
         answer = HoldAnswered(runner.id, self.clock_ms(runner), running, tuple(runner.ends))
         self.at(self.latency(), self._tell, primary, answer)
 
+    def _forget_ends(self, runner, last_seen):
+        for end in runner.ends:
+            if end.sequence <= last_seen and end.how == "done":
+                self._note_end(runner, end)
+        runner.ends = [end for end in runner.ends if end.sequence > last_seen]
+
     def _note_end(self, runner, end):
         """An end ``done`` is taken note of: it stands, unless the runner's hold has lapsed in between."""
         if runner.ended_at[end.sequence] <= runner.lapsed_at:
