Shares of cold rates are sure: the primary records who has one, and each router's ends with a lease

Cause: a router's part of what a cold runner bears went by its rank among all that membership remembered. Halves cut off for longer than that memory granted 50 of 29.

Change: the control state records the routers that share rates (version 6, written only where a service has coldPerS), and routers are told beside the configuration. A router goes by the table for five contact bounds after it was known to be the newest, and not within its first second; the primary changes it only once older ones can't be in use, and in between each takes the lesser of both shares. Ranks are drawn anew for each runner, so one router that joins costs the others hardly anything. REMEMBERED_BOUNDS goes; connections still go by what membership remembers, which no rule binds.

--- a/sparloom/admission/fleet_size.py
+++ b/sparloom/admission/fleet_size.py
@@ -13,9 +13,6 @@
 
 # The fraction of the whole that is never granted.
 SPARE = 1 / 8
-# For so many contact bounds membership remembers routers that have died; a router that has run for longer knows no less
-# than any other.
-REMEMBERED_BOUNDS = 20
 
 
 @define(slots=True)
@@ -36,7 +33,6 @@
     divisor : by how many the capacity is divided.
     index : this router's position among all that are known, in an order that all agree on.
     known : how many routers have a position: those that died of late keep theirs, so that a partition moves nobody's.
-    started_at : when the first update came.
     admitting : whether this router may admit anything yet.
     admitting_since : when it was last seen that it may; None before.
 
@@ -50,7 +46,6 @@
     divisor: int = 1
     index: int = 0
     known: int = 0
-    started_at: timedelta | None = None
     admitting: bool = True
     admitting_since: timedelta | None = None
 
@@ -75,7 +70,6 @@
         """
         self.recorded, self.index = max(self.recorded, recorded), index
         self.known = max(known, routers)
-        self.started_at = now if self.started_at is None else self.started_at
         self.seen.append((now, routers))
         while now - self.seen[0][0] > 2 * self.contact_bound:
             self.seen.popleft()
@@ -117,10 +111,10 @@
         division goes to consecutive routers from a position that differs
         by ``salt`` (a runner's number), so that nothing is lost by rounding, also with more routers than things.
 
-        Routers that are partitioned from each other keep their positions, so
-        their shares still add up. Where positions differ by a few, the eighth
-        covers it. A router that has started a short time ago and knows too few
-        others doesn't know its position: it has no part of the remainder.
+        Positions are what membership remembers, so the shares of routers
+        that remember different peers may add up to more: good enough for what
+        a runner refuses by itself, not for what it must never be sent
+        (``configuration/rate_holders.py``).
 
         >>> [FleetSize(timedelta(seconds=3), divisor=4, index=i).indivisible_share(8, salt=1) for i in range(4)]
         [2, 2, 1, 2]
@@ -128,12 +122,4 @@
         granted = int(whole * (1 - SPARE))
         positions = max(self.divisor, self.known)
         each, rest = divmod(granted, positions)
-        if self._lacks_position(whole - granted):
-            return each
         return each + ((self.index + salt) % positions < rest)
-
-    def _lacks_position(self, spare: int) -> bool:
-        """Whether more routers may be unknown here than ``spare`` covers, because this one has not run for long."""
-        if self.started_at is None or self.known >= self.divisor - spare:
-            return False
-        return self.seen[-1][0] - self.started_at < REMEMBERED_BOUNDS * self.contact_bound
--- a/sparloom/configuration/additions.py
+++ b/sparloom/configuration/additions.py
@@ -13,10 +13,11 @@
 
     from .check import ConfigurationDocument
 
-# Zones whose runners are to be sent nothing, and the roll-outs of services.
+# Zones whose runners are to be sent nothing, the roll-outs of services, and the routers that share rates.
 EVACUATED_ZONES = "evacuatedZones"
 ROLLOUTS = "rollouts"
-ADDITIONS = (EVACUATED_ZONES, ROLLOUTS)
+RATE_HOLDERS = "rateHolders"
+ADDITIONS = (EVACUATED_ZONES, ROLLOUTS, RATE_HOLDERS)
 
 
 def operators_part(document: ConfigurationDocument) -> ConfigurationDocument:
@@ -48,7 +49,7 @@
     Examples
     --------
     >>> additions_of({"revision": 1, "evacuatedZones": ["z"]})
-    {'evacuatedZones': ['z'], 'rollouts': []}
+    {'evacuatedZones': ['z'], 'rollouts': [], 'rateHolders': []}
     """
     return {key: document.get(key, []) for key in ADDITIONS}
 
@@ -71,7 +72,7 @@
     Examples
     --------
     >>> patched_additions({"evacuatedZones": ["z"]}, {"rollouts": [1], "upsert": {}})
-    {'evacuatedZones': ['z'], 'rollouts': [1]}
+    {'evacuatedZones': ['z'], 'rollouts': [1], 'rateHolders': []}
     """
     changes = {key: patch[key] for key in ADDITIONS if key in patch}
     return {**additions_of(old), **changes}
--- a/sparloom/configuration/table.py
+++ b/sparloom/configuration/table.py
@@ -7,10 +7,11 @@
 
 from attrs import define, field
 
-from .additions import ROLLOUTS, evacuated_zones
+from .additions import RATE_HOLDERS, ROLLOUTS, evacuated_zones
 
 if TYPE_CHECKING:
     from .check import ConfigurationDocument
+    from .rate_holders import RateHolders
     from .rollouts import ServiceVersions
     from .tenants import TenantKeys
 
@@ -177,6 +178,8 @@
         The tenants by their keys; None where requests need no key.
     versions
         The services that have had a roll-out, by name.
+    rate_holders
+        Which routers share what can't be split evenly; None before the primary has decided it.
     """
 
     revision: int
@@ -187,6 +190,7 @@
     evacuated_zones: frozenset[str] = frozenset()
     tenants: TenantKeys | None = None
     versions: dict[str, ServiceVersions] = field(factory=dict)
+    rate_holders: RateHolders | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of a host with the longest prefix that begins the path; None where there is none.
@@ -294,6 +298,15 @@
     return {host: tuple(found) for host, found in hosts.items()}
 
 
+def _rate_holders(document: ConfigurationDocument) -> RateHolders | None:
+    if not document.get(RATE_HOLDERS):
+        return None
+    # Deployments without cold rates don't spend time and memory of a start on it.
+    from .rate_holders import RateHolders
+
+    return RateHolders.from_json(document[RATE_HOLDERS])
+
+
 def build(document: ConfigurationDocument) -> Configuration:
     """The snapshot of a configuration document that ``check`` has passed.
 
@@ -312,4 +325,5 @@
         evacuated_zones=evacuated_zones(document),
         tenants=_tenant_keys(document),
         versions=_versions(document),
+        rate_holders=_rate_holders(document),
     )
--- a/sparloom/controller/configuration_writer.py
+++ b/sparloom/controller/configuration_writer.py
@@ -328,7 +328,7 @@
 
 
 def published_document(state: State) -> ConfigurationDict:
-    """What routers are told: the operators' configuration, evacuated zones, and services that have had a roll-out.
+    """What routers are told: the operators' configuration, evacuated zones, roll-outs, and who shares rates.
 
     >>> published_document(State({"revision": 1})), published_document(State({"revision": 1}).evacuate("z"))
     ({'revision': 1}, {'revision': 1, 'evacuatedZones': ['z']})
@@ -339,6 +339,11 @@
         from .rollout_updates import rollouts_addition
 
         additions[ROLLOUTS] = rollouts_addition(state.rollouts)
+    if state.rate_holders is not None:
+        # Nor do those without cold rates.
+        from sparloom.configuration.rate_holders import rate_holders_addition
+
+        additions |= rate_holders_addition(state.rate_holders)
     document: ConfigurationDict = with_additions(state.configuration, additions)
     return document
 
--- a/sparloom/controller/control_state.py
+++ b/sparloom/controller/control_state.py
@@ -9,8 +9,10 @@
 it for nothing. Version 4 has in the same place a compressed JSON object of the
 zones and the duties' state; it is written once there is a holder of duties.
 Version 5 has the roll-outs in that object besides, and the duties only where
-there are any; it is written once versions of a service are known. Version 1 was
-one compressed JSON list, whose first byte is that of a zlib stream.
+there are any; it is written once versions of a service are known. Version 6 has
+the routers that share rates besides, and roll-outs only where there are any; it
+is written once there is a table of them. Version 1 was one compressed JSON list,
+whose first byte is that of a zlib stream.
 """
 
 from __future__ import annotations
@@ -27,6 +29,7 @@
 from sparloom.errors import SparloomError
 
 if TYPE_CHECKING:
+    from sparloom.configuration.rate_holders import RateHolders
     from sparloom.duties import DutyState
     from sparloom.rollouts import RolloutsState
 
@@ -34,6 +37,7 @@
 VERSION_WITH_EVACUATIONS = 3
 VERSION_WITH_DUTIES = 4
 VERSION_WITH_ROLLOUTS = 5
+VERSION_WITH_RATE_HOLDERS = 6
 REMEMBERED = 2048
 FINGERPRINT_BYTES = 12
 _HEADER = struct.Struct(">BQII")
@@ -159,6 +163,8 @@
         What is decided about the duties at the platform; None before the first holder.
     rollouts : RolloutsState or None
         What is decided about versions of services; None before any is known.
+    rate_holders : RateHolders or None
+        Which routers share what can't be split evenly; None before the first table.
     """
 
     configuration: ConfigurationDict
@@ -167,6 +173,7 @@
     evacuated: frozenset[str] = frozenset()
     duties: DutyState | None = None
     rollouts: RolloutsState | None = None
+    rate_holders: RateHolders | None = None
 
     @property
     def revision(self) -> int:
@@ -221,6 +228,16 @@
         """
         return evolve(self, rollouts=rollouts)
 
+    def with_rate_holders(self, rate_holders: RateHolders) -> State:
+        """The state with another table of the routers that share rates.
+
+        >>> from sparloom.configuration.rate_holders import RateHolders
+        >>> state = State({}).with_rate_holders(RateHolders(frozenset("a")))
+        >>> State.unpack(state.pack()) == state
+        True
+        """
+        return evolve(self, rate_holders=rate_holders)
+
     def pack(self) -> bytes:
         """The bytes to store.
 
@@ -239,9 +256,11 @@
         zones = sorted(self.evacuated)
         duties = {} if self.duties is None else {"duties": self.duties.to_json()}
         rollouts = {} if self.rollouts is None else {"rollouts": self.rollouts.to_json()}
-        if duties or rollouts:
-            text = _COMPACT.encode({"evacuated": zones, **duties, **rollouts})
+        holders = {} if self.rate_holders is None else {"rateHolders": self.rate_holders.to_json()}
+        if duties or rollouts or holders:
+            text = _COMPACT.encode({"evacuated": zones, **duties, **rollouts, **holders})
             version = VERSION_WITH_ROLLOUTS if rollouts else VERSION_WITH_DUTIES
+            version = VERSION_WITH_RATE_HOLDERS if holders else version
             return version, _with_length(zlib.compress(text.encode(), _FASTEST))
         if zones:
             return VERSION_WITH_EVACUATIONS, _with_length(_COMPACT.encode(zones).encode())
@@ -264,8 +283,8 @@
         if raw[0] == _ZLIB_FIRST_BYTE:
             return _unpack_first_version(raw)
         version, forgotten_through, router_count, length = _HEADER.unpack_from(raw)
-        if not VERSION <= version <= VERSION_WITH_ROLLOUTS:
-            expected = f"expected a control state of version 1 to {VERSION_WITH_ROLLOUTS}"
+        if not VERSION <= version <= VERSION_WITH_RATE_HOLDERS:
+            expected = f"expected a control state of version 1 to {VERSION_WITH_RATE_HOLDERS}"
             raise ControlStateError(f"{expected}, found version {version}")
         end = _HEADER.size + length * _RECORD.size
         history = History(raw[_HEADER.size : end], forgotten_through)
@@ -274,22 +293,38 @@
             start = end + _LENGTH.size
             end = start + _LENGTH.unpack_from(raw, end)[0]
             section = raw[start:end]
-        evacuated, duties, rollouts = _read_section(version, section)
-        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, evacuated, duties, rollouts)
+        parts = _read_section(version, section)
+        return State(json.loads(zlib.decompress(raw[end:])), history, router_count, *parts)
 
 
 def _with_length(section: bytes) -> bytes:
     return _LENGTH.pack(len(section)) + section
 
 
-def _read_section(version: int, section: bytes) -> tuple[frozenset[str], DutyState | None, RolloutsState | None]:
-    """The evacuated zones, the duties and the roll-outs in what stands between the records and the configuration."""
+def _read_section(
+    version: int, section: bytes
+) -> tuple[frozenset[str], DutyState | None, RolloutsState | None, RateHolders | None]:
+    """The parts of the state that stand between the records and the configuration."""
     if version == VERSION:
-        return frozenset(), None, None
+        return frozenset(), None, None, None
     if version == VERSION_WITH_EVACUATIONS:
-        return frozenset(json.loads(section)), None, None
+        return frozenset(json.loads(section)), None, None, None
     item = json.loads(zlib.decompress(section))
-    return frozenset(item["evacuated"]), _read_duties(item.get("duties")), _read_rollouts(item.get("rollouts"))
+    return (
+        frozenset(item["evacuated"]),
+        _read_duties(item.get("duties")),
+        _read_rollouts(item.get("rollouts")),
+        _read_rate_holders(item.get("rateHolders")),
+    )
+
+
+def _read_rate_holders(item: dict[str, Any] | None) -> RateHolders | None:
+    if item is None:
+        return None
+    # Controllers without cold rates don't spend time and memory of a start on it.
+    from sparloom.configuration.rate_holders import RateHolders
+
+    return RateHolders.from_json(item)
 
 
 def _read_duties(item: dict[str, Any] | None) -> DutyState | None:
--- a/sparloom/controller/program.py
+++ b/sparloom/controller/program.py
@@ -25,6 +25,7 @@
     from .control_state import State
     from .duty_service import DutyService
     from .job_service import JobService
+    from .rate_service import RateService
     from .rollout_service import RolloutService
 
 # The part of the grace period that a planned leave may take.
@@ -48,6 +49,8 @@
         Carries out the duties at the platform while this controller is the primary, where any are expected.
     rollouts : RolloutService or None
         Takes roll-outs from step to step while this controller is the primary, where versions come by them.
+    rates : RateService or None
+        Keeps the table of routers that share rates while this controller is the primary, where requests are served.
     jobs : JobService or None
         Keeps and runs jobs, on deployments that have them.
     """
@@ -64,6 +67,7 @@
             settings, self.consensus, self.feed_server, self.control_api.router_count, in_pools
         )
         self.rollouts = self._rollout_service(settings)
+        self.rates = self._rate_service(settings)
         self.feed_server.consensus = self.consensus
         self.jobs = self._job_service(settings, self.feed_server)
         self._leave_timeout = settings.bounds.grace * LEAVE_PART_OF_GRACE
@@ -94,6 +98,13 @@
         self.control_api.serve_rollouts(service.votes)
         return service
 
+    def _rate_service(self, settings: Settings) -> RateService | None:
+        if settings.deployment == JOB_DEPLOYMENT:
+            return None
+        from .rate_service import RateService
+
+        return RateService(settings, self.consensus, self.control_api.writer)
+
     def _in_pools(self, runners: list[Endpoint]) -> list[Endpoint]:
         """The runners of a list in their pools, by the newest committed state."""
         from .rollout_updates import in_pools
@@ -132,7 +143,7 @@
         """Starts the services in the order in which they need each other."""
         for service in (self.consensus, self.control_api, self.poller):
             await self.add_runtime_dependency(service)
-        for optional in (self.duties, self.rollouts, self.jobs):
+        for optional in (self.duties, self.rollouts, self.rates, self.jobs):
             if optional is not None:
                 await self.add_runtime_dependency(optional)
         await self.start_metrics_reporter()
--- a/sparloom/router/backend_choice.py
+++ b/sparloom/router/backend_choice.py
@@ -163,7 +163,7 @@
         limit = fleet_limit(service, state.settings.cold)
         if limit is None:
             return True
-        return backend.cold_sends.allows(now, state.fleet_size.indivisible_share(limit, backend.number))
+        return backend.cold_sends.allows(now, state.share_of_cold_rate(limit, backend.number, now))
 
     def _candidate(self, backend: Backend, now: timedelta) -> Candidate:
         in_flight = self._services.in_flight
--- a/sparloom/router/cold_rate.py
+++ b/sparloom/router/cold_rate.py
@@ -2,12 +2,10 @@
 
 A backend that has just started bears few requests (``coldPerS`` of its
 service), and the bound on them counts those of all routers together. So each
-router has a share of them that is sure, reckoned from the number of routers and
-never from what others were seen to send: an indivisible share, so that with
-more routers than requests a part of the routers may send none, others for each
-backend. What a router doesn't use of its share is lost. Where routers don't see
-the same fleet, their shares may overlap; an eighth that is never given out
-covers some of that.
+router has a share of them that is sure, by the table that the primary keeps
+(``configuration/rate_holders.py``) and never by what others were seen to send:
+with more routers than requests a part of the routers may send none, others for
+each backend. What a router doesn't use of its share is lost.
 """
 
 from __future__ import annotations
--- a/sparloom/router/router_state.py
+++ b/sparloom/router/router_state.py
@@ -87,6 +87,9 @@
         self.random = random.Random()
         self.instance_id = int.from_bytes(os.urandom(7))
         self._before_isolation: frozenset[str] = frozenset()
+        # Shares of rates by rate and backend, and the configuration that they go by.
+        self._shares_by: Configuration | None = None
+        self._shares: dict[tuple[int, int], int] = {}
 
     @property
     def seeds(self) -> tuple[str, ...]:
@@ -125,6 +128,25 @@
         bounds, age = self.settings.bounds, now - self.primary_confirmed_at
         return bounds.drain * DOUBT_AFTER_DRAIN_PART <= age < bounds.contact * OUT_OF_TOUCH_AFTER_PART
 
+    def share_of_cold_rate(self, rate: int, salt: int, now: timedelta) -> int:
+        """This router's share of what a cold backend bears within a second; ``salt`` is the backend's number.
+
+        None is sure without a place in the table, or where that may not be the newest any more. A router
+        that has just started may follow one at the same address, whose sends count together with its own.
+        """
+        configuration = self.configuration
+        if configuration is None or configuration.rate_holders is None:
+            return 0
+        age, up_for, contact_bound = self.configuration_age(now), now - self.started_at, self.settings.bounds.contact
+        if not configuration.rate_holders.is_usable(age, up_for, contact_bound):
+            return 0
+        if configuration is not self._shares_by:
+            self._shares_by, self._shares = configuration, {}
+        share = self._shares.get((rate, salt))
+        if share is None:
+            share = self._shares[rate, salt] = configuration.rate_holders.share(self.key, rate, salt)
+        return share
+
     def note_isolation(self, isolation: Isolation | None) -> None:
         """Remembers which backends are older than other settings of isolation, which are about to be used."""
         if isolation != self.settings.isolation:
