Orders to runners count as unanswered after half a second, holds half a second after their wait

A lost call to hold was noticed two seconds after it began, so that three tries were left until its runner's hold lapsed. Answers take milliseconds.

--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -35,9 +35,9 @@
 HOLD_PATH = "/-/hold"
 EXPECTED_INSTANCE = "X-Sparloom-Expected-Instance"
 # An order that is not answered within so many seconds counts as unanswered.
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.5
 # Beyond the time that a runner may wait for an end.
-HOLD_TIMEOUT_S = 1.0
+HOLD_TIMEOUT_S = 0.5
 # A connection that rests longer than this is not used again: runners close theirs after a while.
 IDLE_CONNECTION_S = 1.5
 # Ends beyond these come with the next list.
