--- a/tests/simulator/test_mutations.py
+++ b/tests/simulator/test_mutations.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from simulator.mutations import Result, Trials, find_mutations, mutations_of
+from simulator.mutations import Result, Trials, find_mutations, mutations_of, tests_of
 
 SOURCE = """\
 def older(epoch, other):
@@ -79,6 +79,22 @@
             },
         )
 
+    def test_without_names_the_tests_that_import_the_module_are_run_and_its_examples_before_them(self):
+        self.results("self.assertTrue(older(1, 2))")
+        Path("tests/base.py").write_text("from sparloom import ages\n")
+        Path("tests/test_other.py").write_text("from tests import base\n")
+        Path("tests/test_else.py").write_text("import json\n")
+        self.assertEqual(tests_of("sparloom/ages.py"), ["tests.test_ages", "tests.test_other"])
+        with Path("sparloom/ages.py").open("a") as file:
+            file.write('\n\ndef late(a):\n    """\n    >>> late(3)\n    True\n    """\n    return a > 2\n')
+        found = dict(Trials([], 60, 1).run(mutations_of(["sparloom/ages.py"], "a > 2")))
+        self.assertEqual({m.constant: r for m, r in found.items()}, {"True": Result.SURVIVED, "False": Result.FOUND})
+
+    def test_nothing_is_tried_after_the_time_that_it_has(self):
+        self.results("self.assertTrue(older(1, 2))")
+        found = Trials(["tests.test_ages"], 60, 1, ends_at=0.0).run(mutations_of(["sparloom/ages.py"]))
+        self.assertEqual({result for _, result in found}, {Result.NOT_TRIED})
+
     def test_tests_that_fail_by_themselves_tell_nothing(self):
         with self.assertRaisesRegex(RuntimeError, "without a mutation"):
             self.results("self.assertTrue(older(2, 1))")
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -164,8 +164,8 @@
     def test_golden_blobs_are_read(self) -> None:
         for version, blob in golden()["state"].items():
             with self.subTest(version):
-                # Versions 1 and 2 have no evacuated zones, 3 no duties, 4 no roll-outs, 5 no holders of rates; the bytes
-                # of 3 to 6 were written by hand.
+                # Versions 1 and 2 have no evacuated zones, 3 no duties, 4 no roll-outs, 5 no holders of rates; the
+                # bytes of 3 to 6 were written by hand.
                 lacking = [[], None, None, None]
                 values = [*blob["values"], *lacking[max(0, int(version) - 2) :]]
                 self.assertEqual(plain(names.State.unpack(bytes.fromhex(blob["bytes"]))), values)
