--- a/sparloom/scheduler/runners.py
+++ b/sparloom/scheduler/runners.py
@@ -130,6 +130,8 @@
         When the newest order for it was given, in seconds.
     first_ordered_at
         When the first one was given, in seconds.
+    began
+        Whether it is known to have begun: from then on its runner turns further orders to start it away.
     unanswered
         Whether an order to start it was left without an answer.
     in_call
@@ -152,6 +154,7 @@
     phase: RunPhase
     ordered_at: float
     first_ordered_at: float
+    began: bool = False
     unanswered: bool = False
     in_call: bool = False
     deadline: HoldDeadline | None = None
@@ -167,7 +170,9 @@
     @property
     def may_begin(self) -> bool:
         """Whether an order to start it may be carried out yet, or may have been unseen."""
-        return (self.unanswered or (self.in_call and self.stopping_since is None)) and self.stop_confirmed_at is None
+        if self.began or self.stop_confirmed_at is not None:
+            return False
+        return self.unanswered or (self.in_call and self.stopping_since is None)
 
     def resists_stop(self, now: float) -> bool:
         """Whether a run that may begin yet could not be stopped for so long that only the end of the hold is sure."""
--- a/sparloom/scheduler/scheduler.py
+++ b/sparloom/scheduler/scheduler.py
@@ -310,7 +310,7 @@
 
     def _on_rejected_repeat(self, run: Run, result: StartResult) -> None:
         """A start was turned away, but an earlier order for the run may have been carried out, or may be yet."""
-        if run.phase is RunPhase.STOPPING or result is StartResult.UNREACHABLE:
+        if run.phase is not RunPhase.STARTING or result is StartResult.UNREACHABLE:
             self._attend(run.runner, run.ordered_at + ORDER_RETRY_S)
         elif result in (StartResult.TOO_LATE, StartResult.OLD):
             self._await_list(run)
@@ -325,7 +325,7 @@
             self._hold_soon(run.runner)
 
     def _on_started(self, run: Run) -> None:
-        run.step.job.begun = True
+        run.began = run.step.job.begun = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if run.step.job.end is not None or run.phase is RunPhase.STOPPING:
@@ -423,6 +423,7 @@
         run = runner.runs.get(running.task)
         if run is not None and run.number == running.number:
             run.task.checkpoint = running.checkpoint or run.task.checkpoint
+            run.began = True
             if run.phase is RunPhase.STARTING:
                 self._on_started(run)
             return
@@ -432,7 +433,7 @@
             return
         step, task = found
         task.checkpoint = running.checkpoint or task.checkpoint
-        run = Run(step, task, running.number, runner, RunPhase.RUNNING, self.now, self.now)
+        run = Run(step, task, running.number, runner, RunPhase.RUNNING, self.now, self.now, began=True)
         # The earlier primary may have asked for the longest hold there is just now.
         runner.hold_until = max(runner.hold_until, self.now + self._longest_hold_s())
         self._take_run(run)
--- a/tests/scheduler/test_late_orders.py
+++ b/tests/scheduler/test_late_orders.py
@@ -69,6 +69,17 @@
                 self.assertEqual([type(order) for order in out if not isinstance(order, HoldRunner)], [])
                 self.assertIs(self.scheduler.runners[runner].runs[TASK].phase, RunPhase.RUNNING)
 
+    def test_a_run_that_is_listed_is_not_stopped_by_an_answer_that_was_passed(self):
+        runner = self.unanswered_start()
+        if self.scheduler.runners[runner].calling:
+            self.list_runs(runner)
+        self.next_call(StartRun, runner)
+        self.list_runs(runner, running=(RunningTask(TASK, 1),))
+        for result in (StartResult.NO_CAPACITY, StartResult.UNHEALTHY, StartResult.TOO_LATE):
+            out = self.started(runner, result=result)
+            self.assertEqual([order for order in out if isinstance(order, (StopRun, StartRun))], [])
+        self.assertIs(self.scheduler.runners[runner].runs[TASK].phase, RunPhase.RUNNING)
+
     def test_it_starts_elsewhere_once_its_stop_is_confirmed_and_a_later_list_lacks_it(self):
         for result in (StartResult.TOO_LATE, StartResult.OLD, StartResult.NO_CAPACITY, StartResult.UNHEALTHY):
             with self.subTest(result=result):
--- a/tests/scheduler/test_simulated_cluster.py
+++ b/tests/scheduler/test_simulated_cluster.py
@@ -152,13 +152,14 @@
     def play(self, seed, seconds=25):
         luck = random.Random(f"late {seed}")
         cluster = Cluster(seed, runners=10, late=luck.choice((0.05, 0.2, 0.5)), any_checks=True)
-        cluster.work = lambda _task: (luck.uniform(0.1, 1.5), "failed" if luck.random() < 0.03 else "done")
+        failing, gangs = luck.choice((0.03, 0.15)), luck.choice((0.25, 0.8))
+        cluster.work = lambda _task: (luck.uniform(0.1, 1.5), "failed" if luck.random() < failing else "done")
         for job in range(1, 31):
             steps = [{"replicaCount": luck.randint(1, 6), "cpu": luck.choice((500, 1500, 3000))}]
             if luck.random() < 0.4:
                 steps.append({"replicaCount": luck.randint(1, 4), "cpu": 1000, "dependsOn": [0]})
             for step in steps:
-                step["gangScheduled"] = luck.random() < 0.25
+                step["gangScheduled"] = luck.random() < gangs
                 step["checkpoints"] = luck.random() < 0.3
             cluster.at(luck.uniform(0, seconds * 0.6), cluster.submit, job, body(*steps))
         for _ in range(2):
