--- a/simulator/mutations.py
+++ b/simulator/mutations.py
@@ -145,28 +145,37 @@
     for node in ast.walk(ast.parse(file.read_text())):
         if isinstance(node, ast.Import):
             found.update(alias.name for alias in node.names)
-        elif isinstance(node, ast.ImportFrom) and node.module and not node.level:
-            found.add(node.module)
-            found.update(f"{node.module}.{alias.name}" for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            package = ".".join(file.parts[: len(file.parts) - node.level]) if node.level else ""
+            module = ".".join(filter(None, (package, node.module)))
+            found.add(module)
+            found.update(f"{module}.{alias.name}" for alias in node.names)
     return found
 
 
+def _importing_tests(path: str, files: Sequence[Path]) -> list[str]:
+    """Return the test modules that import the module in a file, also by way of other files."""
+    importers = {module_of(str(file)): _imported_names(file) for file in files}
+    reached = {module_of(path)}
+    while more := {name for name, imported in importers.items() if name not in reached and imported & reached}:
+        reached |= more
+    return sorted(name for name in reached if name.rpartition(".")[2].startswith("test_"))
+
+
 def tests_of(path: str) -> list[str]:
-    """Return the test modules that import the module in a file, or a test module that does; none if there are none.
+    """Return the test modules that are to notice a change of a file.
 
-    >>> "tests.scheduler.test_late_orders" in tests_of("sparloom/scheduler/scheduler.py")
+    Those that import its module; without any, those that import what its package makes of it; without any, those in
+    the folder of tests that is named after the package.
+
+    >>> "tests.scheduler.test_late_orders" in tests_of("sparloom/scheduler/late_orders.py")
+    True
+    >>> "tests.duties.test_duties_on_loopback" in tests_of("sparloom/duties/lease.py")
     True
     """
-    importers: dict[str, set[str]] = {
-        module_of(str(file)): _imported_names(file) for file in Path("tests").rglob("*.py")
-    }
-    reached = {module_of(path)}
-    while True:
-        more = {name for name, imported in importers.items() if name not in reached and imported & reached}
-        if not more:
-            break
-        reached |= more
-    return sorted(name for name in reached if name.rpartition(".")[2].startswith("test_"))
+    package, tests = Path(path).parent, sorted(Path("tests").rglob("*.py"))
+    found = _importing_tests(path, tests) or _importing_tests(path, [*tests, *package.rglob("*.py")])
+    return found or sorted(module_of(str(file)) for file in Path("tests", package.name).glob("test_*.py"))
 
 
 class Trials:
