--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -5,7 +5,7 @@
 
 from sparloom.controller.scaled_services import scaled_services
 from sparloom.discovery import Endpoint
-from sparloom.duties.scaling import ScaledService, ScalePolicy, needed_per_zone
+from sparloom.duties.scaling import STABILISATION, ScaledService, ScalePolicy, needed_per_zone
 
 SECOND = timedelta(seconds=1)
 
@@ -35,6 +35,15 @@
     def test_a_lasting_need_orders_what_it_needs_at_least(self):
         self.assertEqual(self.play([50, 60, 70, 55])[-1], 6)
 
+    def test_a_lasting_need_after_a_quiet_time_orders_what_it_needs(self):
+        self.assertEqual(self.play([1] * 10 + [50] * 5), [3] * 13 + [6] * 2)
+
+    def test_no_more_is_remembered_than_what_is_looked_at(self):
+        policy = ScalePolicy()
+        for second in range(200):
+            policy.wanted(service(), 1, second * SECOND, {})
+        self.assertEqual(len(policy._seen), STABILISATION // SECOND + 1)
+
     def test_a_need_that_returns_within_the_time_takes_nothing_away(self):
         self.assertEqual(self.play([27, 0, 0, 0, 27, 0, 0, 0, 27]), [3] * 9)
         self.assertEqual(self.play([27] + [9] * 20 + [27] + [9] * 20), [3] * 42)
--- a/tests/rollouts/test_verdict.py
+++ b/tests/rollouts/test_verdict.py
@@ -4,7 +4,7 @@
 import unittest
 from datetime import timedelta
 
-from sparloom.rollouts.evidence import CellKey, Counts, Evidence, VoteCollector
+from sparloom.rollouts.evidence import WINDOW, CellKey, Counts, Evidence, VoteCollector, difference
 from sparloom.rollouts.records import AnswerTally, RolloutVote
 from sparloom.rollouts.verdict import Ruling, judge
 
@@ -52,6 +52,20 @@
     return {ruling: found.count(ruling) for ruling in Ruling}
 
 
+class Sums(unittest.TestCase):
+    def test_what_has_not_changed_is_no_difference(self):
+        cells = {CellKey("r", True, False, 1): Counts(3, 1), CellKey("r", False, False, 0): Counts(9, 0)}
+        newer = cells | {CellKey("r", True, False, 1): Counts(5, 1)}
+        self.assertEqual(difference(newer, cells), {CellKey("r", True, False, 1): Counts(2, 0)})
+
+    def test_a_collector_remembers_votes_of_the_window_and_one_before(self):
+        collector = VoteCollector(1)
+        for second in range(100):
+            collector.on_vote(seconds(second), vote("a", second + 1, tally("r", True, second)))
+        (watcher,) = collector._watchers.values()
+        self.assertEqual(len(watcher.history), WINDOW // seconds(1) + 1)
+
+
 class Rates(unittest.TestCase):
     def test_good_versions_are_not_rejected_at_any_rate_of_the_old_one(self):
         for rate in (0.0, 0.02, 0.1, 0.25):
