--- a/tests/duties/test_state.py
+++ b/tests/duties/test_state.py
@@ -44,6 +44,13 @@
         self.assertEqual(judge_duties(state, DutyUpdate("a", usage_fence=1)).verdict.name, "ALREADY_COMMITTED")
 
 
+class Retries(unittest.TestCase):
+    def test_an_update_is_a_retry_of_itself_and_of_no_other(self):
+        update = DutyUpdate("a", claim=True)
+        self.assertTrue(update.is_retry_of(update))
+        self.assertFalse(update.is_retry_of(DutyUpdate("a", claim=True)))
+
+
 class Bytes(unittest.TestCase):
     def test_the_state_is_read_back_with_and_without_evacuated_zones(self):
         for state in (State(CONFIGURATION, duties=HELD), State(CONFIGURATION, duties=HELD).evacuate("z")):
--- a/tests/scheduler/test_late_orders.py
+++ b/tests/scheduler/test_late_orders.py
@@ -19,6 +19,7 @@
     StopRun,
     TaskEnd,
 )
+from sparloom.scheduler.late_orders import ORDER_LIFETIME_S, UnsettledOrders
 from sparloom.scheduler.messages import JobState
 from sparloom.scheduler.runners import RunPhase
 from tests.scheduler.test_scheduler import TASK, MachineCase
@@ -128,6 +129,33 @@
         self.assertGreater(self.now * 1000, latest_ms / 0.98)
 
 
+class Unsettled(unittest.TestCase):
+    """Orders whose runs were given up with the hold of their runner."""
+
+    def test_each_is_stopped_again_after_a_while_and_not_before(self):
+        orders = UnsettledOrders()
+        orders.add("a", 1, now=10.0)
+        times = [10.0 + step / 10 for step in range(10)]
+        stops = [time for time in times if list(orders.due(time))]
+        self.assertEqual(stops, [10.0, 10.4, 10.8])
+
+    def test_one_is_settled_by_a_stop_of_its_run_or_a_later_one_only(self):
+        orders = UnsettledOrders()
+        orders.add("a", 2, now=0.0)
+        orders.settle("a", 1)
+        orders.settle("b", 2)
+        self.assertTrue(orders)
+        orders.settle("a", 3)
+        self.assertFalse(orders)
+
+    def test_one_that_is_older_than_any_order_lives_is_forgotten(self):
+        orders = UnsettledOrders()
+        orders.add("a", 1, now=0.0)
+        self.assertEqual(list(orders.due(ORDER_LIFETIME_S)), [("a", 1)])
+        self.assertEqual(list(orders.due(ORDER_LIFETIME_S + 0.1)), [])
+        self.assertFalse(orders)
+
+
 class Holds(LateOrderCase):
     def test_a_hold_without_an_answer_is_asked_again_soon_with_the_same_deadline(self):
         """288 runs were given up on one such day, most of them sound: one lost call made the next ones hold nothing."""
