--- a/simulator/mutations.py
+++ b/simulator/mutations.py
@@ -170,7 +170,7 @@
 
     >>> "tests.scheduler.test_late_orders" in tests_of("sparloom/scheduler/late_orders.py")
     True
-    >>> "tests.duties.test_duties_on_loopback" in tests_of("sparloom/duties/lease.py")
+    >>> "tests.duties.test_lease" in tests_of("sparloom/duties/lease.py")
     True
     """
     package, tests = Path(path).parent, sorted(Path("tests").rglob("*.py"))
--- a/tests/simulator/test_mutations.py
+++ b/tests/simulator/test_mutations.py
@@ -90,6 +90,13 @@
         found = dict(Trials([], 60, 1).run(mutations_of(["sparloom/ages.py"], "a > 2")))
         self.assertEqual({m.constant: r for m, r in found.items()}, {"True": Result.SURVIVED, "False": Result.FOUND})
 
+    def test_a_module_that_no_test_reaches_is_left_to_the_tests_that_are_named_after_its_package(self):
+        Path("sparloom/part").mkdir()
+        Path("sparloom/part/alone.py").write_text("")
+        Path("tests/part").mkdir()
+        Path("tests/part/test_whole.py").write_text("import json\n")
+        self.assertEqual(tests_of("sparloom/part/alone.py"), ["tests.part.test_whole"])
+
     def test_nothing_is_tried_after_the_time_that_it_has(self):
         self.results("self.assertTrue(older(1, 2))")
         found = Trials(["tests.test_ages"], 60, 1, ends_at=0.0).run(mutations_of(["sparloom/ages.py"]))
