--- a/review/lasting_runner.py
+++ b/review/lasting_runner.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-HOLD_LIMIT_MS = 6000
+HOLD_LIMIT_MS = 10_000
 
 
 class LastingRunner:
--- a/review/saving_runner.py
+++ b/review/saving_runner.py
@@ -11,11 +11,13 @@
 
 from aiohttp import web
 
-HOLD_LIMIT_MS = 6000
+HOLD_LIMIT_MS = 10_000
+# Work after which a run has its first checkpoint, and the time that it takes to resume from one.
+SAVE_S, RESTORE_S = 1.0, 0.25
 
 
 class SavingRunner:
-    """One runner; a run of it takes ``work_s`` and has saved ``checkpoint`` from its first moment."""
+    """One runner with room for one task; a run takes ``work_s`` and has saved ``checkpoint`` after ``SAVE_S`` of it."""
 
     def __init__(self, record, id, service, capacity, work_s, checkpoint):
         self.record, self.id, self.service, self.capacity = record, id, service, capacity
@@ -84,10 +86,13 @@
         if call["deadlineMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
         self._extend(call["deadlineMs"])
+        if self.running:
+            return self._answer(409, reason="room")
         how = "failed" if self.grey else "done"
-        timer = asyncio.get_running_loop().call_later(self.work_s, self._end, task, how)
-        self.running[task] = (number, timer)
-        brought = call.get("checkpoint", "")
+        brought, loop = call.get("checkpoint", ""), asyncio.get_running_loop()
+        work_s = RESTORE_S + self.work_s - SAVE_S if brought else self.work_s
+        saved_at = loop.time() + (0.0 if brought else SAVE_S)
+        self.running[task] = (number, loop.call_later(work_s, self._end, task, how), saved_at)
         self.record.add(f"run-start {task} run={number} checkpoint of {len(brought)} bytes at {self.id}: 200")
         return self._answer()
 
@@ -108,9 +113,12 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(call["waitMs"], 2000) / 1000):
                     await self.changed.wait()
-        running = [[task, run[0], self.checkpoint, 0] for task, run in self.running.items()]
+        running = [[task, run[0], self._saved(run), 0] for task, run in self.running.items()]
         return self._answer(running=running, endTime=self.ends[:500])
 
+    def _saved(self, run):
+        return self.checkpoint if asyncio.get_running_loop().time() >= run[2] else ""
+
     def _extend(self, deadline_ms):
         self.hold_until_ms = max(self.hold_until_ms, min(deadline_ms, self._clock_ms() + HOLD_LIMIT_MS))
         if self.hold_timer:
@@ -131,6 +139,6 @@
         self.sequence += 1
         if how == "done":
             self.done.add(task)
-        self.ends.append([self.sequence, task, run[0], how, "" if how == "done" else self.checkpoint])
+        self.ends.append([self.sequence, task, run[0], how, "" if how == "done" else self._saved(run)])
         self.record.add(f"end {task} run={run[0]} {how} at {self.id}")
         self.changed.set()
