--- a/sparloom/serving_program.py
+++ b/sparloom/serving_program.py
@@ -15,6 +15,7 @@
 from attrs import define, field
 from mode import Service
 
+from sparloom.admission import set_process_memory
 from sparloom.launch.early_listen import hangup_received
 from sparloom.metrics import report_interval
 from sparloom.settings import Settings, read
@@ -80,6 +81,8 @@
         super().__init__()
         self.settings, self.path = settings, path
         self.file_watch = FileWatch(path)
+        if settings is not None:
+            set_process_memory(settings.limits.memory_mb)
 
     async def start_metrics_reporter(self) -> None:
         """Starts the periodic logging of metrics, if an environment variable enables it."""
@@ -95,6 +98,7 @@
         if loaded.value_or(None) is None:
             logging.warning("startup: file rejected error=%r", loaded.failure())
             return
+        set_process_memory(loaded.unwrap().limits.memory_mb)
         self.apply_settings(loaded.unwrap())
         logging.info("startup: file reloaded path=%s", self.path)
 
