Whole answers are read with a bound at every caller

What callers saw: a controller went over 296 MB and ended within a second of a list or an answer to a hold that never ends (plain, in chunks, gzip), and took its other work with it.

Cause: response.read() and .json() keep what comes until a time-out, and a time-out bounds no bytes.

Used by the endpoint poller, the scheduler's list, calls to runners and to the platform, the body of a refusal in the router, and the command line. Limits: 16 MiB for a page or a runner's answer (the aim of 10,000 runners in one page has about 3 MB), 64 KiB for bodies that nobody needs.

--- a/sparloom/compare/beliefs.py
+++ b/sparloom/compare/beliefs.py
@@ -12,11 +12,14 @@
 from attrs import define
 from returns.result import Failure, Result, Success
 
+from sparloom.transport.bounded_reads import read_stream
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 TOPICS = ("policy", "revision", "runners", "fleet", "members", "counts", "shares", "relays", "isolation")
 FETCH_TIMEOUT_S = 3.0
+MAXIMUM_BELIEFS_BYTES = 64 << 20
 
 
 @define(frozen=True, slots=True)
@@ -62,7 +65,7 @@
     """
     try:
         with urlopen(f"http://{address}/-/beliefs", timeout=timeout_s) as response:
-            beliefs = json.load(response)
+            beliefs = json.loads(read_stream(response, MAXIMUM_BELIEFS_BYTES))
     except (OSError, ValueError) as error:
         return Failure(f"{address} can't be queried: {error}")
     return Success(beliefs) if isinstance(beliefs, dict) else Failure(f"{address} did not return a JSON object")
--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -10,9 +10,17 @@
 from absl import logging
 from mode import Service
 
-from sparloom.discovery import EndpointList, PageAssembler, PollSchedule, read_page, versions_listed
+from sparloom.discovery import (
+    MAXIMUM_PAGE_BYTES,
+    EndpointList,
+    PageAssembler,
+    PollSchedule,
+    read_page,
+    versions_listed,
+)
 from sparloom.feed import ENDPOINTS
 from sparloom.transport import monotonic
+from sparloom.transport.bounded_reads import read_json
 from sparloom.transport.http_client import Connector, open_session
 
 if TYPE_CHECKING:
@@ -172,8 +180,9 @@
         url = f"http://{platform.address}/instances"
         try:
             async with self.session.get(url, params=params, allow_redirects=False) as response:
-                document = await response.json(content_type=None) if response.status == HTTPStatus.OK else None
-                return response.status, document
+                if response.status != HTTPStatus.OK:
+                    return response.status, None
+                return response.status, await read_json(response, MAXIMUM_PAGE_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logging.debug("platform: request failed error=%s", type(error).__name__)
             return NO_RESPONSE_STATUS, None
--- a/sparloom/controller/operator_client.py
+++ b/sparloom/controller/operator_client.py
@@ -12,6 +12,8 @@
 from attrs import define
 from returns.result import Failure, Result, Success
 
+from sparloom.transport.bounded_reads import read_stream
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -22,6 +24,7 @@
 # The wait between two calls.
 RETRY_INTERVAL_S = 0.2
 MAXIMUM_REDIRECTS = 2
+MAXIMUM_ANSWER_BYTES = 64 << 20
 CALL_ERRORS = (OSError, http.client.HTTPException, ValueError)
 
 
@@ -57,7 +60,7 @@
         content = None if body is None else json.dumps(body)
         connection.request(method, path, content, {"Content-Type": "application/json"} if content else {})
         http_response = connection.getresponse()
-        raw = http_response.read()
+        raw = read_stream(http_response, MAXIMUM_ANSWER_BYTES)
         location = http_response.headers.get("Location", "").removeprefix("http://").partition("/")[0]
         return Response(http_response.status, json.loads(raw) if raw else None, location)
     finally:
--- a/sparloom/controller/platform_calls.py
+++ b/sparloom/controller/platform_calls.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from sparloom.transport import monotonic
+from sparloom.transport.bounded_reads import read_body
 from sparloom.transport.http_client import Connector, open_session
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
 SCALE_PATH = "/scale"
 # Maximum call rate of this node, as a fraction of the rate that the platform allows to all nodes together.
 RATE_RATIO = 0.5
+# Largest body of an answer that is read, so that its connection can be reused; the result is in the status.
+MAXIMUM_ANSWER_BYTES = 64 << 10
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
@@ -100,7 +103,7 @@
         url = f"http://{platform.address}{path}"
         try:
             async with self._session.post(url, data=data, headers=headers, allow_redirects=False) as response:
-                await response.read()
+                await read_body(response, MAXIMUM_ANSWER_BYTES)
                 result = result_from_status(response.status)
         except CALL_ERRORS as error:
             logging.info("duties: call failed path=%s fence=%d error=%s", path, fence, type(error).__name__)
--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -23,6 +23,7 @@
     StopRun,
     TaskEnd,
 )
+from sparloom.transport.bounded_reads import parse_json, read_body
 from sparloom.transport.http_client import Connector, open_session
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
 IDLE_CONNECTION_TIMEOUT_S = 1.5
 # Maximum number of ended runs in one answer; the next answer contains further ones.
 MAX_ENDS_PER_ANSWER = 500
+# Largest answer of a runner that is read.
+MAX_ANSWER_BYTES = 16 << 20
 NO_ANSWER = 0
 
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
@@ -111,8 +114,8 @@
             asyncio.timeout(timeout_s),
             self.session.post(f"http://{address}{path}", data=raw, headers=headers, allow_redirects=False) as answer,
         ):
-            content = await answer.read()
-            document = json.loads(content) if content[:1] == b"{" else {}
+            content = await read_body(answer, MAX_ANSWER_BYTES)
+            document = parse_json(content) if content[:1] == b"{" else {}
             return answer.status, document
 
     async def _start(self, order: StartRun) -> None:
--- a/sparloom/controller/runner_list.py
+++ b/sparloom/controller/runner_list.py
@@ -7,7 +7,9 @@
 import aiohttp
 from absl import logging
 
+from sparloom.discovery import MAXIMUM_PAGE_BYTES
 from sparloom.scheduler.runners import read_listing
+from sparloom.transport.bounded_reads import read_json
 
 if TYPE_CHECKING:
     from sparloom.scheduler.runners import RunnerListing
@@ -21,7 +23,7 @@
         while True:
             params = {"pageToken": token} if token else {}
             async with session.get(url, params=params, allow_redirects=False) as response:
-                document = await response.json(content_type=None) if response.status == 200 else None
+                document = await read_json(response, MAXIMUM_PAGE_BYTES) if response.status == 200 else None
             page = read_listing(document).value_or(None)
             if page is None:
                 return None
--- a/sparloom/discovery/__init__.py
+++ b/sparloom/discovery/__init__.py
@@ -1,6 +1,7 @@
 """Service discovery: the platform's list of runners, polled by the primary controller."""
 
 from .endpoints import (
+    MAXIMUM_PAGE_BYTES,
     POOL_SEPARATOR,
     Endpoint,
     EndpointDelta,
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "MAXIMUM_PAGE_BYTES",
     "POOL_SEPARATOR",
     "Endpoint",
     "EndpointDelta",
--- a/sparloom/discovery/endpoints.py
+++ b/sparloom/discovery/endpoints.py
@@ -22,6 +22,8 @@
 POLLS_PER_DRAIN = 4
 # Calls are made at half the rate that the platform allows.
 RATE_LIMIT_DIVISOR = 2
+# Largest page of the list that is read.
+MAXIMUM_PAGE_BYTES = 16 << 20
 # Separates service and version in the name of a pool. Names written by operators don't contain it.
 POOL_SEPARATOR = "\x1f"
 
--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -13,6 +13,7 @@
 
 from sparloom.retry import MAY_HAVE_RUN, NOT_RUN, judge_head
 from sparloom.transport import monotonic
+from sparloom.transport.bounded_reads import read_body
 
 from .inactivity_timer import InactivityTimer
 from .request import response_head, upstream_headers
@@ -29,6 +30,8 @@
     from .router_state import RouterState
 
 REJECTION_BODY_TIMEOUT = timedelta(milliseconds=50)
+# Largest body of a rejection that is read.
+MAXIMUM_REJECTION_BYTES = 64 << 10
 MINIMUM_CONNECT_TIMEOUT_S = 0.05
 # The connect timeout as a fraction of the route's latency target.
 CONNECT_TIMEOUT_FRACTION = 1 / 3
@@ -223,8 +226,8 @@
         """Read the body of a rejection so that its connection can be reused; the verdict needs only the head."""
         try:
             async with asyncio.timeout(REJECTION_BODY_TIMEOUT.total_seconds()):
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
+                await read_body(response, MAXIMUM_REJECTION_BYTES)
+        except (TimeoutError, *BACKEND_ERRORS):
             response.close()
 
     def end(self) -> None:
