A large response is passed on as it arrives, not kept whole

What callers saw: a runner that answers without end on a route that is no stream, or in place of one, took the memory of the router, and with it the requests of all others.

Cause: ResponseRelay._relay_body read the body to its end before the first byte was sent on.

Change: a body is kept until it is complete or has 1 MiB, within the account of bytes, so that another runner may be tried until then; beyond that it is passed on under back pressure. Once that has begun no other runner's body may follow it (a second body would be joined to the first): the response is cut. What is lost is the second try of a body that breaks off after its first MiB.

--- a/sparloom/router/forwarding.py
+++ b/sparloom/router/forwarding.py
@@ -233,7 +233,7 @@
     def _retry_context(self, verdict: Verdict) -> RetryContext:
         route = self.request.route
         return RetryContext(
-            idempotent=route.repeatable,
+            idempotent=route.repeatable and self._relay.accepts_other_backends,
             max_attempts=route.max_attempts,
             attempts=self._attempts,
             verdict=verdict,
--- a/sparloom/router/response_relay.py
+++ b/sparloom/router/response_relay.py
@@ -11,20 +11,24 @@
 import aiohttp
 from aiohttp import web
 
+from sparloom.admission import HoldingKind, process_budget
 from sparloom.errors import SparloomError
 from sparloom.event_stream import EventSplitter, ResumableStream
 from sparloom.retry import RAN
+from sparloom.transport import monotonic
 
 from .headers import end_to_end
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from sparloom.retry import Verdict
 
     from .attempt import Attempt
     from .request import Request
 
+# Largest body of a response that is kept until it is complete.
+MAXIMUM_KEPT_BYTES = 1 << 20
 OK = 200
 FIRST_NON_SUCCESS = 300
 
@@ -41,6 +45,10 @@
     on_progress: called with the attempt whenever data has arrived from its backend.
     on_prefilled: called with the attempt at the first bytes of the stream, when its prompt has been prefilled.
     should_close: returns whether the client's connection closes after this request.
+
+    Attributes
+    ----------
+    accepts_other_backends: False once the response can only be completed by the backend that began it.
     """
 
     def __init__(
@@ -57,6 +65,7 @@
         self._on_prefilled = on_prefilled
         self._should_close = should_close
         self._resumable = ResumableStream()
+        self.accepts_other_backends = True
         self._response: web.StreamResponse | None = None
 
     @property
@@ -99,13 +108,41 @@
         return None
 
     async def _relay_body(self, attempt: Attempt) -> None:
-        """Relay a response that is not a stream, after reading it completely."""
-        body = await attempt.response.read()
+        """Relay a response that is not a stream.
+
+        It is sent once it is complete, so that another backend may be tried until then. One that is too large to be
+        kept is passed on as it arrives.
+        """
+        upstream = attempt.response
+        chunks = upstream.content.iter_any()
+        body, is_complete = await self._read_start(chunks, attempt.backend.address)
         self._on_progress(attempt)
-        await self._send_head(attempt.response, str(len(body)))
-        await self._send(body)
+        if is_complete:
+            await self._send_head(upstream, str(len(body)))
+            await self._send(body)
+        else:
+            self.accepts_other_backends = False
+            await self._send_head(upstream, upstream.headers.get("Content-Length"))
+            await self._send(body)
+            async for chunk in chunks:
+                await self._send(chunk)
+                attempt.inactivity.arm()
         await self._send_end()
 
+    @staticmethod
+    async def _read_start(chunks: AsyncIterator[bytes], peer: str) -> tuple[bytes, bool]:
+        """Read a body until it is complete or too large to be kept; return the bytes and whether it is complete."""
+        budget, body = process_budget(), bytearray()
+        holding = budget.open(HoldingKind.RESPONSES, peer, monotonic())
+        try:
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > MAXIMUM_KEPT_BYTES or not budget.resize(holding, len(body), monotonic()):
+                    return bytes(body), False
+            return bytes(body), True
+        finally:
+            budget.close(holding)
+
     async def _relay_bytes(self, attempt: Attempt) -> None:
         """Relay the bytes of a stream that can't be resumed at another backend."""
         upstream = attempt.response
