An event without end counts as a failure of its runner

What callers saw: on a stream that may be resumed, a runner that never ends an event took the router's memory and, before that, its time: each chunk copied and searched all that had come.

Cause: EventSplitter.rest had no bound and was joined and searched anew with every chunk.

Change: an event may have 1 MiB; what is larger ends the attempt like any other broken answer, so that the runner is suspected and another one continues the stream. Only new bytes are searched.

--- a/sparloom/event_stream/__init__.py
+++ b/sparloom/event_stream/__init__.py
@@ -1,5 +1,5 @@
 """Server-sent events: splits a byte stream into events, and resumes a stream at another runner."""
 
-from .events import EventSplitter, ResumableStream, event_id
+from .events import EventSplitter, EventTooLargeError, ResumableStream, event_id
 
-__all__ = ["EventSplitter", "ResumableStream", "event_id"]
+__all__ = ["EventSplitter", "EventTooLargeError", "ResumableStream", "event_id"]
--- a/sparloom/event_stream/events.py
+++ b/sparloom/event_stream/events.py
@@ -4,12 +4,22 @@
 
 import re
 
-from attrs import define
+from attrs import define, field
 
+from sparloom.errors import SparloomError
+
+# Largest event that is read.
+MAXIMUM_EVENT_BYTES = 1 << 20
+# Length of the longest end of an event.
+_END_OF_EVENT_BYTES = 4
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
+class EventTooLargeError(SparloomError, ValueError):
+    """A runner sent an event that is too large, or whose end never comes."""
+
+
 def event_id(event: bytes) -> str | None:
     """Returns the id of an event, or None.
 
@@ -28,23 +38,32 @@
         rest: Bytes of the incomplete last event.
 
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 1\\n\\nid:"), splitter.rest
+    >>> splitter.feed(b"id: 1\\n\\nid:"), bytes(splitter.rest)
     ([b'id: 1\\n\\n'], b'id:')
     """
 
-    rest: bytes = b""
+    rest: bytearray = field(factory=bytearray)
 
     def feed(self, raw: bytes) -> list[bytes]:
         """Adds bytes and returns the events that they complete.
 
+        Only the new bytes are searched, so the work doesn't grow with the size of an event.
+
         >>> EventSplitter().feed(b"a\\n\\nb\\n\\n")
         [b'a\\n\\n', b'b\\n\\n']
+
+        Raises:
+            EventTooLargeError: An event is larger than ``MAXIMUM_EVENT_BYTES``.
         """
-        raw, events, start = self.rest + raw, [], 0
-        for end in _END_OF_EVENT.finditer(raw):
-            events.append(raw[start : end.end()])
+        searched = max(0, len(self.rest) - _END_OF_EVENT_BYTES + 1)
+        self.rest += raw
+        events, start = [], 0
+        for end in _END_OF_EVENT.finditer(self.rest, searched):
+            events.append(bytes(self.rest[start : end.end()]))
             start = end.end()
-        self.rest = raw[start:]
+        del self.rest[:start]
+        if len(self.rest) > MAXIMUM_EVENT_BYTES:
+            raise EventTooLargeError(f"an event has more than {MAXIMUM_EVENT_BYTES} bytes")
         return events
 
 
--- a/sparloom/router/response_relay.py
+++ b/sparloom/router/response_relay.py
@@ -12,8 +12,9 @@
 from aiohttp import web
 
 from sparloom.admission import HoldingKind, process_budget
+from sparloom.admission.byte_budget import SMALL_HOLDING_BYTES
 from sparloom.errors import SparloomError
-from sparloom.event_stream import EventSplitter, ResumableStream
+from sparloom.event_stream import EventSplitter, EventTooLargeError, ResumableStream
 from sparloom.retry import RAN
 from sparloom.transport import monotonic
 
@@ -22,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from sparloom.admission import Holding
     from sparloom.retry import Verdict
 
     from .attempt import Attempt
@@ -159,22 +161,39 @@
     async def _relay_events(self, attempt: Attempt) -> Verdict | None:
         """Relay complete events, except those that the client has already received from another backend."""
         upstream, splitter = attempt.response, EventSplitter()
-        async for chunk in upstream.content.iter_any():
-            await self._on_chunk(attempt, None)
-            events = b"".join(event for event in splitter.feed(chunk) if self._resumable.accept(event))
-            if self._resumable.has_gap:
-                upstream.close()
-                return RAN
-            if events:
-                await self._send(events)
-            attempt.inactivity.arm()
+        holding = process_budget().open(HoldingKind.RESPONSES, attempt.backend.address, monotonic())
+        try:
+            async for chunk in upstream.content.iter_any():
+                await self._on_chunk(attempt, None)
+                events = b"".join(event for event in splitter.feed(chunk) if self._resumable.accept(event))
+                self._account_for_event(holding, len(splitter.rest))
+                if self._resumable.has_gap:
+                    upstream.close()
+                    return RAN
+                if events:
+                    await self._send(events)
+                attempt.inactivity.arm()
+        finally:
+            process_budget().close(holding)
         if not self.started:
             await self._send_head(upstream, None)
         if splitter.rest:
-            await self._send(splitter.rest)
+            await self._send(bytes(splitter.rest))
         await self._send_end()
         return None
 
+    @staticmethod
+    def _account_for_event(holding: Holding, size: int) -> None:
+        """Take the bytes of an incomplete event from the process's budget, once they are many.
+
+        Raises
+        ------
+        EventTooLargeError: the budget has no room for them.
+        """
+        size = size if size > SMALL_HOLDING_BYTES else 0
+        if size != holding.size and not process_budget().resize(holding, size, monotonic()):
+            raise EventTooLargeError(f"no memory is left for an event of {size} bytes")
+
     async def _on_chunk(self, attempt: Attempt, length: str | None) -> None:
         """Report a chunk of a stream; before the first chunk is relayed, send the head."""
         self._on_progress(attempt)
--- a/tests/event_stream/test_events.py
+++ b/tests/event_stream/test_events.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from sparloom.event_stream import EventSplitter, ResumableStream, event_id
+from sparloom.event_stream import EventSplitter, EventTooLargeError, ResumableStream, event_id
+from sparloom.event_stream.events import MAXIMUM_EVENT_BYTES
 
 
 def stream(start, stop):
@@ -22,6 +23,21 @@
                 start += size
             self.assertEqual((received, splitter.rest), (events, b""))
 
+    def test_an_event_without_end_is_an_error_once_it_has_the_largest_size(self):
+        splitter = EventSplitter()
+        for _ in range(16):
+            self.assertEqual(splitter.feed(b"x" * (MAXIMUM_EVENT_BYTES // 16)), [])
+        with self.assertRaises(EventTooLargeError):
+            splitter.feed(b"x")
+
+    def test_an_end_of_an_event_is_found_across_any_boundary_behind_a_long_event(self):
+        for end in (b"\n\n", b"\r\r", b"\r\n\r\n"):
+            for first in range(len(end)):
+                splitter = EventSplitter()
+                self.assertEqual(splitter.feed(b"x" * 5000 + end[:first]), [])
+                self.assertEqual(splitter.feed(end[first:] + b"id:"), [b"x" * 5000 + end])
+                self.assertEqual(splitter.rest, b"id:")
+
     def test_crlf_and_lf_line_endings(self):
         self.assertEqual(EventSplitter().feed(b"id:1\r\n\r\nid:2\n\n"), [b"id:1\r\n\r\n", b"id:2\n\n"])
         self.assertEqual(event_id(b"event: a\r\nid:9\r\n\r\n"), "9")
--- a/tests/router/test_large_responses.py
+++ b/tests/router/test_large_responses.py
@@ -1,10 +1,11 @@
-"""Regression tests: a response that is not a stream was kept whole, whatever its size."""
+"""Regression tests: responses that are not streams, and events, were kept whole, whatever their size."""
 
 from sparloom.admission import HoldingKind, process_budget
+from sparloom.event_stream.events import MAXIMUM_EVENT_BYTES
 from sparloom.router.response_relay import MAXIMUM_KEPT_BYTES
 from sparloom.transport import monotonic
 
-from .test_frontend import FrontendTestCase
+from .test_frontend import EVENTS, FrontendTestCase
 
 LARGE_BODY = b"0123456789abcdef" * (3 * MAXIMUM_KEPT_BYTES // 16)
 
@@ -49,3 +50,15 @@
         answer, sent = await self.send_raw(response(b"x" * 5000))
         budget.close(other)
         self.assertEqual((answer.status, answer.is_complete, sent, budget.held), (200, True, 1, 0))
+
+
+class LargeEvents(FrontendTestCase):
+    async def test_event_without_end_counts_as_a_failure_of_its_runner(self):
+        endless = response(b"data: " + b"x" * (MAXIMUM_EVENT_BYTES + 1), 1 << 40)
+        for runner in self.rig.runners:
+            runner.raw = endless
+        self.set_script("raw")
+        answer = await self.rig.send("/resume/x")
+        self.assertEqual((answer.status, answer.body, answer.is_complete), (200, EVENTS, True))
+        suspected = [backend for backend in self.rig.state.backends.by_id.values() if backend.is_suspected(monotonic())]
+        self.assertEqual((len(suspected), process_budget().held), (1, 0))
