--- a/tests/support/resource_watch.py
+++ b/tests/support/resource_watch.py
@@ -16,7 +16,7 @@
 from fakes.platform import Platform
 from fakes.runner import Runner
 from simulator.soak.operator import Operator
-from simulator.soak.processes import CONTROL_PORT, FRONT_PORT, READINESS_PORT, Fleet
+from simulator.soak.processes import CONTROL_PORT, FIRST_INTERNAL_PORT, FRONT_PORT, READINESS_PORT, Fleet
 
 # The memory of the machines that run each program, in MB of 2**20 bytes.
 ROUTER_MEMORY_MB = 200
@@ -159,6 +159,14 @@
     def readiness(self):
         return self.router.ip, READINESS_PORT
 
+    @property
+    def router_internal(self):
+        return self.router.ip, FIRST_INTERNAL_PORT + 1
+
+    @property
+    def controller_internal(self):
+        return self.controller.ip, FIRST_INTERNAL_PORT
+
     @property
     def control(self):
         return self.controller.ip, CONTROL_PORT
@@ -199,11 +207,13 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def router_answers(self):
+    async def router_answers(self, body_bytes=5):
         return await self.ask(
             self.front,
             b"POST /ordinary/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: ordinary-1\r\n"
-            b"X-Sparloom-Deadline-Remaining: 4000\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello",
+            b"X-Sparloom-Deadline-Remaining: 4000\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
+            % body_bytes
+            + bytes(body_bytes),
         )
 
     async def controller_answers(self):
