Each listener has a bound on its connections

What callers saw: a crowd that only connects took as many descriptors as it liked (612 of 500 with 600 clients), on every listener of both programs. At that bound a process can't accept, call runners or write its files.

Cause: nothing bounded the number of connections.

Each listener has a fraction of the sockets (fileDescriptors less 200 for files): 0.4 clients, 0.05 readiness, 0.1 followers; 0.3 control, 0.5 nodes at a controller. Above it the connection that has rested longest makes room, or one whose client stopped inside its body or takes no answer for a second; one whose request is in progress is kept. Between nodes it is the oldest without a first record.

The test of a connection without a first record asks the server that holds this now; same assertion.

--- a/sparloom/controller/consensus_service.py
+++ b/sparloom/controller/consensus_service.py
@@ -17,7 +17,6 @@
 from absl import logging
 from mode import Service
 
-from sparloom.codec import DecodeError
 from sparloom.consensus import (
     CONTROLLERS,
     SEEDS,
@@ -35,7 +34,8 @@
 from sparloom.consensus.records import Copy
 from sparloom.membership import CONTROLLER, Ack, Peer, Ping, PingRequest, Swim, SwimTiming, TableComparison
 from sparloom.settings import Address
-from sparloom.transport import Datagrams, Frames, bind, dial, monotonic
+from sparloom.transport import Datagrams, bind, dial, monotonic
+from sparloom.transport.frame_server import FrameServer
 
 from .durable_writer import DurableWriter
 from .prefix_snapshots import PrefixSnapshots
@@ -46,6 +46,7 @@
     from sparloom.codec import Record
     from sparloom.consensus import Data
     from sparloom.settings import Settings
+    from sparloom.transport import Frames
 
     Action = Save | Send | Committed | ReadConfirmed | Aborted | LeaveCompleted
     HostPort = tuple[str, int]
@@ -53,6 +54,8 @@
 TICK_INTERVAL = timedelta(milliseconds=40)
 # Limits the queue of each connection; a further copy replaces the oldest one.
 QUEUED_COPIES_PER_MEMBER = 4
+# The fraction of the sockets that connections of other nodes may use.
+INTERNAL_CONNECTION_FRACTION = 0.5
 RANDOM_ID_BYTES = 7
 # An idle connection is closed after this multiple of the removal timeout of a dead member.
 IDLE_CONNECTION_FACTOR = 4
@@ -97,7 +100,7 @@
     disk: DurableWriter
     datagrams: Datagrams
     prefixes: PrefixSnapshots
-    server: asyncio.Server
+    server: FrameServer
 
     def __init__(
         self,
@@ -180,7 +183,12 @@
         self.datagrams = await Datagrams.open(settings.ip, self.port, self._receive)
         await self.add_runtime_dependency(self.prefixes)
         address = Address(settings.ip, self.port)
-        self.server = await asyncio.start_server(self._serve_connection, sock=bind(address))
+        self.server = self._frame_server()
+        await self.server.start(bind(address))
+
+    def _frame_server(self) -> FrameServer:
+        maximum_connections = self.settings.limits.connections(INTERNAL_CONNECTION_FRACTION)
+        return FrameServer(self._serve_connection, maximum_connections, self.settings.bounds.contact)
 
     def send_datagram(self, address: str, record: Record) -> None:
         """Sends a record by datagram to an internal address, HOST:PORT; delivery is not guaranteed."""
@@ -232,20 +240,12 @@
         elif not isinstance(record, Copy):
             self._carry_out(self.member.receive(monotonic(), record))
 
-    async def _serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve_connection(self, frames: Frames, first: Record) -> None:
         """Serves an incoming connection; its first record determines the protocol."""
-        frames = Frames(reader, writer)
-        try:
-            async with asyncio.timeout(self.settings.bounds.contact.total_seconds()):
-                first = await frames.read()
-            if isinstance(first, Copy):
-                await self._receive_copies(frames, first)
-            else:
-                await self.serve_connection(frames, first)
-        except (OSError, EOFError, DecodeError, TimeoutError, asyncio.CancelledError):
-            pass
-        finally:
-            frames.close()
+        if isinstance(first, Copy):
+            await self._receive_copies(frames, first)
+        else:
+            await self.serve_connection(frames, first)
 
     async def _receive_copies(self, frames: Frames, record: Record) -> None:
         while isinstance(record, Copy):
--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -27,6 +27,7 @@
 from sparloom.metrics.reporter import process_figures
 from sparloom.settings import SettingsError
 from sparloom.transport import bind
+from sparloom.transport.http_server import BoundedServer
 
 from .change_requests import parse_change_request
 from .configuration_writer import (
@@ -61,6 +62,8 @@
 EVACUATIONS_PATH = "/-/evacuation"
 EVACUATION_PREFIX = EVACUATIONS_PATH + "/"
 MAXIMUM_BODY_BYTES = 16 << 20
+# The fraction of the sockets that connections to the control address may use.
+CONTROL_CONNECTION_FRACTION = 0.3
 # A request fails with 408 when no further part of its body arrives within this time.
 BODY_READ_TIMEOUT = timedelta(seconds=5)
 RETRY_AFTER = {"Retry-After": "0.2"}
@@ -224,7 +227,7 @@
         if address is None:
             raise SettingsError("listenAddresses.control is missing")
         # A waiting request is cancelled when its client disconnects; a write in flight is not.
-        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        server = BoundedServer(self._handle, self.settings.limits.connections(CONTROL_CONNECTION_FRACTION))
         self.runner = web.ServerRunner(server)
         await self.runner.setup()
         await web.SockSite(self.runner, bind(address)).start()
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from datetime import timedelta
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 from absl import logging
 from aiohttp import web
@@ -13,6 +13,7 @@
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
+from sparloom.transport.http_server import BoundedServer
 
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
 from .forwarding import RequestForwarder
@@ -29,10 +30,12 @@
     from sparloom.settings import Address, Settings
 
     from .access import Access
-    from .client_connections import ClientConnection
     from .job_requests import JobRequests
     from .router_node import RouterNode
 
+# Fractions of the sockets that each listener may use; the rest is for runners and other nodes.
+CLIENT_CONNECTION_FRACTION = 0.4
+READINESS_CONNECTION_FRACTION = 0.05
 IDLE_SWEEP_INTERVAL = timedelta(seconds=1)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=25)
 SERVER_SHUTDOWN_TIMEOUT_S = 0.1
@@ -110,7 +113,9 @@
     # -- listening ----------------------------------------------------------------
     async def on_start(self) -> None:
         """Listen on both addresses."""
-        readiness = web.Server(self._handle_platform_request, access_log=None)
+        readiness = BoundedServer(
+            self._handle_platform_request, self.settings.limits.connections(READINESS_CONNECTION_FRACTION)
+        )
         await self.serve(readiness, bind(_require_address(self.settings.listen.readiness, "readiness")))
         await self.serve_clients(bind(_require_address(self.settings.listen.front, "front")))
 
@@ -120,7 +125,8 @@
 
     def create_client_server(self) -> ClientServer:
         """Create the server for clients."""
-        self.client_server = ClientServer(self._handle, self.idle_timeout)
+        maximum_connections = self.settings.limits.connections(CLIENT_CONNECTION_FRACTION)
+        self.client_server = ClientServer(self._handle, maximum_connections, self.idle_timeout)
         return self.client_server
 
     async def serve(self, server: web.Server, listen_socket: socket.socket) -> web.ServerRunner:
@@ -172,14 +178,10 @@
 
     # -- requests -----------------------------------------------------------------
     async def _handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
-        connection = cast("ClientConnection", http_request.protocol)
-        try:
-            response = await self._respond(http_request)
-            if self._out_of_service and not response.prepared:
-                response.force_close()
-            return response
-        finally:
-            connection.request_ended()
+        response = await self._respond(http_request)
+        if self._out_of_service and not response.prepared:
+            response.force_close()
+        return response
 
     async def _respond(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Read a request, match it to a route, authorize it and forward it."""
--- a/sparloom/router/relay_server.py
+++ b/sparloom/router/relay_server.py
@@ -2,26 +2,29 @@
 
 from __future__ import annotations
 
-import asyncio
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from mode import Service
 
-from sparloom.codec import DecodeError
 from sparloom.feed import UNCONFIRMED, Subscribe
 from sparloom.feed.serving import serve_follower
 from sparloom.settings import Address
-from sparloom.transport import Frames, bind, monotonic
+from sparloom.transport import bind, monotonic
+from sparloom.transport.frame_server import FrameServer
 
 if TYPE_CHECKING:
+    from sparloom.codec import Record
     from sparloom.feed import VersionedStore
     from sparloom.feed.serving import ChangeSignal
+    from sparloom.transport import Frames
 
     from .feed_client import FeedClient
     from .router_state import RouterState
 
 MS = timedelta(milliseconds=1)
+# The fraction of the sockets that connections of followers may use.
+FOLLOWER_CONNECTION_FRACTION = 0.1
 # The heartbeat interval of a source is the contact bound divided by this.
 HEARTBEAT_DIVISOR = 10
 # The timeout for a follower's subscription, and for writes to it, is the contact bound divided by this.
@@ -50,7 +53,7 @@
         self.router_state = state
         self.feed_client = feed_client
         self.write_timeout = contact_bound / WRITE_TIMEOUT_DIVISOR
-        self.server: asyncio.Server | None = None
+        self.server: FrameServer | None = None
         self.followers: dict[Frames, str] = {}
         self._heartbeat_interval = contact_bound / HEARTBEAT_DIVISOR * HEARTBEAT_INTERVAL_FACTOR
 
@@ -69,9 +72,12 @@
         settings = self.router_state.settings
         address = Address(settings.ip, settings.router_port)
         try:
-            self.server = await asyncio.start_server(self._on_connection, sock=bind(address))
+            listen_socket = bind(address)
         except OSError:
-            self.server = None
+            return
+        maximum_connections = settings.limits.connections(FOLLOWER_CONNECTION_FRACTION)
+        self.server = FrameServer(self._on_connection, maximum_connections, self.write_timeout)
+        await self.server.start(listen_socket)
 
     async def on_stop(self) -> None:
         """Closes the server and all connections."""
@@ -101,19 +107,14 @@
         age = self.feed_client.upstream.tracker.last_confirmed_age(monotonic())
         return None if age is None else int(age / MS)
 
-    async def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        frames = Frames(reader, writer)
+    async def _on_connection(self, frames: Frames, first: Record) -> None:
+        if not isinstance(first, Subscribe) or not self._accepts_followers():
+            return
+        self.followers[frames] = first.node
         try:
-            async with asyncio.timeout(self.write_timeout.total_seconds()):
-                first = await frames.read()
-            if isinstance(first, Subscribe) and self._accepts_followers():
-                self.followers[frames] = first.node
-                await serve_follower(frames, first.versions, self)
-        except (OSError, EOFError, DecodeError, TimeoutError, asyncio.CancelledError):
-            pass
+            await serve_follower(frames, first.versions, self)
         finally:
             self.followers.pop(frames, None)
-            frames.close()
 
     def _accepts_followers(self) -> bool:
         return self.is_open() and len(self.followers) < self.feed_client.upstream.follower_limit()
--- a/sparloom/settings/model.py
+++ b/sparloom/settings/model.py
@@ -60,6 +60,12 @@
     control: Address | None = None
 
 
+# Descriptors of a process that are kept for files.
+DESCRIPTORS_FOR_FILES = 200
+# Connections that each listener may have, however few descriptors there are.
+MINIMUM_CONNECTIONS = 16
+
+
 @define(frozen=True, slots=True)
 class Limits:
     """Resource limits of this process.
@@ -75,6 +81,17 @@
     memory_mb: int = 256
     descriptors: int = 1024
 
+    def connections(self, fraction: float) -> int:
+        """Return how many connections a listener may have that is entitled to this fraction of the sockets.
+
+        Examples
+        --------
+        >>> Limits(descriptors=4100).connections(0.4), Limits(descriptors=64).connections(0.1)
+        (1560, 16)
+        """
+        sockets = max(self.descriptors - DESCRIPTORS_FOR_FILES, self.descriptors // 4)
+        return max(MINIMUM_CONNECTIONS, int(sockets * fraction))
+
 
 @define(frozen=True, slots=True)
 class ToleratedLosses:
--- /dev/null
+++ b/sparloom/transport/http_server.py
@@ -0,0 +1,197 @@
+"""HTTP servers that bound what the clients of one listener can make the process keep.
+
+``BoundedServer`` bounds the number of connections, and ``BoundedConnection`` what
+is read ahead on one of them. Whoever reads a body accounts for it
+(``sparloom.admission.ByteBudget``).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any, cast
+
+from absl import logging
+from aiohttp import web
+
+from .clock import monotonic
+from .http_client import READ_CHUNK_BYTES, limit_read_size
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+# The library's limit on a line and a field of a head.
+DEFAULT_LINE_BYTES = 8190
+# Bytes of a body that wait for their reader before the connection is read no further.
+READ_BUFFER_BYTES = 32 << 10
+# How long the rest of a body is read and dropped after its request was refused, so that the client sees the answer.
+LINGERING_TIME_S = 2.0
+# A client that has sent or taken nothing for this long may lose its connection to another.
+STALL = timedelta(seconds=1)
+# Private attributes of aiohttp's request handler that this module relies on.
+_REQUIRED_SLOTS = {"_waiter", "_messages", "_request_in_progress"}
+
+
+class BoundedConnection(web.RequestHandler):
+    """The protocol of one connection.
+
+    Attributes
+    ----------
+    last_active_at: when data last arrived or a request last ended, on the monotonic clock.
+    partial: whether an incomplete request head has arrived while no request was in progress.
+    """
+
+    __slots__ = ("_blocked_since", "_payload", "_socket", "last_active_at", "partial")
+
+    def __init__(self, server: BoundedServer, **options: Any) -> None:
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]  # aiohttp accepts None, its annotation doesn't
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGERING_TIME_S,
+            **options,
+        )
+        self.partial = False
+        self.last_active_at = monotonic()
+        self._socket: asyncio.Transport | None = None
+        self._payload: Any = None
+        self._blocked_since: timedelta | None = None
+
+    # -- state --------------------------------------------------------------------
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress and no part of the next one has been read."""
+        return self._awaits_request and not self.partial
+
+    @property
+    def _awaits_request(self) -> bool:
+        """Whether aiohttp waits for the next request and has none queued."""
+        return self._waiter is not None and not self._waiter.done() and not self._messages
+
+    def is_evictable(self, now: timedelta) -> bool:
+        """Whether another connection may take this one's place: it waits for a request or for its client."""
+        if self._awaits_request:
+            return True
+        if self._blocked_since is not None:
+            return now - self._blocked_since >= STALL
+        return self._receives_body and now - self.last_active_at >= STALL
+
+    @property
+    def _receives_body(self) -> bool:
+        return self._payload is not None and not self._payload.is_eof()
+
+    # -- the connection -----------------------------------------------------------
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection, which may close another one."""
+        super().connection_made(transport)
+        self._socket = cast("asyncio.Transport", transport)
+        limit_read_size(transport, READ_CHUNK_BYTES)
+        cast("BoundedServer", self._manager).add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give back what the connection holds."""
+        if self._manager is not None:
+            cast("BoundedServer", self._manager).remove(self)
+        self._socket = self._payload = None
+        super().connection_lost(exc)
+
+    def abort(self) -> None:
+        """Close the connection at once; what was not sent yet is dropped."""
+        if self._socket is not None:
+            self._socket.abort()
+
+    def pause_writing(self) -> None:
+        """Record since when the client takes nothing."""
+        super().pause_writing()
+        self._blocked_since = monotonic()
+
+    def resume_writing(self) -> None:
+        """Record that the client takes data again."""
+        super().resume_writing()
+        self._blocked_since = None
+
+    # -- heads --------------------------------------------------------------------
+    def data_received(self, data: bytes) -> None:
+        """Process data, and note what the client is sending."""
+        super().data_received(data)
+        self.last_active_at = monotonic()
+        if self._messages:
+            self._payload = self._messages[-1][1]
+        self.partial = self._awaits_request and (self.partial or bool(data))
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is closed as soon as its last bytes are sent."""
+        return self._socket is not None and self._socket.is_closing()
+
+    @property
+    def peer(self) -> str:
+        """The address of the client, HOST:PORT; empty once the connection is closed."""
+        name = self._socket.get_extra_info("peername") if self._socket is not None else None
+        return f"{name[0]}:{name[1]}" if name else ""
+
+    def request_ended(self) -> None:
+        """Record that the current request has ended."""
+        self.last_active_at = monotonic()
+
+
+class BoundedServer(web.Server):
+    """An HTTP server with a bound on its connections.
+
+    Parameters
+    ----------
+    handler: answers a request.
+    maximum_connections: the number of connections above which the one that has been idle for longest is closed.
+    """
+
+    def __init__(
+        self, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]], maximum_connections: int
+    ) -> None:
+        super().__init__(self._run_handler, handler_cancellation=True)
+        if not set(web.RequestHandler.__slots__).issuperset(_REQUIRED_SLOTS):
+            raise RuntimeError("this version of aiohttp doesn't show which connections are idle")
+        self._handler = handler
+        self.maximum_connections = maximum_connections
+        self.evicted_connections = 0
+        self._open: dict[BoundedConnection, None] = {}
+
+    def __call__(self) -> BoundedConnection:
+        """Return the protocol of a new connection."""
+        return BoundedConnection(self, max_field_size=DEFAULT_LINE_BYTES, max_line_size=DEFAULT_LINE_BYTES)
+
+    async def _run_handler(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = cast("BoundedConnection", request.protocol)
+        try:
+            return await self._handler(request)
+        finally:
+            connection.request_ended()
+
+    def open_connections(self) -> list[BoundedConnection]:
+        """Return all connections, also those that are closing."""
+        return list(self._open)
+
+    def add(self, connection: BoundedConnection) -> None:
+        """Register a new connection; where there are too many, another one is closed, or else this one."""
+        self._open[connection] = None
+        if len(self._open) > self.maximum_connections:
+            self._evict(connection)
+
+    def remove(self, connection: BoundedConnection) -> None:
+        """Forget a connection that is closed."""
+        self._open.pop(connection, None)
+
+    def _evict(self, newcomer: BoundedConnection) -> None:
+        now = monotonic()
+        candidates = (other for other in self._open if other is not newcomer and other.is_evictable(now))
+        victim = min(candidates, key=lambda other: other.last_active_at, default=newcomer)
+        self.evicted_connections += 1
+        if self.evicted_connections.bit_count() == 1:
+            logging.info(
+                "server: connection closed for another one peer=%s connections=%d closed=%d",
+                victim.peer,
+                len(self._open),
+                self.evicted_connections,
+            )
+        self.remove(victim)
+        victim.abort()
--- a/tests/controller/test_consensus_service.py
+++ b/tests/controller/test_consensus_service.py
@@ -54,7 +54,8 @@
             self.consensus.settings, bounds=evolve(self.consensus.settings.bounds, contact=timedelta(0))
         )
         transport = mock.Mock()
-        await self.consensus._serve_connection(asyncio.StreamReader(), SimpleNamespace(transport=transport))
+        server = self.consensus._frame_server()
+        await server._on_connection(asyncio.StreamReader(), SimpleNamespace(transport=transport))
         transport.abort.assert_called_once()
 
     async def test_a_full_copy_queue_drops_the_oldest_copies(self):
--- /dev/null
+++ b/tests/transport/test_bounded_servers.py
@@ -0,0 +1,138 @@
+"""Regression tests: nothing bounded the number of connections to a listener."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from aiohttp import web
+
+from sparloom.feed import Subscribe
+from sparloom.settings import Address, Limits
+from sparloom.transport import bind, dial
+from sparloom.transport.frame_server import FrameServer
+from sparloom.transport.http_server import BoundedServer
+
+MAXIMUM_CONNECTIONS = 4
+SECOND = timedelta(seconds=1)
+REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+
+
+class HttpConnections(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.go_on = asyncio.Event()
+        self.bodies = []
+        self.server = BoundedServer(self.answer, MAXIMUM_CONNECTIONS)
+        runner = web.ServerRunner(self.server, shutdown_timeout=0.1)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.SockSite(runner, bind(Address("127.0.0.1", 0)))
+        await site.start()
+        self.port = runner.addresses[0][1]
+
+    async def answer(self, request):
+        self.bodies.append(await request.content.read(-1))
+        if request.path == "/wait":
+            await self.go_on.wait()
+        return web.Response(text="ok")
+
+    async def connect(self, sent=b""):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(sent)
+        await asyncio.sleep(0.02)
+        return reader, writer
+
+    async def is_closed(self, reader):
+        try:
+            async with asyncio.timeout(0.05):
+                return not await reader.read(1 << 16)
+        except ConnectionResetError:
+            return True
+        except TimeoutError:
+            return False
+
+    async def test_the_connection_that_rested_longest_makes_room(self):
+        first = [await self.connect() for _ in range(MAXIMUM_CONNECTIONS)]
+        latest = await self.connect()
+        closed = [await self.is_closed(reader) for reader, _ in (*first, latest)]
+        self.assertEqual(closed, [True, False, False, False, False])
+        self.assertEqual(len(self.server.open_connections()), MAXIMUM_CONNECTIONS)
+
+    async def test_connections_with_a_request_in_progress_are_kept(self):
+        busy = [await self.connect(REQUEST.replace(b"/ ", b"/wait ") + b"hello") for _ in range(MAXIMUM_CONNECTIONS)]
+        late, _ = await self.connect(REQUEST + b"hello")
+        self.assertTrue(await self.is_closed(late))
+        self.go_on.set()
+        for reader, _ in busy:
+            self.assertTrue((await reader.read(1 << 16)).startswith(b"HTTP/1.1 200 "))
+
+    async def test_a_client_that_stopped_inside_its_body_makes_room(self):
+        stopped = [await self.connect(REQUEST + b"he") for _ in range(MAXIMUM_CONNECTIONS)]
+        await asyncio.sleep(1.1)
+        reader, _ = await self.connect(REQUEST + b"hello")
+        self.assertTrue((await reader.read(1 << 16)).startswith(b"HTTP/1.1 200 "))
+        self.assertTrue(await self.is_closed(stopped[0][0]))
+
+
+class FrameConnections(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.served = []
+        server = FrameServer(self.serve, MAXIMUM_CONNECTIONS, 30 * SECOND)
+        listen_socket = bind(Address("127.0.0.1", 0))
+        self.address = listen_socket.getsockname()
+        await server.start(listen_socket)
+        self.addCleanup(server.close)
+
+    async def serve(self, frames, first):
+        self.served.append(first.node)
+        await frames.read()
+
+    async def connect(self, name=""):
+        frames = await dial(*self.address, SECOND)
+        self.addCleanup(frames.close)
+        if name:
+            await frames.write(Subscribe(name, 0, 0, 0, 0))
+        await asyncio.sleep(0.02)
+        return frames
+
+    async def test_connections_without_a_record_make_room_and_nodes_keep_theirs(self):
+        node = await self.connect("router-1")
+        for _ in range(3 * MAXIMUM_CONNECTIONS):
+            await self.connect()
+        await self.connect("router-2")
+        self.assertEqual(self.served, ["router-1", "router-2"])
+        self.assertFalse(node.reader.at_eof())
+
+    async def test_a_node_too_many_is_closed(self):
+        names = [f"router-{number}" for number in range(MAXIMUM_CONNECTIONS + 1)]
+        connections = [await self.connect(name) for name in names]
+        self.assertEqual(self.served, names[:-1])
+        with self.assertRaises((EOFError, OSError)):
+            async with asyncio.timeout(5):
+                await connections[-1].read()
+
+
+class ConnectionLimitsTest(unittest.TestCase):
+    def test_all_listeners_together_leave_sockets_for_calls_and_files(self):
+        from sparloom.controller import consensus_service, control_api
+        from sparloom.router import frontend, relay_server
+
+        for descriptors in (500, 1024, 4100):
+            limits = Limits(descriptors=descriptors)
+            router = sum(
+                map(
+                    limits.connections,
+                    (
+                        frontend.CLIENT_CONNECTION_FRACTION,
+                        frontend.READINESS_CONNECTION_FRACTION,
+                        relay_server.FOLLOWER_CONNECTION_FRACTION,
+                    ),
+                )
+            )
+            controller = limits.connections(control_api.CONTROL_CONNECTION_FRACTION)
+            controller += limits.connections(consensus_service.INTERNAL_CONNECTION_FRACTION)
+            self.assertLess(max(router, controller), 0.9 * (descriptors - 200))
+
+
+if __name__ == "__main__":
+    unittest.main()
