Heads are bounded on each connection, and in sum

What callers saw: clients that never end their head, or send many requests ahead of an answer, took the memory of a router with 96 connections, and of a controller with 140.

Cause: the library bounds a line, a field and their number, which together are 8 MB of a head at a router and 1 MB elsewhere, and it keeps 32 requests ahead; maxHeaderBytes was looked at once a head was complete.

Change: a connection counts the bytes that are no part of a body. A head that is larger than maxHeaderBytes (32 KiB on the other listeners) and one read is refused with 431 and closed; requests ahead are read no further until the current one has ended. Heads beyond 8 KiB take four times their bytes from the process's account, the memory that they have once parsed; slow ones make room for others.

--- a/sparloom/router/client_connections.py
+++ b/sparloom/router/client_connections.py
@@ -63,6 +63,7 @@
     Parameters
     ----------
     idle_timeout: returns the idle timeout that applies now.
+    maximum_head_bytes: returns the largest head that a client may send now.
     """
 
     def __init__(
@@ -70,14 +71,20 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         maximum_connections: int,
         idle_timeout: Callable[[], timedelta],
+        maximum_head_bytes: Callable[[], int],
     ) -> None:
         super().__init__(handler, maximum_connections)
         self.idle_timeout = idle_timeout
+        self._maximum_head_bytes = maximum_head_bytes
 
     def __call__(self) -> ClientConnection:
         """Return the protocol of a new connection."""
         return ClientConnection(self)
 
+    def maximum_head_bytes(self) -> int:
+        """Return the largest head that a client may send, by the current configuration."""
+        return self._maximum_head_bytes()
+
     def _client_connections(self) -> list[ClientConnection]:
         return cast("list[ClientConnection]", self.connections)
 
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -13,7 +13,7 @@
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
-from sparloom.transport.http_server import BoundedServer
+from sparloom.transport.http_server import DEFAULT_HEAD_BYTES, BoundedServer
 
 from .client_connections import MINIMUM_IDLE_TIMEOUT, ClientServer
 from .forwarding import RequestForwarder
@@ -126,7 +126,9 @@
     def create_client_server(self) -> ClientServer:
         """Create the server for clients."""
         maximum_connections = self.settings.limits.connections(CLIENT_CONNECTION_FRACTION)
-        self.client_server = ClientServer(self._handle, maximum_connections, self.idle_timeout)
+        self.client_server = ClientServer(
+            self._handle, maximum_connections, self.idle_timeout, self._maximum_head_bytes
+        )
         return self.client_server
 
     async def serve(self, server: web.Server, listen_socket: socket.socket) -> web.ServerRunner:
@@ -144,6 +146,10 @@
         for runner in self._server_runners:
             await runner.cleanup()
 
+    def _maximum_head_bytes(self) -> int:
+        configuration = self.node.configuration
+        return DEFAULT_HEAD_BYTES if configuration is None else configuration.limits.maximum_header_bytes
+
     def idle_timeout(self) -> timedelta:
         """Return how long a client's connection may be idle: the configured time, but at least the minimum."""
         configuration = self.node.configuration
--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -1,8 +1,9 @@
 """HTTP servers that bound what the clients of one listener can make the process keep.
 
-``BoundedServer`` bounds the number of connections, and ``BoundedConnection`` what
-is read ahead on one of them. Whoever reads a body accounts for it
-(``sparloom.admission.ByteBudget``).
+``BoundedServer`` bounds the number of connections. ``BoundedConnection`` bounds
+what one connection holds beside the body of the current request: heads that
+never end, and requests that are sent before the current one is answered. Whoever
+reads a body accounts for it (``sparloom.admission.ByteBudget``).
 """
 
 from __future__ import annotations
@@ -14,22 +15,36 @@
 from absl import logging
 from aiohttp import web
 
+from sparloom.admission import HoldingKind, process_budget
+
 from .clock import monotonic
 from .http_client import READ_CHUNK_BYTES, limit_read_size
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from sparloom.admission import Holding
+
+# Largest head on a listener that has no configured limit.
+DEFAULT_HEAD_BYTES = 32 << 10
 # The library's limit on a line and a field of a head.
 DEFAULT_LINE_BYTES = 8190
 # Bytes of a body that wait for their reader before the connection is read no further.
 READ_BUFFER_BYTES = 32 << 10
+# Heads up to this size are not accounted for one by one.
+UNACCOUNTED_HEAD_BYTES = 8 << 10
+# Memory of a parsed head per byte on the wire.
+PARSED_HEAD_FACTOR = 4
 # How long the rest of a body is read and dropped after its request was refused, so that the client sees the answer.
 LINGERING_TIME_S = 2.0
 # A client that has sent or taken nothing for this long may lose its connection to another.
 STALL = timedelta(seconds=1)
 # Private attributes of aiohttp's request handler that this module relies on.
 _REQUIRED_SLOTS = {"_waiter", "_messages", "_request_in_progress"}
+_REQUIRED_METHODS = ("_pause_reading_for_buffer", "_resume_reading_if_drained")
+
+_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+_UNAVAILABLE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 0.2\r\nConnection: close\r\n\r\n"
 
 
 class BoundedConnection(web.RequestHandler):
@@ -41,7 +56,7 @@
     partial: whether an incomplete request head has arrived while no request was in progress.
     """
 
-    __slots__ = ("_blocked_since", "_payload", "_socket", "last_active_at", "partial")
+    __slots__ = ("_blocked_since", "_head_bytes", "_holding", "_payload", "_socket", "last_active_at", "partial")
 
     def __init__(self, server: BoundedServer, **options: Any) -> None:
         super().__init__(
@@ -56,6 +71,8 @@
         self.last_active_at = monotonic()
         self._socket: asyncio.Transport | None = None
         self._payload: Any = None
+        self._head_bytes = 0
+        self._holding: Holding | None = None
         self._blocked_since: timedelta | None = None
 
     # -- state --------------------------------------------------------------------
@@ -93,6 +110,8 @@
         """Give back what the connection holds."""
         if self._manager is not None:
             cast("BoundedServer", self._manager).remove(self)
+        if self._holding is not None:
+            process_budget().close(self._holding)
         self._socket = self._payload = None
         super().connection_lost(exc)
 
@@ -113,12 +132,45 @@
 
     # -- heads --------------------------------------------------------------------
     def data_received(self, data: bytes) -> None:
-        """Process data, and note what the client is sending."""
+        """Process data, and count it if it is no part of a body."""
+        is_body = self._receives_body
         super().data_received(data)
         self.last_active_at = monotonic()
         if self._messages:
             self._payload = self._messages[-1][1]
         self.partial = self._awaits_request and (self.partial or bool(data))
+        if data and not is_body:
+            self._count_head(len(data))
+
+    def _count_head(self, size: int) -> None:
+        """Count bytes of heads; refuse a head, or stop reading, where they are too many."""
+        self._head_bytes += size
+        maximum_bytes = cast("BoundedServer", self._manager).maximum_head_bytes() + READ_CHUNK_BYTES
+        if self._head_bytes > maximum_bytes:
+            self._stop_reading(_TOO_LARGE)
+        elif not self._account_for_head():
+            self._stop_reading(_UNAVAILABLE)
+
+    def _account_for_head(self) -> bool:
+        if self._head_bytes <= UNACCOUNTED_HEAD_BYTES:
+            return True
+        budget, now = process_budget(), monotonic()
+        if self._holding is None:
+            self._holding = budget.open(HoldingKind.REQUEST_HEADS, self.peer, now)
+        self._holding.evict = self.abort if self.partial else None
+        self._holding.record_progress(0, now)
+        return budget.resize(self._holding, self._head_bytes * PARSED_HEAD_FACTOR, now)
+
+    def _stop_reading(self, refusal: bytes) -> None:
+        """Refuse an incomplete head, or read no more requests until the current one has ended."""
+        if not self.partial:
+            if not self._buffer_paused:
+                self._pause_reading_for_buffer()
+            return
+        logging.info("server: head refused peer=%s bytes=%d budget=%s", self.peer, self._head_bytes, _figures())
+        if self._socket is not None:
+            self._socket.write(refusal)
+        self.force_close()
 
     @property
     def is_closing(self) -> bool:
@@ -132,8 +184,14 @@
         return f"{name[0]}:{name[1]}" if name else ""
 
     def request_ended(self) -> None:
-        """Record that the current request has ended."""
+        """Record that the current request has ended, and read the next ones."""
         self.last_active_at = monotonic()
+        self._head_bytes = 0
+        if self._holding is not None:
+            process_budget().close(self._holding)
+            self._holding = None
+        if self._buffer_paused:
+            self._resume_reading_if_drained()
 
 
 class BoundedServer(web.Server):
@@ -151,6 +209,8 @@
         super().__init__(self._run_handler, handler_cancellation=True)
         if not set(web.RequestHandler.__slots__).issuperset(_REQUIRED_SLOTS):
             raise RuntimeError("this version of aiohttp doesn't show which connections are idle")
+        if not all(hasattr(web.RequestHandler, name) for name in _REQUIRED_METHODS):
+            raise RuntimeError("this version of aiohttp has no means to stop reading a connection")
         self._handler = handler
         self.maximum_connections = maximum_connections
         self.evicted_connections = 0
@@ -167,6 +227,10 @@
         finally:
             connection.request_ended()
 
+    def maximum_head_bytes(self) -> int:
+        """Return the largest head that a client may send."""
+        return DEFAULT_HEAD_BYTES
+
     def open_connections(self) -> list[BoundedConnection]:
         """Return all connections, also those that are closing."""
         return list(self._open)
@@ -195,3 +259,8 @@
             )
         self.remove(victim)
         victim.abort()
+
+
+def _figures() -> str:
+    figures = process_budget().figures()
+    return f"{figures['held']}/{figures['capacity']}"
--- a/tests/transport/test_bounded_servers.py
+++ b/tests/transport/test_bounded_servers.py
@@ -1,16 +1,19 @@
-"""Regression tests: nothing bounded the number of connections to a listener."""
+"""Regression tests: nothing bounded the connections to a listener, nor the heads on one of them."""
 
 import asyncio
+import contextlib
 import unittest
 from datetime import timedelta
 
 from aiohttp import web
 
+from sparloom.admission import process_budget
 from sparloom.feed import Subscribe
 from sparloom.settings import Address, Limits
 from sparloom.transport import bind, dial
 from sparloom.transport.frame_server import FrameServer
-from sparloom.transport.http_server import BoundedServer
+from sparloom.transport.http_client import READ_CHUNK_BYTES
+from sparloom.transport.http_server import DEFAULT_HEAD_BYTES, BoundedServer
 
 MAXIMUM_CONNECTIONS = 4
 SECOND = timedelta(seconds=1)
@@ -73,6 +76,47 @@
         self.assertTrue((await reader.read(1 << 16)).startswith(b"HTTP/1.1 200 "))
         self.assertTrue(await self.is_closed(stopped[0][0]))
 
+    async def test_a_head_without_end_is_refused_and_its_connection_closed(self):
+        reader, writer = await self.connect(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        field = b"X-Field: " + b"x" * 4000 + b"\r\n"
+        with contextlib.suppress(ConnectionError):
+            for _ in range(100):
+                writer.write(field)
+                await writer.drain()
+        with contextlib.suppress(ConnectionError):
+            answer = await reader.read(1 << 16)
+            self.assertTrue(not answer or answer.startswith(b"HTTP/1.1 431 "), answer[:20])
+        self.assertEqual((self.bodies, process_budget().held), ([], 0))
+
+    async def test_requests_sent_ahead_are_read_one_after_the_other(self):
+        ahead = 40
+        field = b"X-Field: " + b"x" * 8000 + b"\r\n\r\n"
+        request = REQUEST.replace(b"\r\n\r\n", b"\r\n") + field
+        _, writer = await self.connect(REQUEST.replace(b"/ ", b"/wait ") + b"hello")
+        for _ in range(ahead):
+            writer.write(request + b"hello")
+        await asyncio.sleep(0.1)
+        (connection,) = self.server.open_connections()
+        self.assertLess(len(connection._messages), ahead // 2)
+        self.assertLessEqual(process_budget().held, 4 * (DEFAULT_HEAD_BYTES + 2 * READ_CHUNK_BYTES))
+        self.go_on.set()
+        async with asyncio.timeout(10):
+            while len(self.bodies) < ahead + 1:
+                await asyncio.sleep(0.01)
+        self.assertEqual((set(self.bodies), process_budget().held), ({b"hello"}, 0))
+
+    async def test_a_part_of_a_head_makes_room_where_the_budget_is_used_up(self):
+        budget = process_budget()
+        self.addCleanup(setattr, budget, "capacity", budget.capacity)
+        budget.capacity = 100_000
+        start = b"POST / HTTP/1.1\r\nHost: h\r\nX-Field: " + b"x" * 7000 + b"\r\nX-Other: " + b"x" * 7000
+        slow, _ = await self.connect(start)
+        self.assertGreater(budget.held, 50_000)
+        await asyncio.sleep(1.1)
+        reader, _ = await self.connect(start + b"\r\nContent-Length: 5\r\n\r\nhello")
+        self.assertTrue((await reader.read(1 << 16)).startswith(b"HTTP/1.1 200 "))
+        self.assertTrue(await self.is_closed(slow))
+
 
 class FrameConnections(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
