Bytes that are no request are not kept until the current one ends

What callers saw: 140 clients that send 8 MB behind a request for another protocol took a router over 200 MB, and each left a traceback with its bytes in the log.

Cause: what comes behind a request and can't be parsed, or comes behind an upgrade, waits in the library until that request has ended; the former as a text of eight times its size, which is then logged and sent back.

Change: such bytes are dropped. An upgrade is never accepted, so the connection closes after its request. The answer to bytes that are no request is an empty 400, and the log names the peer and the error only.

--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -10,10 +10,13 @@
 
 import asyncio
 from datetime import timedelta
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, cast
 
 from absl import logging
 from aiohttp import web
+from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.web_protocol import _ErrInfo
 
 from sparloom.admission import HoldingKind, process_budget
 
@@ -133,8 +136,13 @@
     # -- heads --------------------------------------------------------------------
     def data_received(self, data: bytes) -> None:
         """Process data, and count it if it is no part of a body."""
+        if self._upgraded:
+            # The connection closes after the current request.
+            return
         is_body = self._receives_body
         super().data_received(data)
+        if self._messages:
+            self._shorten_last_message()
         self.last_active_at = monotonic()
         if self._messages:
             self._payload = self._messages[-1][1]
@@ -142,6 +150,18 @@
         if data and not is_body:
             self._count_head(len(data))
 
+    def _shorten_last_message(self) -> None:
+        """Keep nothing of bytes that are no request, nor of those behind an upgrade, which is never accepted.
+
+        The library keeps both until the current request has ended: the former as a text of eight times their size.
+        """
+        message, payload = self._messages[-1]
+        if isinstance(message, _ErrInfo):
+            self._messages[-1] = (_ErrInfo(status=message.status, exc=BadHttpMessage(""), message=""), payload)
+        elif self._upgraded:
+            self._messages[-1] = (message._replace(should_close=True), payload)
+            self._message_tail = b""
+
     def _count_head(self, size: int) -> None:
         """Count bytes of heads; refuse a head, or stop reading, where they are too many."""
         self._head_bytes += size
@@ -172,6 +192,21 @@
             self._socket.write(refusal)
         self.force_close()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer bytes that are no request; neither the log nor the answer repeats them, as the library's would."""
+        if status != HTTPStatus.BAD_REQUEST:
+            return super().handle_error(request, status, exc, message)
+        logging.info("server: no request peer=%s error=%s", self.peer, type(exc).__name__)
+        response = web.Response(status=status)
+        response.force_close()
+        return response
+
     @property
     def is_closing(self) -> bool:
         """Whether the connection is closed as soon as its last bytes are sent."""
--- a/tests/transport/test_bounded_servers.py
+++ b/tests/transport/test_bounded_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import unittest
 from datetime import timedelta
 
@@ -105,6 +106,16 @@
                 await asyncio.sleep(0.01)
         self.assertEqual((set(self.bodies), process_budget().held), ({b"hello"}, 0))
 
+    async def test_bytes_that_are_no_request_are_neither_logged_nor_sent_back(self):
+        upgrade = REQUEST.replace(b"Host: h", b"Host: h\r\nConnection: upgrade\r\nUpgrade: websocket") + b"hello"
+        for start, statuses in ((b"", [b"400"]), (REQUEST + b"hello", [b"200", b"400"]), (upgrade, [b"200"])):
+            with self.assertNoLogs("aiohttp", "INFO"):
+                reader, writer = await self.connect(start)
+                writer.write(b"\x00" * 50_000)
+                answer = await reader.read(-1)
+            self.assertEqual(re.findall(rb"HTTP/1.\d (\d+)", answer), statuses)
+            self.assertLess(len(answer), 1000)
+
     async def test_a_part_of_a_head_makes_room_where_the_budget_is_used_up(self):
         budget = process_budget()
         self.addCleanup(setattr, budget, "capacity", budget.capacity)
