Only heads are counted as heads

Cause: the count of heads took all bytes of a read that began with a head, also those of a body behind it, four times in the account: a body of 64 KB that came with its head would have taken 256 KB.

Change: where a read completes heads, the sizes of their fields count; the account of an incomplete head is as it was.

--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -59,7 +59,16 @@
     partial: whether an incomplete request head has arrived while no request was in progress.
     """
 
-    __slots__ = ("_blocked_since", "_head_bytes", "_holding", "_payload", "_socket", "last_active_at", "partial")
+    __slots__ = (
+        "_blocked_since",
+        "_head_bytes",
+        "_holding",
+        "_partial_bytes",
+        "_payload",
+        "_socket",
+        "last_active_at",
+        "partial",
+    )
 
     def __init__(self, server: BoundedServer, **options: Any) -> None:
         super().__init__(
@@ -74,7 +83,8 @@
         self.last_active_at = monotonic()
         self._socket: asyncio.Transport | None = None
         self._payload: Any = None
-        self._head_bytes = 0
+        # Bytes of the complete heads of the current request and of those behind it, and of the incomplete one.
+        self._head_bytes = self._partial_bytes = 0
         self._holding: Holding | None = None
         self._blocked_since: timedelta | None = None
 
@@ -139,7 +149,7 @@
         if self._upgraded:
             # The connection closes after the current request.
             return
-        is_body = self._receives_body
+        is_body, queued = self._receives_body, len(self._messages)
         super().data_received(data)
         if self._messages:
             self._shorten_last_message()
@@ -148,7 +158,7 @@
             self._payload = self._messages[-1][1]
         self.partial = self._awaits_request and (self.partial or bool(data))
         if data and not is_body:
-            self._count_head(len(data))
+            self._count_heads(len(data), [message for message, _ in list(self._messages)[queued:]])
 
     def _shorten_last_message(self) -> None:
         """Keep nothing of bytes that are no request, nor of those behind an upgrade, which is never accepted.
@@ -162,24 +172,30 @@
             self._messages[-1] = (message._replace(should_close=True), payload)
             self._message_tail = b""
 
-    def _count_head(self, size: int) -> None:
-        """Count bytes of heads; refuse a head, or stop reading, where they are too many."""
-        self._head_bytes += size
+    def _count_heads(self, size: int, complete: list[Any]) -> None:
+        """Count bytes that began with a head, and the heads that they complete; stop where these are too large."""
+        self._partial_bytes += size
+        if complete:
+            # Behind the heads there may be a body, which counts elsewhere.
+            is_small = self._partial_bytes <= UNACCOUNTED_HEAD_BYTES
+            self._head_bytes += self._partial_bytes if is_small else sum(map(_head_size, complete))
+            self._partial_bytes = 0
         maximum_bytes = cast("BoundedServer", self._manager).maximum_head_bytes() + READ_CHUNK_BYTES
-        if self._head_bytes > maximum_bytes:
+        if self._head_bytes + self._partial_bytes > maximum_bytes:
             self._stop_reading(_TOO_LARGE)
         elif not self._account_for_head():
             self._stop_reading(_UNAVAILABLE)
 
     def _account_for_head(self) -> bool:
-        if self._head_bytes <= UNACCOUNTED_HEAD_BYTES:
+        size = self._head_bytes + self._partial_bytes
+        if size <= UNACCOUNTED_HEAD_BYTES:
             return True
         budget, now = process_budget(), monotonic()
         if self._holding is None:
             self._holding = budget.open(HoldingKind.REQUEST_HEADS, self.peer, now)
         self._holding.evict = self.abort if self.partial else None
         self._holding.record_progress(0, now)
-        return budget.resize(self._holding, self._head_bytes * PARSED_HEAD_FACTOR, now)
+        return budget.resize(self._holding, size * PARSED_HEAD_FACTOR, now)
 
     def _stop_reading(self, refusal: bytes) -> None:
         """Refuse an incomplete head, or read no more requests until the current one has ended."""
@@ -187,7 +203,7 @@
             if not self._buffer_paused:
                 self._pause_reading_for_buffer()
             return
-        logging.info("server: head refused peer=%s bytes=%d budget=%s", self.peer, self._head_bytes, _figures())
+        logging.info("server: head refused peer=%s bytes=%d budget=%s", self.peer, self._partial_bytes, _figures())
         if self._socket is not None:
             self._socket.write(refusal)
         self.force_close()
@@ -221,7 +237,7 @@
     def request_ended(self) -> None:
         """Record that the current request has ended, and read the next ones."""
         self.last_active_at = monotonic()
-        self._head_bytes = 0
+        self._head_bytes = sum(_head_size(message) for message, _ in self._messages)
         if self._holding is not None:
             process_budget().close(self._holding)
             self._holding = None
@@ -296,6 +312,11 @@
         victim.abort()
 
 
+def _head_size(message: Any) -> int:
+    """Return the bytes of the fields of a parsed head; 0 for bytes that were no request."""
+    return sum(len(name) + len(value) for name, value in getattr(message, "raw_headers", ()))
+
+
 def _figures() -> str:
     figures = process_budget().figures()
     return f"{figures['held']}/{figures['capacity']}"
--- a/tests/transport/test_bounded_servers.py
+++ b/tests/transport/test_bounded_servers.py
@@ -116,6 +116,13 @@
             self.assertEqual(re.findall(rb"HTTP/1.\d (\d+)", answer), statuses)
             self.assertLess(len(answer), 1000)
 
+    async def test_a_body_that_comes_with_its_head_is_no_head(self):
+        body = b"x" * 40_000
+        request = REQUEST.replace(b"/ ", b"/wait ").replace(b": 5", b": %d" % len(body))
+        await self.connect(request + body)
+        self.assertEqual((len(self.bodies), process_budget().held), (1, 0))
+        self.go_on.set()
+
     async def test_a_part_of_a_head_makes_room_where_the_budget_is_used_up(self):
         budget = process_budget()
         self.addCleanup(setattr, budget, "capacity", budget.capacity)
