Bodies of clients take their bytes from the account of the process

What callers saw: 96 clients that each send a legal body of 4 MB and stop just short of its end, whole, in pieces or compressed, or whose runner is silent, took a router over 200 MB, and all other requests ended with it.

Cause: read_body bounded each body, nothing their sum; a body that stops short stayed for the idle timeout.

Change: router/request_body.py takes the declared bytes from the process's account before anything else waits, and gives them back when the request has ended, in whatever way. Where they don't fit, the request is refused with 503 and Retry-After and its connection closed; it was never passed on.

--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from mode import Service
 
+from sparloom.configuration import RequestLimits
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
 from sparloom.transport import bind, monotonic
@@ -21,7 +22,8 @@
 from .headers import AUTHORIZATION, AUTHORIZATION_SCHEME, time_remaining
 from .outcomes import Outcome, Outcomes
 from .refusal import UNAVAILABLE, closing_response
-from .request import RequestBodyError, parse_request, read_body
+from .request import parse_request
+from .request_body import RequestBody, RequestBodyError
 
 if TYPE_CHECKING:
     import socket
@@ -191,21 +193,29 @@
 
     async def _respond(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Read a request, match it to a route, authorize it and forward it."""
-        received_at, state = monotonic(), self.node.router_state
+        received_at = monotonic()
         if self.settings.deployment not in (MODEL_DEPLOYMENT, JOB_DEPLOYMENT):
             # Requests of an unknown deployment kind may be ones that must not be forwarded. Nothing has run, so that
             # 503 is valid.
             return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNKNOWN_DEPLOYMENT_S})
+        with RequestBody(http_request) as body:
+            try:
+                return await self._respond_to(http_request, body, received_at)
+            except RequestBodyError as error:
+                return closing_response(error.status)
+
+    async def _respond_to(
+        self, http_request: web.BaseRequest, request_body: RequestBody, received_at: timedelta
+    ) -> web.StreamResponse:
+        state = self.node.router_state
+        request_body.reserve(state.configuration.limits if state.configuration else RequestLimits())
         await self.node.wait_for_prefixes(time_remaining(http_request.headers, self.settings.bounds.contact))
         if state.configuration is None:
             return web.Response(status=UNAVAILABLE, headers={"Retry-After": RETRY_AFTER_UNCONFIGURED_S})
         limits = state.configuration.limits
         if _headers_size_bytes(http_request) > limits.maximum_header_bytes:
             return web.Response(status=HEADERS_TOO_LARGE)
-        try:
-            body = await read_body(http_request, limits)
-        except RequestBodyError as error:
-            return closing_response(error.status)
+        body = await request_body.read(limits)
         # The configuration may have changed while the body was read.
         path = http_request.raw_path.partition("?")[0]
         route = state.configuration.match(http_request.headers.get("Host", ""), path)
--- a/sparloom/router/refusal.py
+++ b/sparloom/router/refusal.py
@@ -19,6 +19,8 @@
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 MINIMUM_RETRY_AFTER_S = 0.02
+# Retry-After of a request whose body there was no memory for.
+RETRY_AFTER_UNREAD_S = "0.2"
 # The default Retry-After as a fraction of the route's latency target.
 RETRY_AFTER_FRACTION = 1 / 16
 
@@ -54,6 +56,7 @@
 
 def closing_response(status: int) -> web.Response:
     """Return a response after which the connection is closed, because the request was not read completely."""
-    response = web.Response(status=status)
+    headers = {"Retry-After": RETRY_AFTER_UNREAD_S} if status == UNAVAILABLE else None
+    response = web.Response(status=status, headers=headers)
     response.force_close()
     return response
--- a/sparloom/router/request.py
+++ b/sparloom/router/request.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from attrs import define
 
-from sparloom.errors import SparloomError
 from sparloom.load_balancing import parse_parts
 from sparloom.retry.verdict import ResponseHead
 
@@ -26,7 +24,7 @@
     from aiohttp.web import BaseRequest
     from multidict import CIMultiDict
 
-    from sparloom.configuration import RequestLimits, Route
+    from sparloom.configuration import Route
     from sparloom.isolation import Isolation
 
     from .access import Access
@@ -37,8 +35,6 @@
 # A request without a prompt takes its affinity key from the last bytes of its attempt id.
 AFFINITY_KEY_BYTES = 8
 STATUSES_WITHOUT_BODY = (204, 304)
-CONTENT_TOO_LARGE = 413
-REQUEST_TIMEOUT = 408
 
 
 @define(frozen=True, slots=True, eq=False)
@@ -89,43 +85,6 @@
         return max(candidates, key=lambda part: part[1])[0]
 
 
-class RequestBodyError(SparloomError):
-    """The request body could not be read completely; ``status`` is the status code of the response."""
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
-
-async def read_body(http_request: BaseRequest, limits: RequestLimits) -> bytes:
-    """Return the complete body.
-
-    Raises
-    ------
-    RequestBodyError: the body exceeds the size limit, or doesn't arrive within the idle timeout.
-    """
-    declared = http_request.content_length or 0
-    if declared > limits.maximum_body_bytes:
-        raise RequestBodyError(
-            CONTENT_TOO_LARGE, f"request body of {declared} bytes exceeds the limit of {limits.maximum_body_bytes}"
-        )
-    chunks, size = [], 0
-    try:
-        async with asyncio.timeout(limits.idle_timeout.total_seconds()):
-            async for chunk in http_request.content.iter_any():
-                size += len(chunk)
-                if size > limits.maximum_body_bytes:
-                    raise RequestBodyError(
-                        CONTENT_TOO_LARGE, f"request body exceeds the limit of {limits.maximum_body_bytes} bytes"
-                    )
-                chunks.append(chunk)
-    except TimeoutError as error:
-        raise RequestBodyError(
-            REQUEST_TIMEOUT, f"request body incomplete after {limits.idle_timeout}, {size} bytes received"
-        ) from error
-    return b"".join(chunks)
-
-
 def deadline_of(headers: Mapping[str, str], route: Route, now: timedelta) -> timedelta:
     """Return when the client or the route stops waiting, on the monotonic clock."""
     return now + time_remaining(headers, route.timeout)
