A request body whose framing is invalid is refused at once

Cause: the library reports invalid framing inside a body as a second, bad request and leaves the reader of the body waiting, so that the bytes were held for the idle timeout (15 s) and answered 408; a controller waited 5 s.

Change: the reader is told, the answer is 400, and the bytes are given back.

--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -133,6 +133,8 @@
                 chunk = await request.content.readany()
         except TimeoutError:
             return Failure(error(HTTPStatus.REQUEST_TIMEOUT, "timed out while reading the body"))
+        except web.RequestPayloadError:
+            return Failure(error(HTTPStatus.BAD_REQUEST, "the body can't be read"))
         if not chunk:
             return Success(bytes(body))
         body += chunk
--- a/sparloom/router/request_body.py
+++ b/sparloom/router/request_body.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from absl import logging
+from aiohttp.web import RequestPayloadError
 
 from sparloom.admission import HoldingKind, process_budget
 from sparloom.errors import SparloomError
@@ -21,6 +22,7 @@
 
     from sparloom.configuration import RequestLimits
 
+BAD_REQUEST = 400
 CONTENT_TOO_LARGE = 413
 REQUEST_TIMEOUT = 408
 UNAVAILABLE = 503
@@ -75,7 +77,7 @@
 
         Raises
         ------
-        RequestBodyError: the body exceeds the size limit, doesn't arrive within the idle timeout, or was given up.
+        RequestBodyError: the body is too large or invalid, doesn't arrive within the idle timeout, or was given up.
         """
         if self._declared is not None and self._declared > limits.maximum_body_bytes:
             raise RequestBodyError(
@@ -96,6 +98,8 @@
             raise RequestBodyError(
                 REQUEST_TIMEOUT, f"request body incomplete after {limits.idle_timeout}, {len(body)} bytes received"
             ) from error
+        except RequestPayloadError as error:
+            raise RequestBodyError(BAD_REQUEST, f"invalid request body after {len(body)} bytes") from error
         finally:
             self._holding.evict = None
         return bytes(body)
--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -167,6 +167,10 @@
         """
         message, payload = self._messages[-1]
         if isinstance(message, _ErrInfo):
+            if self._receives_body:
+                # The library leaves the reader of a body waiting whose framing is invalid.
+                self._payload.set_exception(web.RequestPayloadError("invalid framing of a request body"))
+                self._payload.feed_eof()
             self._messages[-1] = (_ErrInfo(status=message.status, exc=BadHttpMessage(""), message=""), payload)
         elif self._upgraded:
             self._messages[-1] = (message._replace(should_close=True), payload)
--- a/tests/router/test_request_bodies.py
+++ b/tests/router/test_request_bodies.py
@@ -78,14 +78,15 @@
             self.assertIn(b" 413 ", await reader.readuntil(b"\r\n"))
             writer.transport.abort()
             await self.until_held(0)
-        chunked = b"POST /safe/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
-        for rest in (b"0\r\n\r\n", b"zz\r\n"):
+        chunked = b"POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+        for rest, status in ((b"0\r\n\r\n", b" 200 "), (b"zz\r\n", b" 400 ")):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.rig.port)
             writer.write(chunked)
             await asyncio.sleep(0.05)
             self.assertGreaterEqual(self.budget.held, 5)
             writer.write(rest)
-            await reader.readuntil(b"\r\n")
+            async with asyncio.timeout(5):
+                self.assertIn(status, await reader.readuntil(b"\r\n"))
             writer.transport.abort()
             await self.until_held(0)
 
