Compressed bodies of clients pass unchanged

What callers saw: a body with a Content-Encoding reached its runner unpacked under its old header (UNASKED), or was refused with 413 though it was within the limit; a few kilobytes of it took megabytes of the process.

Cause: the HTTP library unpacks bodies of requests unless it is told not to.

Change: no listener unpacks bodies.

Evidence: the new loopback test gets 413 on the old code and passes now.

--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -77,6 +77,7 @@
             access_log=None,  # type: ignore[arg-type]  # aiohttp accepts None, its annotation doesn't
             read_bufsize=READ_BUFFER_BYTES,
             lingering_time=LINGERING_TIME_S,
+            auto_decompress=False,
             **options,
         )
         self.partial = False
--- a/tests/router/test_request_bodies.py
+++ b/tests/router/test_request_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 
 from sparloom.admission import HoldingKind, process_budget
 from sparloom.transport import monotonic
@@ -90,6 +91,11 @@
             writer.transport.abort()
             await self.until_held(0)
 
+    async def test_a_compressed_body_reaches_its_runner_unchanged(self):
+        packed = gzip.compress(bytes(10 * BODY_BYTES))
+        answer = await self.rig.send("/safe/x", packed, ["Content-Encoding: gzip"])
+        self.assertEqual((answer.status, [request.body for request in self.received]), (200, [packed]))
+
     async def test_a_body_in_pieces_is_refused_where_it_no_longer_fits(self):
         other = self.budget.open(HoldingKind.ANSWERS, "other", monotonic())
         self.budget.resize(other, self.budget.capacity - BODY_BYTES // 2, monotonic())
