The server of frames shows its listening sockets

Cause: a loopback test of the relay sets an option on the listening socket, which the new server hid.

--- a/sparloom/transport/frame_server.py
+++ b/sparloom/transport/frame_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from absl import logging
 
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
     from datetime import timedelta
 
     from sparloom.codec import Record
@@ -51,6 +51,11 @@
         """Accept connections on a listening socket."""
         self._server = await asyncio.start_server(self._on_connection, sock=listen_socket, limit=READ_CHUNK_BYTES)
 
+    @property
+    def sockets(self) -> Sequence[Any]:
+        """The listening sockets; none before the start."""
+        return () if self._server is None else self._server.sockets
+
     def close(self) -> None:
         """Accept no more connections; those that are open go on."""
         if self._server is not None:
