Frames between nodes take their bytes from the account of the process

What callers saw: 24 connections to an internal port that each announce a frame of 32 MB and stop short of its end took a router over 200 MB and a controller over 296 MB.

Cause: a frame was kept up to 32 MB by its length prefix, before its sender had said who it is, and without looking at the others.

Change: a frame beyond 64 KiB takes twice its bytes from the process's account as they arrive (it is copied once more when it is unpacked). Slow ones make room; where there is none the connection ends, like that of any bad frame. A connection that we opened buffers 64 KiB in place of 32 MB.

--- a/sparloom/transport/sockets.py
+++ b/sparloom/transport/sockets.py
@@ -14,10 +14,13 @@
 
 from attrs import define, field
 
+from sparloom.admission import HoldingKind, process_budget
 from sparloom.codec import DecodeError, pack, unpack
 from sparloom.launch.early_listen import take
 from sparloom.metrics import current_meter
 
+from .clock import monotonic
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -30,6 +33,8 @@
 MAXIMUM_FRAME_BYTES = 1 << 25
 # Most bytes of a frame that one read returns.
 READ_CHUNK_BYTES = 1 << 16
+# Memory that a frame takes while it is unpacked, per byte.
+UNPACKED_FRAME_FACTOR = 2
 # Growth of the connect timeout after each timeout.
 DIAL_BACKOFF_FACTOR = 1.5
 _MILLISECOND = timedelta(milliseconds=1)
@@ -242,20 +247,39 @@
         (size,) = _FRAME_LENGTH.unpack(await self.reader.readexactly(_FRAME_LENGTH.size))
         if size > MAXIMUM_FRAME_BYTES:
             raise DecodeError(f"found a frame of {size} bytes, expected at most {MAXIMUM_FRAME_BYTES}")
-        missing, chunks = size, []
-        while missing:
-            if progress:
-                progress()
-            chunk = await self.reader.read(min(missing, READ_CHUNK_BYTES))
-            if not chunk:
-                raise EOFError(f"the connection ended {missing} bytes before the end of a frame")
-            chunks.append(chunk)
-            missing -= len(chunk)
-        message = unpack(b"".join(chunks))
+        message = await self._read_record(size, progress)
         if self.meter is not None:
             self.meter.add(f"frame in {type(message).__name__}", size + _FRAME_LENGTH.size)
         return message
 
+    async def _read_record(self, size: int, progress: Callable[[], object] | None) -> Any:
+        """Read the rest of a frame; a large one takes its bytes from the process's budget as they arrive."""
+        budget, holding, frame = process_budget(), None, bytearray()
+        try:
+            while len(frame) < size:
+                if progress:
+                    progress()
+                chunk = await self.reader.read(min(size - len(frame), READ_CHUNK_BYTES))
+                if not chunk:
+                    raise EOFError(f"the connection ended {size - len(frame)} bytes before the end of a frame")
+                frame += chunk
+                if len(frame) <= READ_CHUNK_BYTES:
+                    continue
+                now = monotonic()
+                if holding is None:
+                    holding = budget.open(HoldingKind.FRAMES, self._peer(), now, self.writer.transport.abort)
+                holding.record_progress(len(chunk), now)
+                if not budget.resize(holding, len(frame) * UNPACKED_FRAME_FACTOR, now):
+                    raise DecodeError(f"no memory is left for a frame of {size} bytes")
+            return unpack(bytes(frame))
+        finally:
+            if holding is not None:
+                budget.close(holding)
+
+    def _peer(self) -> str:
+        name = self.writer.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else ""
+
     async def write(self, message: Record, stall_timeout: timedelta | None = None) -> None:
         """Write a record and wait until the send buffer has space again.
 
@@ -375,6 +399,6 @@
         The connection was not opened within ``timeout``.
     """
     async with asyncio.timeout(timeout.total_seconds()):
-        reader, writer = await asyncio.open_connection(host, port, limit=MAXIMUM_FRAME_BYTES)
+        reader, writer = await asyncio.open_connection(host, port, limit=READ_CHUNK_BYTES)
     set_tcp_options(writer.get_extra_info("socket"))
     return Frames(reader, writer)
