--- a/tests/golden_calls.py
+++ b/tests/golden_calls.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from enum import Enum
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -30,6 +30,9 @@
 
 from .golden_names import answer, plain
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 JOB_BODY = (
     b'{"taskSpec":"x","steps":[{"replicaCount":2,"cpu":500,"checkpoints":true},'
     b'{"replicaCount":1,"gangScheduled":true,"dependsOn":[0]}],"repetitions":2,"initialDelayMs":7,"intervalMs":900}'
@@ -42,6 +45,7 @@
     def __init__(self, status: int = 200, document: dict[str, Any] | None = None) -> None:
         self.status, self.document = status, document or {}
         self.posted: list[list[Any]] = []
+        self.url, self.content = SimpleNamespace(authority="10.0.0.9:80"), self
 
     def post(self, url: str, *, data: bytes, headers: dict[str, str], allow_redirects: bool) -> _Session:
         """Note a request."""
@@ -54,9 +58,9 @@
     async def __aexit__(self, *_: object) -> None:
         """End the response."""
 
-    async def read(self) -> bytes:
-        """The body of the response."""
-        return json.dumps(self.document).encode()
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """The body of the response, in one piece."""
+        yield json.dumps(self.document).encode()
 
     async def close(self) -> None:
         """End the session."""
