Answers that clients don't take are accounted for

What callers saw: 140 clients that send a small request and never read its answer took a router over 200 MB; those of streams took 157 MB.

Cause: an answer that is not taken waits in the buffer of the runner's connection (up to 768 KiB by the library's default), as the kept body, and in the client's send buffer; nothing added these up, and a connection that was closed kept its last bytes for as long as the client liked.

Change: a connection whose client takes no data has its send buffer and 256 KiB in the account of the process; a kept body stays there until it is sent, in pieces of 64 KiB. Where there is no room the connection is closed, and clients that take nothing for a second give way to others.

--- a/sparloom/router/response_relay.py
+++ b/sparloom/router/response_relay.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import aiohttp
 from aiohttp import web
@@ -27,10 +27,13 @@
     from sparloom.retry import Verdict
 
     from .attempt import Attempt
+    from .client_connections import ClientConnection
     from .request import Request
 
 # Largest body of a response that is kept until it is complete.
-MAXIMUM_KEPT_BYTES = 1 << 20
+MAXIMUM_KEPT_BYTES = 256 << 10
+# Bytes of a kept body that are written at a time.
+SEND_PIECE_BYTES = 64 << 10
 OK = 200
 FIRST_NON_SUCCESS = 300
 
@@ -115,35 +118,41 @@
         It is sent once it is complete, so that another backend may be tried until then. One that is too large to be
         kept is passed on as it arrives.
         """
-        upstream = attempt.response
+        upstream, budget = attempt.response, process_budget()
         chunks = upstream.content.iter_any()
-        body, is_complete = await self._read_start(chunks, attempt.backend.address)
-        self._on_progress(attempt)
-        if is_complete:
-            await self._send_head(upstream, str(len(body)))
-            await self._send(body)
-        else:
-            self.accepts_other_backends = False
-            await self._send_head(upstream, upstream.headers.get("Content-Length"))
-            await self._send(body)
+        holding = budget.open(HoldingKind.RESPONSES, attempt.backend.address, monotonic())
+        try:
+            body, is_complete = await self._read_start(chunks, holding)
+            self._on_progress(attempt)
+            self.accepts_other_backends = is_complete
+            await self._send_head(upstream, str(len(body)) if is_complete else upstream.headers.get("Content-Length"))
+            await self._send_kept(body, holding)
+        finally:
+            budget.close(holding)
+        if not is_complete:
             async for chunk in chunks:
                 await self._send(chunk)
                 attempt.inactivity.arm()
         await self._send_end()
 
     @staticmethod
-    async def _read_start(chunks: AsyncIterator[bytes], peer: str) -> tuple[bytes, bool]:
+    async def _read_start(chunks: AsyncIterator[bytes], holding: Holding) -> tuple[bytes, bool]:
         """Read a body until it is complete or too large to be kept; return the bytes and whether it is complete."""
-        budget, body = process_budget(), bytearray()
-        holding = budget.open(HoldingKind.RESPONSES, peer, monotonic())
-        try:
-            async for chunk in chunks:
-                body += chunk
-                if len(body) > MAXIMUM_KEPT_BYTES or not budget.resize(holding, len(body), monotonic()):
-                    return bytes(body), False
-            return bytes(body), True
-        finally:
-            budget.close(holding)
+        body = bytearray()
+        async for chunk in chunks:
+            body += chunk
+            if len(body) > MAXIMUM_KEPT_BYTES or not process_budget().resize(holding, len(body), monotonic()):
+                return bytes(body), False
+        return bytes(body), True
+
+    async def _send_kept(self, body: bytes, holding: Holding) -> None:
+        """Send the kept bytes in pieces; a client that takes them too slowly may be given up for others."""
+        connection = cast("ClientConnection", self._http_request.protocol)
+        holding.evict = connection.abort
+        for start in range(0, len(body), SEND_PIECE_BYTES):
+            piece = body[start : start + SEND_PIECE_BYTES]
+            await self._send(piece)
+            holding.record_progress(len(piece), monotonic())
 
     async def _relay_bytes(self, attempt: Attempt) -> None:
         """Relay the bytes of a stream that can't be resumed at another backend."""
--- a/sparloom/transport/http_client.py
+++ b/sparloom/transport/http_client.py
@@ -19,6 +19,8 @@
 
 # Answers that may wait on a connection: interim ones, and those that nobody has asked for.
 MAXIMUM_QUEUED_ANSWERS = 64
+# Bytes of a body that wait for their reader before the connection is read no further.
+READ_BUFFER_BYTES = 32 << 10
 # Most bytes that one read from a connection returns.
 READ_CHUNK_BYTES = 64 << 10
 
@@ -106,7 +108,9 @@
     RuntimeError
         This version of aiohttp has no option to disable its retries.
     """
-    session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar(), **options)
+    session = aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=READ_BUFFER_BYTES, **options
+    )
     if not hasattr(session, "_retry_connection"):
         raise RuntimeError("this version of aiohttp has no option to disable its retries")
     session._retry_connection = False
--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -21,7 +21,7 @@
 from sparloom.admission import HoldingKind, process_budget
 
 from .clock import monotonic
-from .http_client import READ_CHUNK_BYTES, limit_read_size
+from .http_client import READ_BUFFER_BYTES, READ_CHUNK_BYTES, limit_read_size
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -32,12 +32,12 @@
 DEFAULT_HEAD_BYTES = 32 << 10
 # The library's limit on a line and a field of a head.
 DEFAULT_LINE_BYTES = 8190
-# Bytes of a body that wait for their reader before the connection is read no further.
-READ_BUFFER_BYTES = 32 << 10
 # Heads up to this size are not accounted for one by one.
 UNACCOUNTED_HEAD_BYTES = 8 << 10
 # Memory of a parsed head per byte on the wire.
 PARSED_HEAD_FACTOR = 4
+# What may be kept for an answer beside the bytes in its send buffer: the next ones, and those read from the runner.
+BLOCKED_BYTES = 256 << 10
 # How long the rest of a body is read and dropped after its request was refused, so that the client sees the answer.
 LINGERING_TIME_S = 2.0
 # A client that has sent or taken nothing for this long may lose its connection to another.
@@ -66,6 +66,7 @@
         "_partial_bytes",
         "_payload",
         "_socket",
+        "_unsent",
         "last_active_at",
         "partial",
     )
@@ -87,6 +88,8 @@
         # Bytes of the complete heads of the current request and of those behind it, and of the incomplete one.
         self._head_bytes = self._partial_bytes = 0
         self._holding: Holding | None = None
+        # What waits for a client that takes no data.
+        self._unsent: Holding | None = None
         self._blocked_since: timedelta | None = None
 
     # -- state --------------------------------------------------------------------
@@ -126,6 +129,7 @@
             cast("BoundedServer", self._manager).remove(self)
         if self._holding is not None:
             process_budget().close(self._holding)
+        self._close_unsent()
         self._socket = self._payload = None
         super().connection_lost(exc)
 
@@ -135,14 +139,26 @@
             self._socket.abort()
 
     def pause_writing(self) -> None:
-        """Record since when the client takes nothing."""
+        """Account for an answer that the client doesn't take; without room for it the connection is closed."""
         super().pause_writing()
-        self._blocked_since = monotonic()
+        budget, now = process_budget(), monotonic()
+        self._blocked_since = now
+        self._unsent = budget.open(HoldingKind.RESPONSES, self.peer, now, self.abort)
+        unsent_bytes = self._socket.get_write_buffer_size() if self._socket is not None else 0
+        if not budget.resize(self._unsent, unsent_bytes + BLOCKED_BYTES, now):
+            logging.info("server: no memory for an answer peer=%s budget=%s", self.peer, _figures())
+            self._loop.call_soon(self.abort)
 
     def resume_writing(self) -> None:
         """Record that the client takes data again."""
         super().resume_writing()
         self._blocked_since = None
+        self._close_unsent()
+
+    def _close_unsent(self) -> None:
+        if self._unsent is not None:
+            process_budget().close(self._unsent)
+            self._unsent = None
 
     # -- heads --------------------------------------------------------------------
     def data_received(self, data: bytes) -> None:
--- a/tests/router/test_large_responses.py
+++ b/tests/router/test_large_responses.py
@@ -44,7 +44,7 @@
     async def test_response_is_passed_on_where_the_budget_has_no_room(self):
         budget = process_budget()
         self.addCleanup(setattr, budget, "capacity", budget.capacity)
-        budget.capacity = 0
+        budget.capacity = 100
         other = budget.open(HoldingKind.ANSWERS, "other", monotonic())
         budget.resize(other, 1, monotonic())
         answer, sent = await self.send_raw(response(b"x" * 5000))
--- a/tests/transport/test_bounded_servers.py
+++ b/tests/transport/test_bounded_servers.py
@@ -8,16 +8,17 @@
 
 from aiohttp import web
 
-from sparloom.admission import process_budget
+from sparloom.admission import HoldingKind, process_budget
 from sparloom.feed import Subscribe
 from sparloom.settings import Address, Limits
-from sparloom.transport import bind, dial
+from sparloom.transport import bind, dial, monotonic
 from sparloom.transport.frame_server import FrameServer
 from sparloom.transport.http_client import READ_CHUNK_BYTES
 from sparloom.transport.http_server import DEFAULT_HEAD_BYTES, BoundedServer
 
 MAXIMUM_CONNECTIONS = 4
 SECOND = timedelta(seconds=1)
+LARGE_ANSWER = bytes(8 << 20)
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
 
 
@@ -37,7 +38,7 @@
         self.bodies.append(await request.content.read(-1))
         if request.path == "/wait":
             await self.go_on.wait()
-        return web.Response(text="ok")
+        return web.Response(body=LARGE_ANSWER) if request.path == "/large" else web.Response(text="ok")
 
     async def connect(self, sent=b""):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -123,6 +124,27 @@
         self.assertEqual((len(self.bodies), process_budget().held), (1, 0))
         self.go_on.set()
 
+    async def test_an_answer_that_nobody_takes_is_accounted_for_until_it_is_taken(self):
+        reader, _ = await self.connect(REQUEST.replace(b"/ ", b"/large ") + b"hello")
+        self.assertGreater(process_budget().held, 1 << 20)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200 "))
+        self.assertEqual(await reader.readexactly(len(LARGE_ANSWER)), LARGE_ANSWER)
+        await asyncio.sleep(0.05)
+        self.assertEqual(process_budget().held, 0)
+
+    async def test_a_client_that_takes_no_answer_is_closed_where_there_is_no_room_for_it(self):
+        budget = process_budget()
+        self.addCleanup(setattr, budget, "capacity", budget.capacity)
+        budget.capacity = 100_000
+        other = budget.open(HoldingKind.ANSWERS, "other", monotonic())
+        self.addCleanup(budget.close, other)
+        budget.resize(other, 50_000, monotonic())
+        reader, _ = await self.connect(REQUEST.replace(b"/ ", b"/large ") + b"hello")
+        with contextlib.suppress(ConnectionError):
+            self.assertLess(len(await reader.read(-1)), len(LARGE_ANSWER))
+        self.assertEqual((self.server.open_connections(), budget.held), ([], 50_000))
+
     async def test_a_part_of_a_head_makes_room_where_the_budget_is_used_up(self):
         budget = process_budget()
         self.addCleanup(setattr, budget, "capacity", budget.capacity)
