A request's body is written to its runner in pieces

Cause: the library writes a body whole, and what the runner doesn't read at once stands a second time in the send buffer, a third time with a hedged attempt; the account knows one copy.

Change: bodies beyond 64 KiB are written in pieces, as fast as the runner takes them.

--- a/sparloom/router/attempt.py
+++ b/sparloom/router/attempt.py
@@ -14,6 +14,7 @@
 from sparloom.retry import MAY_HAVE_RUN, NOT_RUN, judge_head
 from sparloom.transport import monotonic
 from sparloom.transport.bounded_reads import read_body
+from sparloom.transport.piecewise_payload import request_data
 
 from .inactivity_timer import InactivityTimer
 from .request import response_head, upstream_headers
@@ -189,7 +190,7 @@
         return await self.backend.session().request(
             request.method,
             url_for(self.backend.address, request.path),
-            data=request.body or None,
+            data=request_data(request.body),
             headers=upstream_headers(request, self.backend, monotonic(), last_event_id, self._deprioritized),
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
