Beliefs show the bytes that are held for peers

Which peers make a process keep what could not be told from any log or figure. The beliefs of both programs have heldBytes now: the account's capacity, what is held by kind, the most that was held, refusals and evictions.

--- a/sparloom/controller/control_api.py
+++ b/sparloom/controller/control_api.py
@@ -20,6 +20,7 @@
 from mode import Service
 from returns.pipeline import is_successful
 
+from sparloom.admission import process_budget
 from sparloom.discovery.zones import services_without_runners, zone_counts
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.metrics.reporter import process_figures
@@ -392,6 +393,7 @@
                 "view": self._view(),
                 "leading": member.leading(),
                 "sureMs": feed.confirmation_age_ms(),
+                "heldBytes": process_budget().figures(),
                 "meter": process_figures(),
                 **self._duties(),
                 **self._rollouts(),
--- a/sparloom/router/frontend.py
+++ b/sparloom/router/frontend.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from mode import Service
 
+from sparloom.admission import process_budget
 from sparloom.configuration import RequestLimits
 from sparloom.feed import CONFIGURATION, ENDPOINTS
 from sparloom.settings import JOB_DEPLOYMENT, MODEL_DEPLOYMENT, SettingsError
@@ -356,5 +357,6 @@
         "requests": outcomes.figures(),
         "isolation": isolation.fingerprints() if isolation else [],
         "runnersBeforeIsolation": node.backends_before_isolation(),
+        "heldBytes": process_budget().figures(),
         "meter": process_figures(),
     }
