A start answered with a clock of the wrong type counts as unanswered

Cause: float() of a list or an object raises TypeError, which ended the call's task without an event; the scheduler waited for an answer that never came.

Change: it counts as no answer, like any other body that can't be read. Read, not seen in a run; no test of its own.

--- a/sparloom/controller/runner_calls.py
+++ b/sparloom/controller/runner_calls.py
@@ -138,7 +138,7 @@
                 logging.warning("scheduler: start rejected task=%s runner=%s", order.task, order.runner)
         except aiohttp.ClientConnectorError:
             result = StartResult.UNREACHABLE
-        except CALL_ERRORS:
+        except (*CALL_ERRORS, TypeError):
             result = StartResult.NO_ANSWER
         self.on_event(StartAnswered(order.runner, order.task, order.number, result, clock_ms))
 
