--- a/sparloom/controller/endpoint_poller.py
+++ b/sparloom/controller/endpoint_poller.py
@@ -13,6 +13,7 @@
 from sparloom.discovery import (
     MAXIMUM_PAGE_BYTES,
     EndpointList,
+    ListTooLongError,
     PageAssembler,
     PollSchedule,
     read_page,
@@ -163,8 +164,13 @@
         if page is None:
             self._discard_pages(f"status {status}" if status != HTTPStatus.OK else "invalid page")
             return PollOutcome(more_pages=False, rate_limited=False)
+        try:
+            more_pages = self._add_page(*page)
+        except ListTooLongError as error:
+            self._discard_pages(str(error))
+            return PollOutcome(more_pages=False, rate_limited=False)
         self._failure_logged = False
-        return PollOutcome(more_pages=self._add_page(*page), rate_limited=False)
+        return PollOutcome(more_pages=more_pages, rate_limited=False)
 
     async def _request_page(self, platform: CloudApi) -> tuple[int, Any]:
         """The status and JSON document of one page; the status is ``NO_RESPONSE_STATUS`` if there was no response.
--- a/sparloom/discovery/__init__.py
+++ b/sparloom/discovery/__init__.py
@@ -2,10 +2,12 @@
 
 from .endpoints import (
     MAXIMUM_PAGE_BYTES,
+    MAXIMUM_RUNNERS,
     POOL_SEPARATOR,
     Endpoint,
     EndpointDelta,
     EndpointList,
+    ListTooLongError,
     PageAssembler,
     PollSchedule,
     apply_delta,
@@ -19,10 +21,12 @@
 
 __all__ = [
     "MAXIMUM_PAGE_BYTES",
+    "MAXIMUM_RUNNERS",
     "POOL_SEPARATOR",
     "Endpoint",
     "EndpointDelta",
     "EndpointList",
+    "ListTooLongError",
     "PageAssembler",
     "PollSchedule",
     "apply_delta",
--- a/sparloom/discovery/endpoints.py
+++ b/sparloom/discovery/endpoints.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from sparloom.codec import Record, UInt16, UInt32, record
+from sparloom.errors import SparloomError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,6 +25,8 @@
 RATE_LIMIT_DIVISOR = 2
 # Largest page of the list that is read.
 MAXIMUM_PAGE_BYTES = 16 << 20
+# Most runners that a list may have over all its pages.
+MAXIMUM_RUNNERS = 100_000
 # Separates service and version in the name of a pool. Names written by operators don't contain it.
 POOL_SEPARATOR = "\x1f"
 
@@ -208,6 +211,10 @@
         return Failure(f"the platform's page can't be read: {error}")
 
 
+class ListTooLongError(SparloomError):
+    """The platform's list has too many runners, or its pages never end."""
+
+
 @define(slots=True)
 class PageAssembler:
     """Assembles the list of runners from its pages.
@@ -228,7 +235,12 @@
 
         >>> PageAssembler().add([], None)
         EndpointList(runners=[], fleet_size=0)
+
+        Raises:
+            ListTooLongError: The pages have more than ``MAXIMUM_RUNNERS`` together.
         """
+        if len(self.runners) + len(runners) > MAXIMUM_RUNNERS:
+            raise ListTooLongError(f"the list has more than {MAXIMUM_RUNNERS} runners")
         self.runners += runners
         self.token = token
         if token is not None:
