Small bodies count their copy in the send buffer

Cause: a body up to 128 KiB that its runner doesn't read stands whole in the send buffer as well; a machine of 200 MB with 72 MB of such bodies would have had 144 MB of them.

Change: a body takes its bytes and those of that copy, up to 128 KiB, from the account.

--- a/sparloom/router/request.py
+++ b/sparloom/router/request.py
@@ -20,6 +20,7 @@
 from sparloom.load_balancing import parse_parts
 from sparloom.retry.verdict import ResponseHead
 from sparloom.transport import monotonic
+from sparloom.transport.http_client import PIECE_BYTES
 
 from . import headers as names
 from .headers import MILLISECOND, end_to_end, time_remaining
@@ -49,7 +50,9 @@
 REQUEST_TIMEOUT = 408
 UNAVAILABLE = 503
 # Bytes that are granted before the first ones arrive, where the client declares no length.
-UNDECLARED_BYTES = 64 << 10
+UNDECLARED_BYTES = 32 << 10
+# Most bytes of a body that wait in the send buffer of a connection to a backend.
+SEND_BUFFER_BYTES = 2 * PIECE_BYTES
 
 
 @define(frozen=True, slots=True, eq=False)
@@ -179,11 +182,12 @@
             raise RequestBodyError(
                 CONTENT_TOO_LARGE, f"request body exceeds the limit of {limits.maximum_body_bytes} bytes"
             )
-        if size > self._holding.size:
-            self._grant(size)
+        self._grant(size)
 
     def _grant(self, size: int) -> None:
-        if not self._budget.resize(self._holding, size, monotonic()):
+        """Take a body's bytes from the budget, and those that wait in the send buffer to a backend."""
+        needed = size + min(size, SEND_BUFFER_BYTES)
+        if needed > self._holding.size and not self._budget.resize(self._holding, needed, monotonic()):
             raise self._out_of_memory(size)
 
     def _give_up(self) -> None:
--- a/tests/router/test_request_bodies.py
+++ b/tests/router/test_request_bodies.py
@@ -11,8 +11,10 @@
 from .test_frontend import FrontendTestCase
 
 BODY_BYTES = POLICY["limits"]["maxBodyBytes"]
-CAPACITY = 100 * BODY_BYTES
-FITTING = CAPACITY // BODY_BYTES
+# A body and its copy in the send buffer to a runner.
+HELD_BYTES = 2 * BODY_BYTES
+FITTING = 100
+CAPACITY = FITTING * HELD_BYTES
 # Room for responses, less than a body needs.
 SLACK_BYTES = 1000
 
@@ -68,7 +70,7 @@
 
     async def test_the_account_is_empty_after_each_kind_of_end(self):
         _, stopped = await self.start(b"x")
-        await self.until_held(BODY_BYTES)
+        await self.until_held(HELD_BYTES)
         stopped.transport.abort()
         await self.until_held(0)
         _, waiting = await self.start(b"x" * BODY_BYTES, path="/unsafe/x")
@@ -98,7 +100,7 @@
 
     async def test_a_body_in_pieces_is_refused_where_it_no_longer_fits(self):
         other = self.budget.open(HoldingKind.ANSWERS, "other", monotonic())
-        self.budget.resize(other, self.budget.capacity - BODY_BYTES // 2, monotonic())
+        self.budget.resize(other, self.budget.capacity - HELD_BYTES // 2, monotonic())
         piece = b"%x\r\n%s\r\n" % (BODY_BYTES - 1, b"x" * (BODY_BYTES - 1))
         raw = b"POST /safe/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
         answer = await self.rig.send("/safe/x", raw=raw + piece + b"0\r\n\r\n")
