Soak: clients that don't behave beside the ordinary ones

All programs have the limits of their machines (200 MB), and a process above its limit is a fault. The ordinary clients' checks are as they were.

--- a/simulator/soak/command.py
+++ b/simulator/soak/command.py
@@ -17,7 +17,7 @@
 async def _run_scenario(kind: str, seed: int, routers: int, clients: int, seconds: float, root: str) -> bool:
     scenario: RequestScenario | JobScenario | DutyScenario | RolloutScenario
     if kind == "requests":
-        scenario = RequestScenario(seed, routers or 3, clients, seconds, root or ROOT)
+        scenario = RequestScenario(seed, routers or 3, clients, seconds, root=root or ROOT)
     elif kind == "jobs":
         scenario = JobScenario(seed, routers or 2, seconds=seconds)
     elif kind == "duties":
--- a/simulator/soak/processes.py
+++ b/simulator/soak/processes.py
@@ -360,10 +360,14 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
     def check_memory(self) -> None:
-        """Record a fault when the processes use too much of the machine's memory."""
+        """Record a fault when a process uses more than its limit, or all of them too much of the machine's memory."""
         import psutil
 
         used_bytes = sum(_resident_bytes(node) for node in self.nodes)
+        for node in self.nodes:
+            limit_mb = node.settings.get("limits", {}).get("memoryMb")
+            if limit_mb is not None and _resident_bytes(node) > limit_mb << 20:
+                self.faults.append(f"{node.name} uses {_resident_bytes(node) >> 20} MB of {limit_mb}")
         if used_bytes > psutil.virtual_memory().total * MAXIMUM_MEMORY_FRACTION:
             self.faults.append(f"the processes use {used_bytes >> 20} MB of memory")
 
--- a/simulator/soak/requests.py
+++ b/simulator/soak/requests.py
@@ -17,6 +17,7 @@
 from simulator.clients import Client, Outcome, PlannedShutdown
 
 from .faults import inject_overlapping
+from .misbehaving import MisbehavingClient
 from .processes import CONTROL_PORT, FRONT_PORT, READINESS_PORT, ROOT, Fleet, Node
 
 if TYPE_CHECKING:
@@ -27,6 +28,11 @@
 RESPONSE_WEIGHTS = ((1, 0, 0), (0, 1, 0), (1, 1, 0), (1, 1, 1))
 PREFIXES = ("/once/", "/resume/")
 START_TIMEOUT_S = 90.0
+# The limits of the machines that the programs run on.
+MEMORY_MB = 200
+DESCRIPTORS = 4100
+# Numbers of clients that don't behave, for each router.
+MISBEHAVING_PER_ROUTER = (0, 2, 8, 20)
 # Interval of the platform's readiness checks.
 CHECK_INTERVAL_S = 1.0
 # Consecutive failed checks after which the platform sends no new connections to a router.
@@ -74,6 +80,8 @@
         The programs.
     counts
         The number of requests by outcome.
+    misbehaving_clients
+        The number of clients that don't behave; drawn from the seed.
     available_routers
         The routers that the platform sends new connections to.
     """
@@ -82,6 +90,7 @@
     routers: int = 3
     clients: int = 0
     seconds: float = 12.0
+    misbehaving_clients: int = 0
     root: str = ROOT
     fleet: Fleet = field(init=False)
     runners: list[Runner] = field(factory=list)
@@ -98,6 +107,8 @@
         self.rng = random.Random(self.seed)
         # With few clients a router is idle at times; with many it is busy until it exits.
         self.clients = self.clients or self.routers * self.rng.choice((1, 2, 3, 8))
+        misbehaving = random.Random(f"{self.seed} misbehaving")
+        self.misbehaving_clients = self.routers * misbehaving.choice(MISBEHAVING_PER_ROUTER)
         self.runners = [await Runner(id=f"i-{number}").start() for number in range(4)]
         for runner in self.runners:
             runner.script = self.rng.choices(("ok", "late", "still"), self.rng.choice(RESPONSE_WEIGHTS), k=20000)
@@ -107,7 +118,15 @@
             for number, runner in enumerate(self.runners)
         ]
         platform = await Platform(entries).start()
-        self.fleet = Fleet.make(3, self.routers, platform.port, GRACE_S, self.root, bounds={"graceS": GRACE_S})
+        self.fleet = Fleet.make(
+            3,
+            self.routers,
+            platform.port,
+            GRACE_S,
+            self.root,
+            bounds={"graceS": GRACE_S},
+            limits={"memoryMb": MEMORY_MB, "fileDescriptors": DESCRIPTORS},
+        )
         self.fleet.start()
         try:
             async with aiohttp.ClientSession() as http:
@@ -115,6 +134,7 @@
                 self._ends_at = asyncio.get_running_loop().time() + self.seconds
                 parts: list[Coroutine[Any, Any, None]] = [self._poll_readiness(http), self._inject_faults(http)]
                 parts += [self._client(number) for number in range(self.clients)]
+                parts += [self._misbehave(number) for number in range(self.misbehaving_clients)]
                 await asyncio.gather(*parts)
         finally:
             await self.fleet.stop()
@@ -255,6 +275,13 @@
             await node.terminate()
 
     # -- clients ------------------------------------------------------------------
+    async def _misbehave(self, number: int) -> None:
+        def choose_address() -> tuple[str, int] | None:
+            return (rng.choice(self.available_routers).ip, FRONT_PORT) if self.available_routers else None
+
+        rng = random.Random(f"{self.seed} misbehaving {number}")
+        await MisbehavingClient(rng, choose_address, self._time_left).run()
+
     async def _client(self, number: int) -> None:
         rng = random.Random(f"{self.seed} {number}")
         think_time_s = rng.choice((0.05, 0.25, 0.5))
