--- a/tests/resource_limits/test_client_crowds.py
+++ b/tests/resource_limits/test_client_crowds.py
@@ -87,9 +87,11 @@
                 answered = await fleet.router_answers(), await fleet.controller_answers()
                 joined = len(crowd.writers)
             after = await fleet.router_answers(MAXIMUM_BODY_BYTES), await fleet.controller_answers()
+            held = await fleet.held_bytes()
             print(f"{self.id()}: {joined} joined, {fleet.figures()}")
             self.assertEqual(fleet.faults(), [])
             self.assertEqual((answered, after), ((True, True), (True, True)))
+            self.assertEqual(held, {"router": 0, "controller": 0})
             self.assertGreater(joined, 0)
 
 
--- a/tests/resource_limits/test_endless_responses.py
+++ b/tests/resource_limits/test_endless_responses.py
@@ -50,10 +50,11 @@
         async with HostileServer(head, block, MOST_BYTES, rest_s) as runner, LimitedFleet(runner.port) as fleet:
             await asyncio.gather(*(self._call(fleet, route, number) for number in range(callers)))
             await asyncio.sleep(UNASKED_S if rest_s else 0)
-            answered = await fleet.router_answers()
+            answered, held = await fleet.router_answers(), await fleet.held_bytes()
             print(f"{self.id()}: sent {runner.sent_bytes >> 20} MB, {fleet.figures()}")
             self.assertEqual(fleet.faults(), [])
             self.assertTrue(answered)
+            self.assertEqual(held, {"router": 0, "controller": 0})
             self.assertGreater(runner.calls, 0)
 
     @staticmethod
--- a/tests/support/resource_watch.py
+++ b/tests/support/resource_watch.py
@@ -207,6 +207,20 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def held_bytes(self):
+        """Returns what the account of each process holds for peers, once both are empty or the time is over."""
+        held, ends_at = {}, time.monotonic() + ANSWER_TIMEOUT_S
+        async with aiohttp.ClientSession() as http:
+            while time.monotonic() < ends_at:
+                for name, (host, port) in (("router", self.readiness), ("controller", self.control)):
+                    with suppress(aiohttp.ClientError, OSError):
+                        async with http.get(f"http://{host}:{port}/-/beliefs") as response:
+                            held[name] = (await response.json())["heldBytes"]["held"]
+                if held == {"router": 0, "controller": 0}:
+                    break
+                await asyncio.sleep(0.1)
+        return held
+
     async def router_answers(self, body_bytes=5):
         return await self.ask(
             self.front,
