Soak: clients that don't behave share their bytes

Each such client built its own body of 4 MB, which bounded the size of a run by the soak's own memory.

--- a/simulator/soak/misbehaving.py
+++ b/simulator/soak/misbehaving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from functools import cache
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -25,11 +26,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+@cache
 def body_that_stops_short() -> bytes:
     """A body of legal size without its last byte."""
     return _head("/once/x", f"Content-Length: {BODY_BYTES}") + bytes(BODY_BYTES - 1)
 
 
+@cache
 def chunks_that_stop_short() -> bytes:
     """The same in small chunks."""
     return _head("/once/x", "Transfer-Encoding: chunked") + b"400\r\n" + b"x" * 1024 + b"\r\n" + bytes(PIECE_BYTES)
