Parts of prompts without tokens are not kept

What callers saw: nothing yet; a client that sends prompts of many empty parts makes a router keep each of them for ever (1,200 prompts of legal size take it over 200 MB).

Cause: the estimate of a runner's prefix cache evicts by tokens, and a part of 0 tokens takes none.

Change: such parts are neither kept nor looked for; they hold nothing that could be read again.

Parts of one token are bounded by cacheTokens, some 200 bytes each.

--- a/sparloom/load_balancing/cached_prefixes.py
+++ b/sparloom/load_balancing/cached_prefixes.py
@@ -79,8 +79,10 @@
         6
         """
         for prefix, tokens in parts:
-            self.used += tokens - self.prefixes.pop(prefix, 0)
-            self.prefixes[prefix] = tokens
+            # A part without tokens takes no capacity, so that nothing would ever evict it.
+            if tokens:
+                self.used += tokens - self.prefixes.pop(prefix, 0)
+                self.prefixes[prefix] = tokens
         while self.used > self.capacity and len(self.prefixes) > 1:
             self.used -= self.prefixes.popitem(last=False)[1]
 
@@ -94,7 +96,7 @@
         >>> list(cached.prefixes)
         ['b', 'a']
         """
-        if prefix not in self.prefixes and self.used + tokens <= self.capacity:
+        if tokens and prefix not in self.prefixes and self.used + tokens <= self.capacity:
             self.used += tokens
             self.prefixes[prefix] = tokens
             self.prefixes.move_to_end(prefix, last=False)
@@ -107,7 +109,7 @@
         """
         left = sum(tokens for _, tokens in parts)
         for prefix, tokens in parts:
-            if prefix not in self.prefixes:
+            if tokens and prefix not in self.prefixes:
                 break
             left -= tokens
         return left
--- a/tests/resource_limits/test_client_crowds.py
+++ b/tests/resource_limits/test_client_crowds.py
@@ -29,6 +29,9 @@
 HEAD_FIELDS = 120
 FIELD_BYTES = 60_000
 PIPELINED_REQUESTS = 30
+# Prompts in turn, each with as many parts as a head of legal size has.
+PROMPTS = 1200
+PARTS = 1400
 # How long a client tries to send, and how long the crowd stays before the ordinary request.
 SEND_TIMEOUT_S = 12.0
 STAY_S = 2.0
@@ -137,6 +140,21 @@
         start = head("/safe/x", "POST", "X-Sparloom-Attempt-Id: a1", "Content-Length: 0")
         await self.check("front", MIDDLE_CROWD, start, answer, bytes(1 << 16), 4 << 20, 0.0)
 
+    async def test_prompts_of_many_empty_parts(self):
+        async with LimitedFleet() as fleet:
+            for number in range(PROMPTS):
+                parts = ",".join(f"{number}-{part}:0" for part in range(PARTS))
+                await fleet.ask(
+                    fleet.front,
+                    f"POST /ordinary/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: a{number}\r\n"
+                    f"X-Sparloom-Prompt-Prefix: {parts}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode(),
+                )
+            answered, held = await fleet.router_answers(), await fleet.held_bytes()
+            print(f"{self.id()}: {fleet.figures()}")
+            self.assertEqual(fleet.faults(), [])
+            self.assertTrue(answered)
+            self.assertEqual(held, {"router": 0, "controller": 0})
+
     async def test_connections_that_send_nothing(self):
         await self.check("front", WIDE_CROWD, b"")
 
