Headers that can't be read end in no exception, and long prompts cost no square

What callers saw: 500 and a traceback for a prompt whose numbers of tokens are digits of another script or have thousands of digits, or for an attempt id that is no UTF-8; some 15 ms of the event loop for a prompt of 1,400 parts.

Cause: isdigit() holds for more than int() reads; ids were encoded strictly; each part's hash was made from the first id on again.

Change: such a prompt counts as none, ids keep their bytes, and the hash goes on from part to part (same values).

Evidence: the new tests raise ValueError and give 500 on the old code.

--- a/sparloom/load_balancing/cached_prefixes.py
+++ b/sparloom/load_balancing/cached_prefixes.py
@@ -13,6 +13,8 @@
 
 # Digest size of a prefix number.
 PREFIX_BYTES = 8
+# Digits of the longest number of tokens that is read.
+MAXIMUM_TOKEN_DIGITS = 9
 
 # A part of a prompt: the number of the prefix that ends with it, and the part's length in tokens.
 Part = tuple[int, int]
@@ -36,14 +38,15 @@
     >>> parse_parts("junk")
     ()
     """
-    parts, prefix = [], ""
+    parts: list[Part] = []
+    # The hash of a prefix is that of its ids, joined by commas.
+    prefix = blake2b(digest_size=PREFIX_BYTES, key=key)
     for item in (text or "").split(","):
         id, _, tokens = item.strip().partition(":")
-        if not id or not tokens.isdigit():
+        if not id or not tokens.isascii() or not tokens.isdigit() or len(tokens) > MAXIMUM_TOKEN_DIGITS:
             return ()
-        prefix = f"{prefix},{id}" if prefix else id
-        digest = blake2b(prefix.encode(), digest_size=PREFIX_BYTES, key=key).digest()
-        parts.append((int.from_bytes(digest), int(tokens)))
+        prefix.update((f",{id}" if parts else id).encode(errors="surrogateescape"))
+        parts.append((int.from_bytes(prefix.copy().digest()), int(tokens)))
     return tuple(parts)
 
 
--- a/sparloom/router/request.py
+++ b/sparloom/router/request.py
@@ -99,7 +99,7 @@
         """
         candidates = self.shared_parts or self.parts
         if not candidates:
-            return int.from_bytes(self.attempt_id.encode()[-AFFINITY_KEY_BYTES:])
+            return int.from_bytes(self.attempt_id.encode(errors="surrogateescape")[-AFFINITY_KEY_BYTES:])
         return max(candidates, key=lambda part: part[1])[0]
 
 
--- a/tests/load_balancing/test_cached_prefixes.py
+++ b/tests/load_balancing/test_cached_prefixes.py
@@ -1,8 +1,9 @@
 """Tests of the prompts' parts, as clients that don't behave may send them."""
 
 import unittest
+from hashlib import blake2b
 
-from sparloom.load_balancing.cached_prefixes import CachedPrefixes
+from sparloom.load_balancing.cached_prefixes import CachedPrefixes, parse_parts
 
 
 class CachedPrefixesTest(unittest.TestCase):
@@ -21,6 +22,18 @@
         self.assertEqual(cached.prefill_tokens(parts), 0)
         self.assertEqual(cached.prefill_tokens((*parts, (5, 2))), 2)
 
+    def test_a_prefix_is_identified_by_the_hash_of_its_joined_ids(self):
+        for key in (b"", b"k"):
+            digests = [blake2b(prefix, digest_size=8, key=key).digest() for prefix in (b"a", b"a,b", b"a,b,c")]
+            expected = [(int.from_bytes(digest), tokens) for digest, tokens in zip(digests, (3, 4, 5), strict=True)]
+            self.assertEqual(list(parse_parts("a:3, b:4,c:5", key)), expected)
+
+    def test_numbers_that_can_not_be_read_are_no_prompt(self):
+        """Regression: digits of other scripts, very long numbers and bytes that are no UTF-8 raised an exception."""
+        for text in ("a:²", "a:٣", "a:" + "9" * 5000, "a:-1", "a:"):
+            self.assertEqual(parse_parts(text), ())
+        self.assertEqual(len(parse_parts("\udcff:1")), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/router/test_request_bodies.py
+++ b/tests/router/test_request_bodies.py
@@ -98,6 +98,12 @@
         answer = await self.rig.send("/safe/x", packed, ["Content-Encoding: gzip"])
         self.assertEqual((answer.status, [request.body for request in self.received]), (200, [packed]))
 
+    async def test_an_attempt_id_that_is_no_utf_8_ends_in_no_exception(self):
+        raw = b"POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: a\xff\r\n"
+        answer = await self.rig.send("", raw=raw + b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+        self.assertNotEqual(answer.status, 500)
+        self.assertEqual(len(self.received), 1)
+
     async def test_a_body_in_pieces_is_refused_where_it_no_longer_fits(self):
         other = self.budget.open(HoldingKind.ANSWERS, "other", monotonic())
         self.budget.resize(other, self.budget.capacity - HELD_BYTES // 2, monotonic())
