A process keeps a bounded number of prompts' parts

What callers saw: nothing yet; 1,200 prompts of 1,400 parts of one token, with 12 runners that cache 443,888 tokens each, take a router over 200 MB.

Cause: the estimate of a runner's prefix cache is bounded by the tokens that the runner can cache, and a part may have one token: 250 bytes of the router for each.

Change: 131,072 parts over all runners, split evenly, at least 16 for a runner. With 72 runners that is 1,820 for each, and some 240 tokens a part before it bounds anything. Heads are accounted for from 4 KiB on, 8 before, which makes room for the parts in the sum of a machine.

--- a/sparloom/load_balancing/cached_prefixes.py
+++ b/sparloom/load_balancing/cached_prefixes.py
@@ -13,6 +13,10 @@
 
 # Digest size of a prefix number.
 PREFIX_BYTES = 8
+# Largest number of parts that a process keeps, over all runners.
+MAXIMUM_PARTS = 1 << 17
+# Parts that are kept for a runner, however many runners there are.
+MINIMUM_PARTS_PER_RUNNER = 16
 # Digits of the longest number of tokens that is read.
 MAXIMUM_TOKEN_DIGITS = 9
 
@@ -50,6 +54,15 @@
     return tuple(parts)
 
 
+def parts_per_runner(runners: int) -> int:
+    """Returns how many parts to keep for each runner.
+
+    >>> parts_per_runner(12), parts_per_runner(100_000)
+    (10922, 16)
+    """
+    return max(MINIMUM_PARTS_PER_RUNNER, MAXIMUM_PARTS // max(1, runners))
+
+
 @define(slots=True)
 class CachedPrefixes:
     """Estimate of one runner's prefix cache, with LRU eviction.
@@ -59,6 +72,7 @@
         used: Tokens that it caches according to this estimate.
         prefixes: Length in tokens of each cached part, by prefix number, least
             recently used first.
+        maximum_parts: Largest number of parts.
 
     >>> cached = CachedPrefixes(10)
     >>> cached.add((("a", 6),))
@@ -72,6 +86,7 @@
     capacity: int
     used: int = 0
     prefixes: OrderedDict[int, int] = field(factory=OrderedDict)
+    maximum_parts: int = MAXIMUM_PARTS
 
     def add(self, parts: Iterable[Part]) -> None:
         """Records a prompt that was sent to the runner.
@@ -86,7 +101,7 @@
             if tokens:
                 self.used += tokens - self.prefixes.pop(prefix, 0)
                 self.prefixes[prefix] = tokens
-        while self.used > self.capacity and len(self.prefixes) > 1:
+        while (self.used > self.capacity or len(self.prefixes) > self.maximum_parts) and len(self.prefixes) > 1:
             self.used -= self.prefixes.popitem(last=False)[1]
 
     def add_recalled(self, prefix: int, tokens: int) -> None:
@@ -99,7 +114,9 @@
         >>> list(cached.prefixes)
         ['b', 'a']
         """
-        if tokens and prefix not in self.prefixes and self.used + tokens <= self.capacity:
+        if not tokens or prefix in self.prefixes or len(self.prefixes) >= self.maximum_parts:
+            return
+        if self.used + tokens <= self.capacity:
             self.used += tokens
             self.prefixes[prefix] = tokens
             self.prefixes.move_to_end(prefix, last=False)
--- a/sparloom/router/backends.py
+++ b/sparloom/router/backends.py
@@ -18,6 +18,7 @@
 
 from sparloom.discovery import service_of
 from sparloom.load_balancing import CachedPrefixes
+from sparloom.load_balancing.cached_prefixes import parts_per_runner
 from sparloom.metrics import count_event
 from sparloom.transport import set_tcp_options
 from sparloom.transport.http_client import Connector, open_session
@@ -324,6 +325,9 @@
             backend.set_evacuated(endpoint.zone in evacuated_zones, now)
             backend.cached.capacity = tokens
             by_id[endpoint.id] = backend
+        maximum_parts = parts_per_runner(len(by_id))
+        for backend in by_id.values():
+            backend.cached.maximum_parts = maximum_parts
         for backend in self.by_id.values():
             if by_id.get(backend.id) is not backend:
                 backend.delist()
--- a/sparloom/transport/http_server.py
+++ b/sparloom/transport/http_server.py
@@ -33,7 +33,7 @@
 # The library's limit on a line and a field of a head.
 DEFAULT_LINE_BYTES = 8190
 # Heads up to this size are not accounted for one by one.
-UNACCOUNTED_HEAD_BYTES = 8 << 10
+UNACCOUNTED_HEAD_BYTES = 4 << 10
 # Memory of a parsed head per byte on the wire.
 PARSED_HEAD_FACTOR = 4
 # What may be kept for an answer beside the bytes in its send buffer: the next ones, and those read from the runner.
--- a/tests/load_balancing/test_cached_prefixes.py
+++ b/tests/load_balancing/test_cached_prefixes.py
@@ -3,7 +3,9 @@
 import unittest
 from hashlib import blake2b
 
-from sparloom.load_balancing.cached_prefixes import CachedPrefixes, parse_parts
+from sparloom.discovery import Endpoint
+from sparloom.load_balancing.cached_prefixes import MAXIMUM_PARTS, CachedPrefixes, parse_parts
+from sparloom.router.backends import BackendTable
 
 
 class CachedPrefixesTest(unittest.TestCase):
@@ -15,6 +17,21 @@
             cached.add_recalled(1000 + number, 0)
         self.assertEqual((cached.used, len(cached.prefixes)), (0, 0))
 
+    def test_short_parts_are_bounded_by_their_number(self):
+        """Regression: a runner's cache of 443,888 tokens was as many parts of one token."""
+        cached = CachedPrefixes(1000, maximum_parts=3)
+        for number in range(10):
+            cached.add(((number, 1),))
+        cached.add_recalled(99, 1)
+        self.assertEqual((list(cached.prefixes), cached.used), ([7, 8, 9], 3))
+
+    def test_all_runners_together_keep_no_more_parts_than_a_process_may(self):
+        endpoints = [Endpoint(f"i-{number}", "s", f"h:{number}", "z", 8, False, 0) for number in range(12)]
+        table = BackendTable().updated(endpoints, lambda service: 443_888)
+        parts = [backend.cached.maximum_parts for backend in table.by_id.values()]
+        self.assertLessEqual(sum(parts), MAXIMUM_PARTS)
+        self.assertGreater(min(parts), 10_000)
+
     def test_a_part_without_tokens_does_not_hide_what_is_cached_behind_it(self):
         cached = CachedPrefixes(10)
         parts = ((1, 0), (2, 6), (3, 0), (4, 3))
--- a/tests/resource_limits/test_client_crowds.py
+++ b/tests/resource_limits/test_client_crowds.py
@@ -12,7 +12,7 @@
 import unittest
 from contextlib import suppress
 
-from tests.support.resource_watch import MAXIMUM_BODY_BYTES, HostileServer, LimitedFleet
+from tests.support.resource_watch import CONFIGURATION, MAXIMUM_BODY_BYTES, HostileServer, LimitedFleet
 
 # Clients that each make the process keep some megabytes.
 LARGE_CROWD = 96
@@ -32,6 +32,8 @@
 # Prompts in turn, each with as many parts as a head of legal size has.
 PROMPTS = 1200
 PARTS = 1400
+SOUND_RUNNERS = 12
+CACHE_TOKENS = 443888
 # How long a client tries to send, and how long the crowd stays before the ordinary request.
 SEND_TIMEOUT_S = 12.0
 STAY_S = 2.0
@@ -141,9 +143,19 @@
         await self.check("front", MIDDLE_CROWD, start, answer, bytes(1 << 16), 4 << 20, 0.0)
 
     async def test_prompts_of_many_empty_parts(self):
-        async with LimitedFleet() as fleet:
+        await self.check_prompts(0)
+
+    async def test_prompts_of_many_short_parts(self):
+        await self.check_prompts(1)
+
+    async def check_prompts(self, tokens):
+        services = [
+            {**service, "engine": {"slots": 5000, "cacheTokens": CACHE_TOKENS}} for service in CONFIGURATION["services"]
+        ]
+        configuration = {**CONFIGURATION, "services": services}
+        async with LimitedFleet(configuration=configuration, sound_runners=SOUND_RUNNERS) as fleet:
             for number in range(PROMPTS):
-                parts = ",".join(f"{number}-{part}:0" for part in range(PARTS))
+                parts = ",".join(f"{number}-{part}:{tokens}" for part in range(PARTS))
                 await fleet.ask(
                     fleet.front,
                     f"POST /ordinary/x HTTP/1.1\r\nHost: h.example\r\nX-Sparloom-Attempt-Id: a{number}\r\n"
--- a/tests/support/resource_watch.py
+++ b/tests/support/resource_watch.py
@@ -110,16 +110,17 @@
     ``hostile_port`` is where the hostile runner listens; ``platform_port`` replaces the fake platform.
     """
 
-    def __init__(self, hostile_port=9, platform_port=0, **settings):
+    def __init__(self, hostile_port=9, platform_port=0, configuration=CONFIGURATION, sound_runners=1, **settings):
         self.hostile_port, self.platform_port, self.more = hostile_port, platform_port, settings
+        self.configuration, self.sound_runners = configuration, sound_runners
         self.watches = {}
 
     async def __aenter__(self):
-        self.runner = await Runner(id="sound-1").start()
+        self.runners = [await Runner(id=f"sound-{number}").start() for number in range(self.sound_runners)]
         entries = [
-            Platform.entry("sound-1", "sound", f"127.0.0.1:{self.runner.port}", slots=5000),
-            Platform.entry("hostile-1", "hostile", f"127.0.0.1:{self.hostile_port}", slots=5000),
+            Platform.entry(runner.id, "sound", f"127.0.0.1:{runner.port}", slots=5000) for runner in self.runners
         ]
+        entries.append(Platform.entry("hostile-1", "hostile", f"127.0.0.1:{self.hostile_port}", slots=5000))
         self.platform = await Platform(entries).start()
         self.fleet = Fleet.make(1, 1, self.platform_port or self.platform.port, 5.0, **self.more)
         self.controller, self.router = self.fleet.controllers[0], self.fleet.routers[0]
@@ -136,7 +137,7 @@
     async def _until_configured(self):
         async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as http:
             operator = Operator(http, self.fleet)
-            await operator.put(CONFIGURATION, 0)
+            await operator.put(self.configuration, 0)
             if not self.platform_port:
                 await operator.until_routers_are_ready()
         self.watches = {
@@ -149,7 +150,8 @@
             watch.stop()
         await self.fleet.stop()
         await self.platform.stop()
-        await self.runner.stop()
+        for runner in self.runners:
+            await runner.stop()
 
     @property
     def front(self):
